--- /dev/null
+++ b/include/zinniarail/membership/View.h
@@ -0,0 +1,27 @@
+/// \file
+/// The snapshot that the control task hands to the others: which document is
+/// in force, which instances live, and until when that may be acted on.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "zinniarail/core/Time.h"
+#include "zinniarail/intent/Document.h"
+#include "zinniarail/membership/Instance.h"
+
+namespace zinniarail {
+
+/// An immutable snapshot. A later one replaces it whole.
+struct View {
+  std::shared_ptr<const Document> Intent; ///< Never null in a posted view.
+  std::uint64_t Version = 0;       ///< Of the document in force; only rises.
+  std::vector<Instance> Instances; ///< Live ones, by id, leaving included.
+  /// Past this nothing new is dispatched until a later view confirms the
+  /// version. It moves on with each confirmation, and lies in the past for a
+  /// process that wakes from a pause.
+  Instant ValidUntil{};
+};
+
+} // namespace zinniarail
--- /dev/null
+++ b/programs/zinniaraild/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/dispatch/Engine.cpp
@@ -0,0 +1,1 @@
+#include "zinniarail/dispatch/Engine.h"
