--- /dev/null
+++ b/include/zinniarail/peers/Messages.h
@@ -0,0 +1,69 @@
+/// \file
+/// What the peers task is told by the other tasks of its process. It owns the
+/// connections between instances and the claims this instance holds.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <boost/json/object.hpp>
+
+#include "zinniarail/core/Mailbox.h"
+#include "zinniarail/core/Time.h"
+#include "zinniarail/dispatch/Messages.h"
+#include "zinniarail/membership/View.h"
+
+namespace zinniarail::peers {
+
+/// A new view is in force here.
+struct ViewChanged {
+  std::shared_ptr<const View> Current;
+};
+/// The gateway asks for a claim; answered by gateway::ClaimAnswer.
+struct ClaimWanted {
+  std::string Service;
+  RequestId Request;
+  std::string Key;
+  Instant Deadline{};
+};
+/// The gateway has a word for a service's other homes.
+struct WordForHomes {
+  std::string Service;
+  PeerWord Word;
+};
+/// The control task lacks a document that a peer has; answered by
+/// control::DocumentFetched.
+struct FetchDocument {
+  std::string Instance;
+  std::uint64_t Version = 0;
+};
+/// The platform's answer to control::KeepClaim.
+struct ClaimKept {
+  std::string Service;
+  RequestId Request;
+  ClaimVerdict Verdict = ClaimVerdict::Unavailable;
+};
+/// The platform's answer to control::ListClaims.
+struct ClaimsListed {
+  std::string Service;
+  bool Reached = false;
+  std::vector<std::string> KeyHashes;
+};
+/// This instance stops: tell the peers and hand the claims over. Answered by
+/// gateway::ClaimsHandedOver.
+struct StopBegun {};
+/// Describe the task's state; the callback runs on the peers task's thread.
+struct DumpWanted {
+  std::function<void(boost::json::object)> Answer;
+};
+
+using Message =
+    std::variant<ViewChanged, ClaimWanted, WordForHomes, FetchDocument,
+                 ClaimKept, ClaimsListed, StopBegun, DumpWanted>;
+using Inbox = Mailbox<Message>;
+
+} // namespace zinniarail::peers
