--- /dev/null
+++ b/tests/settings/SettingsTest.cpp
@@ -0,0 +1,98 @@
+#include <map>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "zinniarail/settings/Settings.h"
+
+using namespace zinniarail;
+
+namespace {
+
+using Variables = std::map<std::string, std::string>;
+
+const std::vector<std::string> Complete{"--instance-id=i1",
+                                        "--failure-domain=serra-a",
+                                        "--environment=trial",
+                                        "--caller-address=127.0.0.1:1",
+                                        "--peer-address=127.0.0.1:2",
+                                        "--operator-address=127.0.0.1:3",
+                                        "--platform-address=127.0.0.1:4"};
+
+Result<Invocation, SettingErrors> read(std::vector<std::string> more,
+                                       const Variables &variables = {}) {
+  more.insert(more.begin(), Complete.begin(), Complete.end());
+  return readSettings(more, [&](const char *name) {
+    const auto it = variables.find(name);
+    return it == variables.end() ? nullptr : it->second.c_str();
+  });
+}
+
+struct Wrong {
+  std::vector<std::string> Arguments;
+  std::vector<std::string> Named; ///< What each error must name, in order.
+};
+
+std::ostream &operator<<(std::ostream &out, const Wrong &it) {
+  for (const auto &argument : it.Arguments) {
+    out << argument << ' ';
+  }
+  return out;
+}
+
+const std::vector<Wrong> WrongSettings{
+    {{"--seed=x"}, {"seed"}},
+    {{"--seed=x", "--stop-timeout-ms=y"}, {"seed", "stop-timeout-ms"}},
+    {{"--policy=best"}, {"--policy"}},
+    {{"--log-level=loud"}, {"--log-level"}},
+    {{"--view-lifetime-ms=1", "--stop-timeout-ms=0", "--nonsense"},
+     {"--nonsense", "--view-lifetime-ms", "--stop-timeout-ms"}},
+    {{"--peer-interval-ms=1000"}, {"--peer-interval-ms"}},
+    {{"stray"}, {"stray"}},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(everyErrorIsNamedAtOnce, WrongSettings, it) {
+  const auto result = read(it.Arguments);
+  BOOST_REQUIRE(!result);
+  BOOST_REQUIRE(result.error().size() == it.Named.size());
+  for (std::size_t n = 0; n < it.Named.size(); ++n) {
+    BOOST_TEST(result.error()[n].find(it.Named[n]) != std::string::npos,
+               result.error()[n]);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(nothingSetNamesEachMissingOne) {
+  const auto result =
+      readSettings({}, [](const char *) -> const char * { return nullptr; });
+  BOOST_REQUIRE(!result);
+  BOOST_TEST(result.error().size() == 7u);
+}
+
+BOOST_AUTO_TEST_CASE(theFlagWinsOverTheVariable) {
+  const Variables variables{{"ZINNIARAIL_FAILURE_DOMAIN", "serra-b"},
+                            {"ZINNIARAIL_STOP_TIMEOUT_MS", "1500"}};
+  const auto result = read({}, variables);
+  BOOST_REQUIRE(result);
+  BOOST_TEST(result.value().Values.FailureDomain == "serra-a");
+  BOOST_TEST(
+      (result.value().Values.StopTimeout == std::chrono::milliseconds{1500}));
+}
+
+BOOST_AUTO_TEST_CASE(commandsAreTold) {
+  BOOST_TEST((read({"--check"}).value().Wanted == Command::Check));
+  BOOST_TEST((read({"--help"}).value().Wanted == Command::Help));
+  BOOST_TEST((read({"--version"}).value().Wanted == Command::Version));
+  BOOST_TEST((read({"--policy=two-choices"}).value().Values.Policy ==
+              RoutingPolicy::TwoChoices));
+}
+
+BOOST_DATA_TEST_CASE(brokenAddressesAreRefused,
+                     (std::vector<std::string>{"", "1.2.3.4",
+                                               "1.2.3.4:", "1.2.3.4:0",
+                                               "1.2.3.4:70000", "localhost:80",
+                                               "1.2.3:80", "1.2.3.4:80x"}),
+                     text) {
+  BOOST_TEST(parseAddress(text).Host.empty());
+}
