--- /dev/null
+++ b/src/gateway/Services.cpp
@@ -0,0 +1,118 @@
+#include "gateway/Services.h"
+
+#include <algorithm>
+
+#include "zinniarail/core/Hash.h"
+
+namespace zinniarail::gateway {
+
+namespace {
+
+constexpr unsigned AttemptBits = 40; // of an attempt's number, for its service
+
+bool onlyConfirms(const View *before, const View &after) {
+  return before != nullptr && before->Version == after.Version &&
+         before->Intent == after.Intent && before->Instances == after.Instances;
+}
+
+void place(ServiceTable &table, ServiceEntry &entry, const ServiceSpec &spec) {
+  const std::string &self = table.Context.Self;
+  entry.Known = true;
+  entry.Spec = spec;
+  entry.Places = placeService(*table.Current, spec, spec.Homes);
+  entry.AtHome =
+      table.Context.Policy != RoutingPolicy::Homes ||
+      std::any_of(entry.Places.Ranked.begin(), entry.Places.Ranked.end(),
+                  [&](const Instance &it) { return it.Id == self; });
+  if (!entry.AtHome && !entry.Engine) {
+    entry.Upstreams.clear();
+    entry.Connections.clear();
+    return;
+  }
+  entry.Upstreams.clear();
+  entry.Connections.clear();
+  for (const UpstreamSpec &it : spec.Upstreams) {
+    const UpstreamShare share = shareUpstream(entry.Places, it, self);
+    entry.Upstreams.emplace(it.Id, it);
+    entry.Connections.emplace(
+        it.Id, table.Context.Policy == RoutingPolicy::Homes ? share.Connections
+                                                            : it.Connections);
+  }
+}
+
+} // namespace
+
+std::vector<EngineChange>
+applyView(ServiceTable &table, std::shared_ptr<const View> view, Instant now) {
+  const bool same = onlyConfirms(table.Current.get(), *view);
+  table.Current = std::move(view);
+  std::vector<EngineChange> changes;
+  if (!same) {
+    for (auto &[name, entry] : table.Entries) {
+      entry->Known = false;
+    }
+    for (const ServiceSpec &it : table.Current->Intent->Services) {
+      auto &entry = table.Entries[it.Name];
+      if (!entry) {
+        entry = std::make_unique<ServiceEntry>();
+        entry->Name = it.Name;
+        entry->Index = table.Entries.size();
+      }
+      place(table, *entry, it);
+    }
+  }
+  for (auto &[name, entry] : table.Entries) {
+    if (!entry->Engine) {
+      continue;
+    }
+    confirmView(*entry->Engine, table.Current->ValidUntil);
+    if (!entry->Known) {
+      entry->Spec.Upstreams.clear(); // what runs there ends, nothing begins
+    }
+    if (!same) {
+      changes.push_back({entry.get(), {}});
+      replan(*entry->Engine,
+             planService(*table.Current, entry->Spec, table.Context.Self,
+                         table.Context.Policy),
+             now, changes.back().Wanted);
+    }
+  }
+  return changes;
+}
+
+ServiceEntry *findEntry(ServiceTable &table, std::string_view name) {
+  const auto it = table.Entries.find(name);
+  return it == table.Entries.end() || !it->second->Known ? nullptr
+                                                         : it->second.get();
+}
+
+ServiceState &engineOf(ServiceTable &table, ServiceEntry &entry) {
+  if (!entry.Engine) {
+    if (entry.Upstreams.empty()) {
+      for (const UpstreamSpec &it : entry.Spec.Upstreams) {
+        entry.Upstreams.emplace(it.Id, it);
+      }
+    }
+    const std::uint64_t stream = hashBytes(entry.Name, table.Context.Seed);
+    entry.Engine = makeService(
+        planService(*table.Current, entry.Spec, table.Context.Self,
+                    table.Context.Policy),
+        table.Current->ValidUntil, Random(table.Context.Seed, stream),
+        (entry.Index << AttemptBits) + 1);
+  }
+  return *entry.Engine;
+}
+
+const RequestClass *matchClass(const ServiceSpec &service,
+                               std::string_view method, std::string_view path) {
+  path.remove_prefix(std::min(path.size(), service.Name.size() + 1));
+  for (const RequestClass &it : service.Classes) {
+    if ((it.Method == "*" || it.Method == method) &&
+        path.starts_with(it.PathPrefix)) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace zinniarail::gateway
