Thin engine: admit, claim, route, retry, hedge, refuse

Cause: the gateway needs a service's decisions to be built against. Ruled out: deciding in the gateway, where no test could play a schedule. A granted key whose request did not run is given back by the new action ReleaseClaim. RequestArrived says whether the method is idempotent, for requests that match no class.

--- a/include/zinniarail/dispatch/Engine.h
+++ b/include/zinniarail/dispatch/Engine.h
@@ -16,18 +16,10 @@
 #include "zinniarail/dispatch/Messages.h"
 #include "zinniarail/homes/Homes.h"
 #include "zinniarail/intent/Document.h"
+#include "zinniarail/routing/Routing.h"
 
 namespace zinniarail {
 
-/// How an upstream is chosen. All but Homes are baselines to measure against:
-/// they take the whole of each upstream on every instance.
-enum class RoutingPolicy : std::uint8_t {
-  Homes,
-  TwoChoices, ///< The less loaded, by own requests in flight, of two random.
-  Random,
-  RoundRobin,
-};
-
 /// One upstream as this instance may use it.
 struct Target {
   UpstreamSpec Spec;
--- a/include/zinniarail/dispatch/Messages.h
+++ b/include/zinniarail/dispatch/Messages.h
@@ -70,13 +70,16 @@
   std::string Key;               ///< Idempotency key; may be empty.
   std::uint64_t Fingerprint = 0; ///< Alike for requests that are alike.
   Instant Deadline{};            ///< The caller's or the class's, the nearer.
+  /// Whether the method itself is idempotent; counts when no class matched.
+  bool IdempotentMethod = true;
 };
 /// The claim task answered.
 struct ClaimDecided {
   RequestId Request;
   ClaimVerdict Verdict;
 };
-/// From here on a byte of this attempt may have left.
+/// From here on a byte of this attempt may have left. Told before the first
+/// byte is handed to the socket, never after.
 struct AttemptSent {
   AttemptId Attempt;
 };
@@ -123,6 +126,12 @@
   RequestId Request;
   std::string Key;
 };
+/// Give a granted key back: its request did not run and never will, so that
+/// the caller's next send of the key may run.
+struct ReleaseClaim {
+  RequestId Request;
+  std::string Key;
+};
 /// Send the request to an upstream; give up on it at the deadline.
 struct StartAttempt {
   AttemptId Attempt;
@@ -131,7 +140,8 @@
   Instant Deadline{};
   bool Hedge = false;
 };
-/// Cancel an attempt. Its AttemptEnded still follows.
+/// Cancel an attempt, before the actions behind this one: no byte of it may
+/// leave afterwards. Its AttemptEnded still follows.
 struct CancelAttempt {
   AttemptId Attempt;
 };
@@ -161,8 +171,9 @@
   PeerWord Word;
 };
 
-using Action = std::variant<SeekClaim, StartAttempt, CancelAttempt, Deliver,
-                            Refuse, OpenConnections, SendProbe, TellHomes>;
+using Action =
+    std::variant<SeekClaim, StartAttempt, CancelAttempt, Deliver, Refuse,
+                 OpenConnections, SendProbe, TellHomes, ReleaseClaim>;
 using Actions = std::vector<Action>;
 
 /// A refusal's stable name, as callers and logs see it.
--- a/src/dispatch/Engine.cpp
+++ b/src/dispatch/Engine.cpp
@@ -1,1 +1,93 @@
 #include "zinniarail/dispatch/Engine.h"
+
+#include <algorithm>
+
+#include "dispatch/Life.h"
+
+namespace zinniarail {
+
+namespace {
+
+void on(Step step, const RequestArrived &event) { onArrival(step, event); }
+void on(Step step, const ClaimDecided &event) { onClaim(step, event); }
+void on(Step step, const AttemptSent &event) { onSent(step, event); }
+void on(Step step, const AttemptEnded &event) { onEnded(step, event); }
+void on(Step step, const CallerGone &event) { onCallerGone(step, event); }
+void on(Step, const ProbeEnded &) {}
+void on(Step, const PeerWord &) {}
+void on(Step, const Woken &) {}
+void on(Step step, const StopBegun &) { step.State.Stopping = true; }
+
+void putTargets(ServiceState &state) {
+  for (auto &[id, upstream] : state.Upstreams) {
+    upstream.Planned = false;
+  }
+  for (const Target &it : state.Plan.Targets) {
+    UpstreamState &upstream = state.Upstreams[it.Spec.Id];
+    upstream.Plan = it;
+    upstream.Planned = true;
+  }
+}
+
+void dropIdle(ServiceState &state) {
+  for (auto &[id, request] : state.Requests) {
+    std::erase_if(request.Tried, [](const UpstreamState *it) {
+      return !it->Planned && it->Running.empty();
+    });
+  }
+  std::erase_if(state.Upstreams, [](const auto &it) {
+    return !it.second.Planned && it.second.Running.empty();
+  });
+}
+
+} // namespace
+
+void ServiceStateDelete::operator()(ServiceState *state) const { delete state; }
+
+ServiceStatePtr makeService(ServicePlan plan, Instant validUntil, Random random,
+                            std::uint64_t firstAttempt) {
+  ServiceStatePtr state(new ServiceState);
+  state->Plan = std::move(plan);
+  state->ValidUntil = validUntil;
+  state->Draws = random;
+  state->NextAttempt = firstAttempt;
+  putTargets(*state);
+  return state;
+}
+
+void replan(ServiceState &state, ServicePlan plan, Instant now, Actions &out) {
+  state.Plan = std::move(plan);
+  putTargets(state);
+  dropIdle(state);
+  drain({state, now, out});
+}
+
+void confirmView(ServiceState &state, Instant validUntil) {
+  state.ValidUntil = std::max(state.ValidUntil, validUntil);
+}
+
+void handle(ServiceState &state, const Event &event, Instant now,
+            Actions &out) {
+  const Step step{state, now, out};
+  // The event first: an answer that came in time must not lose to a timer.
+  std::visit([&](const auto &it) { on(step, it); }, event);
+  runTimers(step);
+  drain(step);
+}
+
+Instant nextWake(const ServiceState &state) {
+  Instant next = Instant::max();
+  if (!state.Timers.empty()) {
+    next = state.Timers.begin()->first;
+  }
+  if (!state.Queue.empty()) {
+    next = std::min(next, state.ValidUntil);
+  }
+  return next;
+}
+
+std::size_t openRequests(const ServiceState &state) {
+  return state.Requests.size();
+}
+
+} // namespace zinniarail
