Documents as JSON with every fault at once, and the platform's client

Cause: operator intent needs a form, its validation and a way to the store. Ruled out: stopping at the first fault; a document bound to one environment, since promotion carries the same bytes (environment is optional and pins). Change: intent/Format, platform/Client on libcurl multi and libev; PeerSeen gets AskedAt, so that a word that waited in a buffer proves nothing.

--- a/include/zinniarail/control/Messages.h
+++ b/include/zinniarail/control/Messages.h
@@ -27,6 +27,11 @@
   /// How old that peer's proof is that the version is the platform's current
   /// one; Duration::max() when it has none.
   Duration ConfirmedAge{};
+  /// When this process sent the question that the peer answered: what the peer
+  /// says is at least this fresh. The default is for words of unknown age (an
+  /// incoming call may have waited in a buffer while this process was stopped);
+  /// they tell who lives and which version exists, but prove nothing current.
+  Instant AskedAt{};
 };
 /// A peer answers no more.
 struct PeerLost {
--- a/include/zinniarail/intent/Document.h
+++ b/include/zinniarail/intent/Document.h
@@ -20,6 +20,8 @@
   unsigned Slots = 4;         ///< Requests it runs at a time.
   unsigned Connections = 220; ///< Connections it accepts, over all instances.
   bool Leaving = false;       ///< Gets no new work; running work finishes.
+
+  bool operator==(const UpstreamSpec &) const = default;
 };
 
 /// How requests that match are treated. The first class that matches counts.
@@ -30,6 +32,8 @@
   unsigned Priority = 1;    ///< 0 is shed last.
   bool Idempotent = true;   ///< False: runs at most once, by its key.
   Duration Deadline = std::chrono::seconds{2};
+
+  bool operator==(const RequestClass &) const = default;
 };
 
 /// One service and its limits.
@@ -43,6 +47,8 @@
   double RetryShare = 0.10;    ///< Extra tries after failures, likewise.
   double ProbesPerSecond = 10; ///< Load probes per home, at most.
   Duration ClaimWindow = std::chrono::seconds{30}; ///< How long a key counts.
+
+  bool operator==(const ServiceSpec &) const = default;
 };
 
 /// One failure domain.
@@ -50,16 +56,22 @@
   std::string Name;
   std::string Region;
   bool InService = true;
+
+  bool operator==(const DomainSpec &) const = default;
 };
 
 /// One environment's document.
 struct Document {
+  /// The one environment that may run it; empty: any, so that it can be
+  /// promoted unchanged.
   std::string Environment;
   std::string ChangeId; ///< Settles a write whose answer was lost.
   std::vector<DomainSpec> Domains;
   std::vector<ServiceSpec> Services;
   /// How long callers may keep a resolve answer.
   Duration ResolveLifetime = std::chrono::seconds{2};
+
+  bool operator==(const Document &) const = default;
 };
 
 /// Finds a service.
--- /dev/null
+++ b/src/platform/Http.cpp
@@ -0,0 +1,246 @@
+#include "platform/Http.h"
+
+#include <algorithm>
+#include <cctype>
+#include <map>
+
+#include <curl/curl.h>
+
+namespace zinniarail::platform {
+
+namespace {
+
+constexpr long MaxIdleConnections = 16;
+
+struct EasyDelete {
+  void operator()(CURL *it) const { curl_easy_cleanup(it); }
+};
+struct HeadersDelete {
+  void operator()(curl_slist *it) const { curl_slist_free_all(it); }
+};
+
+struct Transfer {
+  HttpRequest Request;
+  HttpReply Reply;
+  HttpClient::Callback Done;
+  std::unique_ptr<CURL, EasyDelete> Easy;
+  std::unique_ptr<curl_slist, HeadersDelete> Headers;
+};
+
+std::size_t takeBody(char *data, std::size_t, std::size_t size, void *user) {
+  auto &it = *static_cast<Transfer *>(user);
+  if (it.Reply.Body.size() + size > it.Request.MaxBytes) {
+    it.Reply.How = HttpReply::Ending::TooLarge;
+    return 0;
+  }
+  it.Reply.Body.append(data, size);
+  return size;
+}
+
+std::size_t takeHeader(char *data, std::size_t, std::size_t size, void *user) {
+  constexpr std::string_view Name = "etag:";
+  constexpr std::size_t MaxEtag = 128;
+  const std::string_view line(data, size);
+  const auto alike = [](char a, char b) {
+    return a == std::tolower(static_cast<unsigned char>(b));
+  };
+  if (line.size() <= Name.size() || line.size() > MaxEtag ||
+      !std::equal(Name.begin(), Name.end(), line.begin(), alike)) {
+    return size;
+  }
+  const auto from = line.find_first_not_of(" \t", Name.size());
+  const auto to = line.find_last_not_of(" \t\r\n");
+  if (from != std::string_view::npos && to >= from) {
+    static_cast<Transfer *>(user)->Reply.Etag =
+        line.substr(from, to - from + 1);
+  }
+  return size;
+}
+
+void ensureCurl() {
+  static const CURLcode Ready = curl_global_init(CURL_GLOBAL_ALL);
+  (void)Ready;
+}
+
+void configure(Transfer &it) {
+  using std::chrono::milliseconds;
+  CURL *easy = it.Easy.get();
+  for (const std::string &header : it.Request.Headers) {
+    it.Headers.reset(curl_slist_append(it.Headers.release(), header.c_str()));
+  }
+  it.Headers.reset(curl_slist_append(it.Headers.release(), "Expect:"));
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &it);
+  curl_easy_setopt(easy, CURLOPT_URL, it.Request.Url.c_str());
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, it.Request.Method.c_str());
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, it.Headers.get());
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(
+      easy, CURLOPT_TIMEOUT_MS,
+      static_cast<long>(std::max<std::int64_t>(
+          1, std::chrono::duration_cast<milliseconds>(it.Request.Timeout)
+                 .count())));
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, takeBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &it);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, takeHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &it);
+  if (it.Request.Method == "PUT" || it.Request.Method == "POST") {
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, it.Request.Body.c_str());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(it.Request.Body.size()));
+  }
+}
+
+void conclude(Transfer &it, CURLcode code) {
+  if (it.Reply.How == HttpReply::Ending::TooLarge) {
+    return;
+  }
+  if (code != CURLE_OK) {
+    long sent = 0;
+    curl_easy_getinfo(it.Easy.get(), CURLINFO_REQUEST_SIZE, &sent);
+    it.Reply.How =
+        sent == 0 ? HttpReply::Ending::NotSent : HttpReply::Ending::Lost;
+    return;
+  }
+  long status = 0;
+  curl_easy_getinfo(it.Easy.get(), CURLINFO_RESPONSE_CODE, &status);
+  it.Reply.Status = static_cast<int>(status);
+  it.Reply.How = HttpReply::Ending::Answered;
+}
+
+} // namespace
+
+struct HttpClient::Impl {
+  explicit Impl(struct ev_loop *loop);
+  ~Impl();
+  Impl(const Impl &) = delete;
+  Impl &operator=(const Impl &) = delete;
+
+  void act(curl_socket_t socket, int flags);
+  void collect();
+  void watch(curl_socket_t socket, int what);
+
+  static int onSocket(CURL *, curl_socket_t socket, int what, void *user,
+                      void *);
+  static int onTimer(CURLM *, long milliseconds, void *user);
+  static void onReady(struct ev_loop *, ev_io *it, int events);
+  static void onTimeout(struct ev_loop *, ev_timer *it, int);
+
+  struct ev_loop *Loop;
+  CURLM *Multi;
+  ev_timer Timer{};
+  std::map<curl_socket_t, std::unique_ptr<ev_io>> Sockets;
+  std::map<Transfer *, std::unique_ptr<Transfer>> Running;
+};
+
+HttpClient::Impl::Impl(struct ev_loop *loop) : Loop(loop) {
+  ensureCurl();
+  Multi = curl_multi_init();
+  ev_init(&Timer, onTimeout);
+  Timer.data = this;
+  curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, onSocket);
+  curl_multi_setopt(Multi, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, onTimer);
+  curl_multi_setopt(Multi, CURLMOPT_TIMERDATA, this);
+  curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, MaxIdleConnections);
+}
+
+HttpClient::Impl::~Impl() {
+  for (auto &[it, owned] : Running) {
+    curl_multi_remove_handle(Multi, it->Easy.get());
+  }
+  Running.clear();
+  curl_multi_cleanup(Multi);
+  for (auto &[socket, it] : Sockets) {
+    ev_io_stop(Loop, it.get());
+  }
+  ev_timer_stop(Loop, &Timer);
+}
+
+int HttpClient::Impl::onSocket(CURL *, curl_socket_t socket, int what,
+                               void *user, void *) {
+  static_cast<Impl *>(user)->watch(socket, what);
+  return 0;
+}
+
+void HttpClient::Impl::watch(curl_socket_t socket, int what) {
+  const auto known = Sockets.find(socket);
+  if (known != Sockets.end()) {
+    ev_io_stop(Loop, known->second.get());
+    Sockets.erase(known);
+  }
+  if (what == CURL_POLL_REMOVE) {
+    return;
+  }
+  const int events = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) |
+                     ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
+  auto it = std::make_unique<ev_io>();
+  ev_io_init(it.get(), onReady, socket, events);
+  it->data = this;
+  ev_io_start(Loop, it.get());
+  Sockets.emplace(socket, std::move(it));
+}
+
+int HttpClient::Impl::onTimer(CURLM *, long milliseconds, void *user) {
+  auto &self = *static_cast<Impl *>(user);
+  ev_timer_stop(self.Loop, &self.Timer);
+  if (milliseconds >= 0) {
+    constexpr double MillisecondsPerSecond = 1000;
+    ev_timer_set(&self.Timer,
+                 static_cast<double>(milliseconds) / MillisecondsPerSecond, 0.);
+    ev_timer_start(self.Loop, &self.Timer);
+  }
+  return 0;
+}
+
+void HttpClient::Impl::onReady(struct ev_loop *, ev_io *it, int events) {
+  const int flags = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0) |
+                    ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
+  static_cast<Impl *>(it->data)->act(it->fd, flags);
+}
+
+void HttpClient::Impl::onTimeout(struct ev_loop *, ev_timer *it, int) {
+  static_cast<Impl *>(it->data)->act(CURL_SOCKET_TIMEOUT, 0);
+}
+
+void HttpClient::Impl::act(curl_socket_t socket, int flags) {
+  int running = 0;
+  curl_multi_socket_action(Multi, socket, flags, &running);
+  collect();
+}
+
+void HttpClient::Impl::collect() {
+  int left = 0;
+  while (CURLMsg *message = curl_multi_info_read(Multi, &left)) {
+    if (message->msg != CURLMSG_DONE) {
+      continue;
+    }
+    const CURLcode code = message->data.result;
+    CURL *easy = message->easy_handle;
+    char *user = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &user);
+    auto node = Running.extract(reinterpret_cast<Transfer *>(user));
+    conclude(*node.mapped(), code);
+    curl_multi_remove_handle(Multi, easy);
+    node.mapped()->Done(std::move(node.mapped()->Reply));
+  }
+}
+
+HttpClient::HttpClient(struct ev_loop *loop)
+    : Self(std::make_unique<Impl>(loop)) {}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::send(HttpRequest request, Callback done) {
+  auto it = std::make_unique<Transfer>();
+  it->Request = std::move(request);
+  it->Done = std::move(done);
+  it->Easy.reset(curl_easy_init());
+  configure(*it);
+  CURL *easy = it->Easy.get();
+  Self->Running.emplace(it.get(), std::move(it));
+  curl_multi_add_handle(Self->Multi, easy);
+}
+
+} // namespace zinniarail::platform
