Which version is in force, who lives, and the task that watches

Cause: an instance has to know what operators want and how long that knowledge may be acted on. Ruled out: counting an answer's time of arrival as a proof (a pause in between would make it false); believing that all peers are lost at once. Change: intent/InForce, membership/Membership, control/ControlTask; View gains ConfirmedAsOf, what a peer may be told. Conclusion: thin control path for the other tasks to link with.

--- /dev/null
+++ b/include/zinniarail/intent/Intent.h
@@ -0,0 +1,8 @@
+/// \file
+/// Overview of the intent module: the operators' document, its form, its
+/// differences, and which version is in force.
+#pragma once
+
+#include "zinniarail/intent/Document.h"
+#include "zinniarail/intent/Format.h"
+#include "zinniarail/intent/InForce.h"
--- a/include/zinniarail/membership/View.h
+++ b/include/zinniarail/membership/View.h
@@ -22,6 +22,10 @@
   /// version. It moves on with each confirmation, and lies in the past for a
   /// process that wakes from a pause.
   Instant ValidUntil{};
+  /// When the version was last proved to be the platform's current one, by the
+  /// platform or through a chain of peers. This, and not ValidUntil, is what a
+  /// peer may be told: ValidUntil may rest on mere contact with peers.
+  Instant ConfirmedAsOf = Instant::min();
 };
 
 } // namespace zinniarail
--- /dev/null
+++ b/src/control/ControlTask.cpp
@@ -0,0 +1,268 @@
+#include "zinniarail/control/ControlTask.h"
+
+#include <atomic>
+#include <random>
+#include <thread>
+
+#include <ev.h>
+
+#include "control/Claims.h"
+#include "control/State.h"
+#include "zinniarail/platform/Platform.h"
+
+namespace zinniarail::control {
+
+namespace {
+
+using platform::Outcome;
+
+constexpr double TickSeconds = 0.1;
+constexpr Duration ReadPause = std::chrono::milliseconds{50};
+
+struct LoopDelete {
+  void operator()(struct ev_loop *it) const { ev_loop_destroy(it); }
+};
+
+Instance describeSelf(const Settings &settings) {
+  return {settings.InstanceId, settings.FailureDomain, settings.CallerAddress,
+          settings.PeerAddress, settings.OperatorAddress};
+}
+
+bool answered(Outcome how) {
+  return how == Outcome::Done || how == Outcome::NotChanged ||
+         how == Outcome::NotFound;
+}
+
+} // namespace
+
+struct ControlTask::Impl {
+  Impl(const Settings &settings, Outboxes outboxes, const ReaderPolicy &policy);
+  ~Impl();
+  Impl(const Impl &) = delete;
+  Impl &operator=(const Impl &) = delete;
+
+  void take(PeerSeen &message);
+  void take(PeerLost &message);
+  void take(DocumentFetched &message);
+  void take(KeepClaim &message);
+  void take(ListClaims &message);
+  void take(StopBegun &message);
+  void take(DumpWanted &message);
+
+  void drain();
+  void advance();
+  void readDocument(bool reader, bool lacksProof, Instant now);
+  void readInstances(bool reader, Instant now);
+  void takeDocument(const platform::Reply &reply);
+  void takeInstances(platform::InstanceListing listing);
+
+  std::unique_ptr<struct ev_loop, LoopDelete> Loop;
+  ev_async Wake{};
+  ev_timer Tick{};
+  std::atomic<bool> Stopping{false};
+  Inbox Box;
+  Outboxes Out;
+  Random Draws;
+  std::string Start; ///< Tells this start of the instance from others.
+  std::string DocumentKey;
+  State Known;
+  std::shared_ptr<const View> Posted = std::make_shared<View>();
+  Instant PostedAt{};
+  platform::Client Platform;
+  std::thread Thread;
+};
+
+ControlTask::Impl::Impl(const Settings &settings, Outboxes outboxes,
+                        const ReaderPolicy &policy)
+    : Loop(ev_loop_new(EVFLAG_AUTO)),
+      Box([this] { ev_async_send(Loop.get(), &Wake); }),
+      Out(std::move(outboxes)), Draws(settings.Seed),
+      Start(std::to_string(std::random_device{}()) + "-" +
+            std::to_string(std::random_device{}())),
+      DocumentKey("environments/" + settings.Environment + "/document"),
+      Platform(Loop.get(), settings.PlatformAddress, PlatformTimeout) {
+  Known.Intent.Environment = settings.Environment;
+  Known.Intent.Domain = settings.FailureDomain;
+  Known.Intent.Lifetime = settings.ViewLifetime;
+  Known.Members.Self = describeSelf(settings);
+  Known.Readers = policy;
+  ev_async_init(&Wake, [](struct ev_loop *, ev_async *it, int) {
+    static_cast<Impl *>(it->data)->drain();
+  });
+  Wake.data = this;
+  ev_async_start(Loop.get(), &Wake);
+  ev_timer_init(
+      &Tick,
+      [](struct ev_loop *, ev_timer *it, int) {
+        static_cast<Impl *>(it->data)->advance();
+      },
+      0., TickSeconds);
+  Tick.data = this;
+  ev_timer_start(Loop.get(), &Tick);
+}
+
+ControlTask::Impl::~Impl() {
+  ev_timer_stop(Loop.get(), &Tick);
+  ev_async_stop(Loop.get(), &Wake);
+}
+
+void ControlTask::Impl::drain() {
+  if (Stopping) {
+    ev_break(Loop.get(), EVBREAK_ALL);
+    return;
+  }
+  for (Message &message : Box.take()) {
+    std::visit([this](auto &it) { take(it); }, message);
+  }
+  advance();
+}
+
+void ControlTask::Impl::take(PeerSeen &message) {
+  if (message.Peer.Id == Known.Members.Self.Id) {
+    return;
+  }
+  const Instant now = readClock();
+  hearPeer(Known.Members, message.Peer, now);
+  hearPeer(Known.Intent,
+           {message.Peer.Id, message.Peer.Domain, message.Version,
+            message.ConfirmedAge, message.AskedAt},
+           now);
+}
+
+void ControlTask::Impl::take(PeerLost &message) {
+  losePeer(Known.Members, message.Instance, readClock());
+  losePeer(Known.Intent, message.Instance);
+}
+
+void ControlTask::Impl::take(DocumentFetched &message) {
+  note(Known.Seen, offerFromPeer(Known.Intent, message.Instance,
+                                 message.Version, message.Bytes));
+}
+
+void ControlTask::Impl::take(KeepClaim &message) {
+  const std::string owner =
+      Known.Members.Self.Id + "/" + Start + "/" +
+      std::to_string(static_cast<std::uint64_t>(message.Request));
+  keepClaim(
+      Platform, Known.Intent.Environment, message, owner,
+      [this, message](ClaimVerdict verdict) {
+        Out.Peers(peers::ClaimKept{message.Service, message.Request, verdict});
+      });
+}
+
+void ControlTask::Impl::take(ListClaims &message) {
+  listClaims(
+      Platform, Known.Intent.Environment, message.Service,
+      [this](peers::ClaimsListed listed) { Out.Peers(std::move(listed)); });
+}
+
+void ControlTask::Impl::take(StopBegun &) { beginStop(Known.Members); }
+
+void ControlTask::Impl::take(DumpWanted &message) {
+  message.Answer(describe(Known, Platform.counts(), readClock()));
+}
+
+// Starts what is due and posts the view when it changed.
+void ControlTask::Impl::advance() {
+  const Instant now = readClock();
+  View next = makeView(Known, now);
+  const bool reader =
+      isReader(next.Instances, Known.Members.Self, Known.Readers);
+  const bool lacksProof = next.ConfirmedAsOf == Instant::min() ||
+                          now >= next.ConfirmedAsOf + Known.Intent.Lifetime / 2;
+  readDocument(reader, lacksProof, now);
+  readInstances(reader, now);
+  if (const auto wanted = chooseFetch(Known.Intent, now)) {
+    Out.Peers(peers::FetchDocument{wanted->Instance, wanted->Version});
+  }
+  if (isWorthPosting(*Posted, next, PostedAt, now)) {
+    Posted = std::make_shared<const View>(std::move(next));
+    PostedAt = now;
+    Out.Gateway(gateway::ViewChanged{Posted});
+    Out.Peers(peers::ViewChanged{Posted});
+  }
+}
+
+void ControlTask::Impl::readDocument(bool reader, bool lacksProof,
+                                     Instant now) {
+  const ReadKind kind =
+      planDocumentRead(Known.DocumentRead, reader, lacksProof, now);
+  if (kind == ReadKind::None) {
+    return;
+  }
+  noteStart(Known.DocumentRead);
+  const auto done = [this](const platform::Reply &reply) {
+    takeDocument(reply);
+  };
+  if (kind == ReadKind::Get) {
+    Platform.get(DocumentKey, done);
+    return;
+  }
+  Platform.watch(DocumentKey,
+                 std::max(Known.Intent.Version, Known.Intent.RefusedVersion),
+                 DocumentWait, done);
+}
+
+void ControlTask::Impl::takeDocument(const platform::Reply &reply) {
+  if (reply.How == Outcome::Done) {
+    note(Known.Seen, offerFromPlatform(Known.Intent, reply.Version, reply.Bytes,
+                                       reply.AsOf));
+  } else if (answered(reply.How) && Known.Intent.Intent) {
+    confirmFromPlatform(Known.Intent, reply.AsOf);
+  }
+  noteEnd(Known.DocumentRead, answered(reply.How), ReadPause, readClock(),
+          Draws);
+  advance();
+}
+
+void ControlTask::Impl::readInstances(bool reader, Instant now) {
+  const ReadKind kind = planInstancesRead(Known.InstancesRead, reader, now);
+  if (kind == ReadKind::None) {
+    return;
+  }
+  noteStart(Known.InstancesRead);
+  const auto done = [this](platform::InstanceListing listing) {
+    takeInstances(std::move(listing));
+  };
+  if (kind == ReadKind::Get) {
+    Platform.listInstances(done);
+    return;
+  }
+  Platform.watchInstances(Known.InstancesVersion, InstancesWait, done);
+}
+
+void ControlTask::Impl::takeInstances(platform::InstanceListing listing) {
+  const Instant now = readClock();
+  if (listing.How == Outcome::Done) {
+    hearList(Known.Members, std::move(listing.Instances), now);
+    Known.InstancesVersion = listing.Version;
+  }
+  const bool reader = isReader(liveInstances(Known.Members, now),
+                               Known.Members.Self, Known.Readers);
+  noteEnd(Known.InstancesRead, answered(listing.How),
+          reader ? ReadPause : InstancesInterval, now, Draws);
+  advance();
+}
+
+ControlTask::ControlTask(const Settings &settings, Outboxes outboxes,
+                         const ReaderPolicy &policy)
+    : Self(std::make_unique<Impl>(settings, std::move(outboxes), policy)) {}
+
+ControlTask::~ControlTask() { stop(); }
+
+void ControlTask::start() {
+  Self->Thread = std::thread([this] { ev_run(Self->Loop.get(), 0); });
+}
+
+void ControlTask::stop() {
+  if (!Self->Thread.joinable()) {
+    return;
+  }
+  Self->Stopping = true;
+  ev_async_send(Self->Loop.get(), &Self->Wake);
+  Self->Thread.join();
+}
+
+Inbox &ControlTask::inbox() { return Self->Box; }
+
+} // namespace zinniarail::control
