--- a/include/zinniarail/control/Messages.h
+++ b/include/zinniarail/control/Messages.h
@@ -48,6 +48,15 @@
 struct ListClaims {
   std::string Service;
 };
+/// Read the claim roster, "environments/NAME/roster"; answered by
+/// peers::RosterRead.
+struct ReadRoster {};
+/// Write the claim roster with If-Match, or create it when Version is 0;
+/// answered by peers::RosterRead with what is stored after that.
+struct WriteRoster {
+  std::uint64_t Version = 0; ///< The object's version that it replaces.
+  std::string Bytes;
+};
 /// This instance stops: it is leaving from now on.
 struct StopBegun {};
 /// Describe the task's state; the callback runs on the control task's thread.
@@ -55,8 +64,9 @@
   std::function<void(boost::json::object)> Answer;
 };
 
-using Message = std::variant<PeerSeen, PeerLost, DocumentFetched, KeepClaim,
-                             ListClaims, StopBegun, DumpWanted>;
+using Message =
+    std::variant<PeerSeen, PeerLost, DocumentFetched, KeepClaim, ListClaims,
+                 ReadRoster, WriteRoster, StopBegun, DumpWanted>;
 using Inbox = Mailbox<Message>;
 
 } // namespace zinniarail::control
--- a/include/zinniarail/membership/View.h
+++ b/include/zinniarail/membership/View.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "zinniarail/core/Time.h"
@@ -16,7 +17,9 @@
 /// An immutable snapshot. A later one replaces it whole.
 struct View {
   std::shared_ptr<const Document> Intent; ///< Never null in a posted view.
-  std::uint64_t Version = 0;       ///< Of the document in force; only rises.
+  std::uint64_t Version = 0; ///< Of the document in force; only rises.
+  /// The document as it is stored, for peers that lack it; null when unknown.
+  std::shared_ptr<const std::string> Bytes;
   std::vector<Instance> Instances; ///< Live ones, by id, leaving included.
   /// Past this nothing new is dispatched until a later view confirms the
   /// version. It moves on with each confirmation, and lies in the past for a
--- a/include/zinniarail/peers/Messages.h
+++ b/include/zinniarail/peers/Messages.h
@@ -53,6 +53,18 @@
   bool Reached = false;
   std::vector<std::string> KeyHashes;
 };
+/// The platform's answer to control::ReadRoster and control::WriteRoster.
+struct RosterRead {
+  bool Reached = false;      ///< False: unknown, also after a lost answer.
+  std::uint64_t Version = 0; ///< Of the object; 0 when there is none yet.
+  std::string Bytes;
+};
+/// A key was granted to this request, which was never dispatched nor will be:
+/// another send may have it.
+struct ClaimReleased {
+  std::string Service;
+  RequestId Request;
+};
 /// This instance stops: tell the peers and hand the claims over. Answered by
 /// gateway::ClaimsHandedOver.
 struct StopBegun {};
@@ -61,9 +73,9 @@
   std::function<void(boost::json::object)> Answer;
 };
 
-using Message =
-    std::variant<ViewChanged, ClaimWanted, WordForHomes, FetchDocument,
-                 ClaimKept, ClaimsListed, StopBegun, DumpWanted>;
+using Message = std::variant<ViewChanged, ClaimWanted, WordForHomes,
+                             FetchDocument, ClaimKept, ClaimsListed, RosterRead,
+                             ClaimReleased, StopBegun, DumpWanted>;
 using Inbox = Mailbox<Message>;
 
 } // namespace zinniarail::peers
