--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -20,6 +20,14 @@
   generation @10 :UInt64;       # Of the claim roster; 0 when it knows none.
 }
 
+# What changes between greetings, small because it is sent all the time.
+struct Pulse {
+  version @0 :UInt64;
+  confirmedAgeUs @1 :UInt64;
+  generation @2 :UInt64;
+  leaving @3 :Bool;
+}
+
 struct Key {
   high @0 :UInt64;
   low @1 :UInt64;
@@ -76,4 +84,6 @@
   roster @4 () -> (bytes :Text, version :UInt64);
   tell @5 (service :Text, word :Word) -> ();
   document @6 (version :UInt64) -> (found :Bool, bytes :Data);
+  # Only after hello, on the same connection.
+  ping @7 (pulse :Pulse) -> (pulse :Pulse);
 }
