--- a/programs/zinniaraild/main.cpp
+++ b/programs/zinniaraild/main.cpp
@@ -1,1 +1,34 @@
-int main() { return 0; }
+#include <cstdlib>
+#include <iostream>
+
+#include "zinniarail/daemon/Daemon.h"
+#include "zinniarail/events/Events.h"
+
+using namespace zinniarail;
+
+int main(int argc, char **argv) {
+  const auto read = readSettings({argv + 1, argv + argc},
+                                 [](const char *name) { return getenv(name); });
+  if (!read) {
+    for (const std::string &it : read.error()) {
+      std::cerr << "zinniaraild: " << it << '\n';
+    }
+    return static_cast<int>(ExitCode::BadSettings);
+  }
+  const Invocation &invocation = read.value();
+  switch (invocation.Wanted) {
+  case Command::Help:
+    std::cout << describeSettings();
+    return 0;
+  case Command::Version:
+    std::cout << "zinniaraild " ZINNIARAIL_VERSION "\n";
+    return 0;
+  case Command::Check:
+    std::cout << "the settings are right\n";
+    return 0;
+  case Command::Run:
+    break;
+  }
+  openLog(invocation.Values.LogLevel);
+  return static_cast<int>(runDaemon(invocation.Values));
+}
--- a/src/gateway/Dispatcher.h
+++ b/src/gateway/Dispatcher.h
@@ -33,6 +33,7 @@
   std::function<void(const std::string &service, RequestId,
                      const std::string &key, Instant deadline)>
       SeekClaim;
+  std::function<void(const std::string &service, RequestId)> ReleaseClaim;
   std::function<void(const std::string &service, const PeerWord &)> TellHomes;
   /// Each event with its service and time, before it is handled; may be null.
   std::function<void(const ServiceEntry &, const Event &, Instant)> Trace;
--- a/src/gateway/DispatcherEngine.cpp
+++ b/src/gateway/DispatcherEngine.cpp
@@ -92,6 +92,9 @@
           [&](const Refuse &it) {
             refuse(numberOf(it.Request), it.Reason, it.Outcome, it.RetryAfter);
           },
+          [&](const ReleaseClaim &it) {
+            Outlets.ReleaseClaim(entry.Name, it.Request);
+          },
           [&](const OpenConnections &it) { openConnections(entry, it); },
           [&](const SendProbe &it) { startProbe(entry, it.Upstream); },
           [&](const TellHomes &it) { Outlets.TellHomes(entry.Name, it.Word); }},
