--- a/include/zinniarail/gateway/GatewayTask.h
+++ b/include/zinniarail/gateway/GatewayTask.h
@@ -48,8 +48,11 @@
   /// Binds the caller port.
   Result<void, GatewayError> open();
 
-  /// Runs on the calling thread until a graceful stop is done; SIGTERM and
-  /// SIGINT begin one, as StopWanted does.
+  /// Lets SIGTERM and SIGINT begin a graceful stop. For one task of a process.
+  void stopOnSignals();
+
+  /// Runs on the calling thread until a graceful stop, begun by StopWanted, is
+  /// done.
   /// \returns Done, or Failed when Settings.StopTimeout cut a request off.
   ExitCode run();
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -126,6 +126,7 @@
     return ExitCode::Failed;
   }
   tasks.Control.start();
+  tasks.Gateway.stopOnSignals();
   blockStopSignals(SIG_UNBLOCK);
   logEvent(EventId::Started, settings.InstanceId + " in " +
                                  settings.FailureDomain + ", callers at " +
--- a/src/gateway/GatewayTask.cpp
+++ b/src/gateway/GatewayTask.cpp
@@ -273,12 +273,15 @@
   return outcome::success();
 }
 
+void GatewayTask::stopOnSignals() {
+  ev_signal_start(Core->Loop, &Core->Terminate);
+  ev_signal_start(Core->Loop, &Core->Interrupt);
+}
+
 ExitCode GatewayTask::run() {
   std::signal(SIGPIPE, SIG_IGN);
   ev_prepare_start(Core->Loop, &Core->BeforeWait);
   ev_timer_start(Core->Loop, &Core->MeasureTimer);
-  ev_signal_start(Core->Loop, &Core->Terminate);
-  ev_signal_start(Core->Loop, &Core->Interrupt);
   ev_run(Core->Loop, 0);
   return Core->Result;
 }
