Cold start, guards, reports, probes; properties over random schedules

Cause: the thin engine knew neither cold upstreams nor stragglers, and nothing proved its promises over schedules that nobody thought of. Ruled out: an ejection by time alone (a fast failure looks idle again); a ramp by time (a slow upstream is not warmer for it). Change: slices load (aging reports, probe budget), warmup (ramp by answers, words, take-up on evidence) and routing/Guard (stragglers, ejection, trials); a checker that watches events and actions, random schedules, and for each promise a deliberate breach that the checker must see. Found by the schedules first, then mended: the answer that carried a cold report counted towards the ramp; a probe's old word kept a cold report from turning the ramp.

--- a/include/zinniarail/dispatch/Messages.h
+++ b/include/zinniarail/dispatch/Messages.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "zinniarail/core/Time.h"
+#include "zinniarail/load/Load.h"
 
 namespace zinniarail {
 
@@ -19,15 +20,6 @@
 /// One try of a request on one upstream, unique in its process.
 enum class AttemptId : std::uint64_t {};
 
-/// What a report said of an upstream's load, with the answer that carried it.
-struct LoadReport {
-  unsigned InFlight = 0;         ///< Requests it was running.
-  unsigned Queued = 0;           ///< Requests waiting there.
-  std::uint64_t Incarnation = 0; ///< Changes when the upstream starts anew.
-  bool Cold = false;
-  bool Draining = false;
-};
-
 /// How an attempt ended.
 enum class AttemptEnd : std::uint8_t {
   Answered,     ///< A whole answer, to this very request.
--- a/include/zinniarail/routing/Routing.h
+++ b/include/zinniarail/routing/Routing.h
@@ -25,8 +25,8 @@
 struct Candidate {
   unsigned InFlight = 0; ///< Own attempts that are running there.
   unsigned Limit = 0;    ///< Own attempts it may have; 0 when not to be used.
-  /// Expected time to an answer; breaks ties, the lower the better.
-  double Cost = 0;
+  unsigned Rank = 0;     ///< The lower is taken while it has room.
+  double Others = 0;     ///< Guess at others' requests there; breaks ties.
 };
 
 /// Chooses among candidates that have room.
--- a/src/dispatch/Attempts.cpp
+++ b/src/dispatch/Attempts.cpp
@@ -9,7 +9,8 @@
 // Tries of one request, the first included.
 constexpr std::size_t MostTries = 3;
 
-constexpr unsigned FirstServerError = 500;
+// Upstreams that may break under one request; it may be what breaks them.
+constexpr unsigned MostBroken = 2;
 
 void startAttempt(Step step, RequestState &request, UpstreamState &upstream,
                   bool isHedge) {
@@ -78,14 +79,11 @@
 bool mayRetry(const ServiceState &state, const RequestState &request,
               Instant now) {
   const bool safe = request.Idempotent || request.Past == Truth::DidNotRun;
-  return safe && request.Tried.size() < MostTries && now < request.Deadline &&
+  return safe && request.Tried.size() < MostTries &&
+         request.Broken < MostBroken && now < request.Deadline &&
          now < state.ValidUntil;
 }
 
-bool isServerError(const AttemptEnded &event) {
-  return event.End == AttemptEnd::Answered && event.Status >= FirstServerError;
-}
-
 void deliver(Step step, RequestState &request, AttemptId attempt) {
   cancelLive(step, request);
   emit(step, Deliver{request.Id, attempt});
@@ -123,6 +121,7 @@
     return deliver(step, request, event.Attempt);
   }
   request.Past = combine(request.Past, truthOf(event));
+  request.Broken += event.End == AttemptEnd::Broken ? 1 : 0;
   if (request.Live.empty()) {
     retryOrRefuse(step, request);
   }
@@ -136,15 +135,6 @@
   }
 }
 
-void observe(Step step, const AttemptState &attempt,
-             const AttemptEnded &event) {
-  const bool answered =
-      event.End == AttemptEnd::Answered && !isServerError(event);
-  if (answered || attempt.Cancelled) {
-    recordLatency(step.State.Latencies, step.Now - attempt.Started);
-  }
-}
-
 void dropUnplanned(ServiceState &state, UpstreamState &upstream) {
   if (!upstream.Planned && upstream.Running.empty()) {
     for (auto &[id, request] : state.Requests) {
@@ -161,6 +151,31 @@
   }
 }
 
+// Starts, best first, what has an upstream. Those for whom a quick upstream
+// is worth the wait are passed over; the further back, the longer their wait.
+void startWaiting(Step step) {
+  ServiceState &state = step.State;
+  std::size_t ahead = 0;
+  auto it = state.Queue.begin();
+  while (it != state.Queue.end()) {
+    RequestState &request = state.Requests.at(it->Request);
+    const Choice choice = chooseUpstream(state, request, step.Now);
+    if (choice.Upstream == nullptr && request.Tried.empty()) {
+      return; // Nobody has room, for anyone behind it either.
+    }
+    if (choice.Upstream != nullptr && ahead < choice.MinAhead) {
+      state.RecheckAt = step.Now + std::max(state.Typical, Duration{1});
+    }
+    if (choice.Upstream == nullptr || ahead < choice.MinAhead) {
+      ++ahead;
+      ++it;
+      continue;
+    }
+    ++it;
+    startQueued(step, request, *choice.Upstream);
+  }
+}
+
 } // namespace
 
 void releaseKey(Step step, RequestId request, const std::string &key) {
@@ -177,27 +192,17 @@
 
 void drain(Step step) {
   ServiceState &state = step.State;
+  if (state.Queue.empty()) {
+    return;
+  }
   if (step.Now >= state.ValidUntil) {
     return refuseAllWaiting(step, RefusalReason::ViewExpired);
   }
   if (!anyInService(state)) {
     return refuseAllWaiting(step, RefusalReason::NoUpstream);
   }
-  auto it = state.Queue.begin();
-  while (it != state.Queue.end()) {
-    RequestState &request = state.Requests.at(it->Request);
-    ++it;
-    if (request.Deadline <= step.Now) {
-      refuse(step, request, RefusalReason::DeadlinePassed);
-      continue;
-    }
-    UpstreamState *upstream = chooseUpstream(state, request, step.Now);
-    if (upstream != nullptr) {
-      startQueued(step, request, *upstream);
-    } else if (request.Tried.empty()) {
-      return; // Nobody has room, for anyone behind it either.
-    }
-  }
+  state.RecheckAt = Instant::max();
+  startWaiting(step);
 }
 
 void hedge(Step step, RequestState &request) {
@@ -206,14 +211,15 @@
       step.Now >= state.ValidUntil || state.HedgeBudget.Tokens < 1) {
     return;
   }
-  UpstreamState *upstream = chooseUpstream(state, request, step.Now);
-  if (upstream == nullptr ||
-      upstream == state.Attempts.at(numberOf(request.Live.front())).Upstream) {
+  const Choice choice = chooseUpstream(state, request, step.Now);
+  const AttemptState &first = state.Attempts.at(numberOf(request.Live.front()));
+  if (choice.Upstream == nullptr || choice.Upstream == first.Upstream ||
+      choice.MinAhead > 0) {
     return;
   }
   spendOne(state.HedgeBudget);
   ++state.Counters.Hedges;
-  startAttempt(step, request, *upstream, true);
+  startAttempt(step, request, *choice.Upstream, true);
 }
 
 void onSent(Step step, const AttemptSent &event) {
@@ -233,7 +239,7 @@
   state.Attempts.erase(it);
   UpstreamState &upstream = *attempt.Upstream;
   std::erase(upstream.Running, event.Attempt);
-  observe(step, attempt, event);
+  observe(step, upstream, attempt, event);
   const auto request = state.Requests.find(numberOf(attempt.Request));
   if (request != state.Requests.end()) {
     settle(step, request->second, event);
--- a/src/dispatch/Candidates.cpp
+++ b/src/dispatch/Candidates.cpp
@@ -9,9 +9,11 @@
 // What a service takes for a request until it was seen.
 constexpr Duration AssumedLatency = std::chrono::milliseconds{10};
 
-bool takesWork(const UpstreamState &it) {
-  return it.Planned && it.Plan.InService;
-}
+// What an ejected upstream costs beside the typical one, when it is used.
+constexpr int EjectedFactor = 8;
+
+// An upstream is taken by rank before load.
+enum Rank : unsigned { Quick, Straggler, Ejected };
 
 bool wasTried(const RequestState &request, const UpstreamState &upstream) {
   return std::find(request.Tried.begin(), request.Tried.end(), &upstream) !=
@@ -28,23 +30,98 @@
                      });
 }
 
+// An attempt that is still running is evidence before its answer comes.
+Duration latencyOf(const ServiceState &state, const UpstreamState &upstream,
+                   Instant now) {
+  const Duration mean(
+      static_cast<Duration::rep>(upstream.Health.LatencyMicros));
+  if (upstream.Running.empty()) {
+    return mean;
+  }
+  const auto oldest = state.Attempts.find(numberOf(upstream.Running.front()));
+  return std::max(mean, now - oldest->second.Started);
+}
+
+// What latency, and whether, an upstream is expected to give.
+struct Outlook {
+  Rank Order = Quick;
+  Duration Latency{0};
+};
+
+Outlook outlookOf(const ServiceState &state, const UpstreamState &upstream,
+                  bool mayTry, Instant now) {
+  if (standingOf(upstream.Health, now) == Standing::Ejected) {
+    return {Ejected, state.Typical * EjectedFactor};
+  }
+  const Duration latency = latencyOf(state, upstream, now);
+  const bool onTrial =
+      mayTry && upstream.Running.empty() && isTrialDue(upstream.Health, now);
+  if (!isStraggler(latency, state.Typical) || onTrial) {
+    return {Quick, latency};
+  }
+  return {Straggler, latency};
+}
+
+// How many must be ahead for a slow answer to come as soon as a quick one.
+std::size_t worthFrom(const ServiceState &state, Duration latency,
+                      unsigned quickSlots) {
+  if (quickSlots == 0 || latency <= state.Typical) {
+    return 0;
+  }
+  return static_cast<std::size_t>((latency - state.Typical) * quickSlots /
+                                  std::max(state.Typical, Duration{1}));
+}
+
 } // namespace
 
+bool takesWork(const UpstreamState &upstream) {
+  return upstream.Planned && upstream.Plan.InService &&
+         upstream.Plan.Share.Slots > 0;
+}
+
 bool anyInService(const ServiceState &state) {
-  return std::any_of(
-      state.Upstreams.begin(), state.Upstreams.end(), [](const auto &it) {
-        return takesWork(it.second) && it.second.Plan.Share.Slots > 0;
-      });
+  return std::any_of(state.Upstreams.begin(), state.Upstreams.end(),
+                     [](const auto &it) { return takesWork(it.second); });
+}
+
+bool keepsEjected(const ServiceState &state, Instant now) {
+  std::size_t ejected = 0;
+  std::size_t all = 0;
+  for (const auto &[id, it] : state.Upstreams) {
+    if (takesWork(it)) {
+      ++all;
+      ejected += standingOf(it.Health, now) == Standing::Ejected ? 1 : 0;
+    }
+  }
+  return ejected * 2 > all;
 }
 
-unsigned limitOf(const ServiceState &, const UpstreamState &upstream, Instant) {
-  return takesWork(upstream) ? upstream.Plan.Share.Slots : 0;
+unsigned limitOf(const ServiceState &state, const UpstreamState &upstream,
+                 bool keepEjected, Instant now) {
+  if (!takesWork(upstream)) {
+    return 0;
+  }
+  const unsigned share = upstream.Plan.Share.Slots;
+  if (state.Plan.Policy != RoutingPolicy::Homes) {
+    return share;
+  }
+  const unsigned limit = allowance(upstream.Warm, share);
+  switch (standingOf(upstream.Health, now)) {
+  case Standing::Good:
+    break;
+  case Standing::OnTrial:
+    return std::min(limit, 1U);
+  case Standing::Ejected:
+    return keepEjected ? limit : 0;
+  }
+  return limit;
 }
 
 ServiceRate rateOf(const ServiceState &state, Instant now) {
   ServiceRate rate;
+  const bool keepEjected = keepsEjected(state, now);
   for (const auto &[id, it] : state.Upstreams) {
-    rate.Slots += limitOf(state, it, now);
+    rate.Slots += limitOf(state, it, keepEjected, now);
   }
   rate.PerRequest = meanLatency(state.Latencies);
   if (rate.PerRequest == Duration{0}) {
@@ -53,24 +130,42 @@
   return rate;
 }
 
-UpstreamState *chooseUpstream(ServiceState &state, const RequestState &request,
-                              Instant now) {
+Choice chooseUpstream(ServiceState &state, const RequestState &request,
+                      Instant now) {
   std::vector<Candidate> candidates;
   std::vector<UpstreamState *> upstreams;
   candidates.reserve(state.Upstreams.size());
   upstreams.reserve(state.Upstreams.size());
   const bool avoidTried = anyUntried(state, request);
+  const bool keepEjected = keepsEjected(state, now);
+  unsigned quickSlots = 0;
   for (auto &[id, it] : state.Upstreams) {
     if (avoidTried && wasTried(request, it)) {
       continue;
     }
-    candidates.push_back(
-        {static_cast<unsigned>(it.Running.size()), limitOf(state, it, now), 0});
+    const Outlook outlook = outlookOf(state, it, request.Idempotent, now);
+    Candidate candidate;
+    candidate.InFlight = static_cast<unsigned>(it.Running.size());
+    candidate.Limit = limitOf(state, it, keepEjected, now);
+    candidate.Rank = outlook.Order;
+    candidate.Others =
+        othersInFlight(it.Load, it.Plan.Spec.Slots, state.Typical, now);
+    quickSlots += outlook.Order == Quick ? candidate.Limit : 0;
+    candidates.push_back(candidate);
     upstreams.push_back(&it);
   }
   const auto best =
       pickUpstream(candidates, state.Plan.Policy, state.Draws, state.Cursor);
-  return best ? upstreams[*best] : nullptr;
+  if (!best) {
+    return {};
+  }
+  UpstreamState *chosen = upstreams[*best];
+  if (candidates[*best].Rank == Quick ||
+      state.Plan.Policy != RoutingPolicy::Homes) {
+    return {chosen, 0};
+  }
+  const Outlook outlook = outlookOf(state, *chosen, false, now);
+  return {chosen, worthFrom(state, outlook.Latency, quickSlots)};
 }
 
 } // namespace zinniarail
--- a/src/dispatch/Describe.cpp
+++ b/src/dispatch/Describe.cpp
@@ -17,15 +17,48 @@
           {"attempts", counters.Attempts},
           {"hedges", counters.Hedges},
           {"retries", counters.Retries},
-          {"keysReleased", counters.KeysReleased}};
+          {"keysReleased", counters.KeysReleased},
+          {"ejections", counters.Ejections},
+          {"coldStarts", counters.ColdStarts}};
+}
+
+const char *nameOf(WarmthPhase phase) {
+  switch (phase) {
+  case WarmthPhase::Warm:
+    return "warm";
+  case WarmthPhase::Ramping:
+    return "ramping";
+  case WarmthPhase::Waiting:
+    return "waiting";
+  }
+  return "unnamed";
+}
+
+const char *nameOf(Standing standing) {
+  switch (standing) {
+  case Standing::Good:
+    return "good";
+  case Standing::Ejected:
+    return "ejected";
+  case Standing::OnTrial:
+    return "on-trial";
+  }
+  return "unnamed";
 }
 
 boost::json::object describeUpstream(const ServiceState &state,
                                      const UpstreamState &it, Instant now) {
-  return {{"id", it.Plan.Spec.Id},          {"planned", it.Planned},
-          {"inService", it.Plan.InService}, {"inFlight", it.Running.size()},
-          {"share", it.Plan.Share.Slots},   {"limit", limitOf(state, it, now)},
-          {"ramps", it.Plan.Share.Ramps}};
+  return {{"id", it.Plan.Spec.Id},
+          {"planned", it.Planned},
+          {"inService", it.Plan.InService},
+          {"inFlight", it.Running.size()},
+          {"share", it.Plan.Share.Slots},
+          {"limit", limitOf(state, it, keepsEjected(state, now), now)},
+          {"ramps", it.Plan.Share.Ramps},
+          {"warmth", nameOf(it.Warm.Phase)},
+          {"incarnation", it.Warm.Incarnation},
+          {"standing", nameOf(standingOf(it.Health, now))},
+          {"latencyUs", it.Health.LatencyMicros}};
 }
 
 } // namespace
@@ -42,6 +75,8 @@
           {"open", state.Requests.size()},
           {"waiting", state.Queue.size()},
           {"meanLatencyUs", meanLatency(state.Latencies).count()},
+          {"typicalLatencyUs", state.Typical.count()},
+          {"probes", state.Probes.Spent},
           {"hedgeBudget", state.HedgeBudget.Tokens},
           {"retryBudget", state.RetryBudget.Tokens},
           {"counters", describeCounters(state.Counters)},
--- a/src/dispatch/Engine.cpp
+++ b/src/dispatch/Engine.cpp
@@ -1,6 +1,7 @@
 #include "zinniarail/dispatch/Engine.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "dispatch/Life.h"
 
@@ -13,22 +14,11 @@
 void on(Step step, const AttemptSent &event) { onSent(step, event); }
 void on(Step step, const AttemptEnded &event) { onEnded(step, event); }
 void on(Step step, const CallerGone &event) { onCallerGone(step, event); }
-void on(Step, const ProbeEnded &) {}
-void on(Step, const PeerWord &) {}
+void on(Step step, const ProbeEnded &event) { onProbe(step, event); }
+void on(Step step, const PeerWord &event) { onWord(step, event); }
 void on(Step, const Woken &) {}
 void on(Step step, const StopBegun &) { step.State.Stopping = true; }
 
-void putTargets(ServiceState &state) {
-  for (auto &[id, upstream] : state.Upstreams) {
-    upstream.Planned = false;
-  }
-  for (const Target &it : state.Plan.Targets) {
-    UpstreamState &upstream = state.Upstreams[it.Spec.Id];
-    upstream.Plan = it;
-    upstream.Planned = true;
-  }
-}
-
 void dropIdle(ServiceState &state) {
   for (auto &[id, request] : state.Requests) {
     std::erase_if(request.Tried, [](const UpstreamState *it) {
@@ -51,15 +41,23 @@
   state->ValidUntil = validUntil;
   state->Draws = random;
   state->NextAttempt = firstAttempt;
-  putTargets(*state);
+  putTargets(*state, Instant{});
   return state;
 }
 
 void replan(ServiceState &state, ServicePlan plan, Instant now, Actions &out) {
+  const Step step{state, now, out};
+  const bool homesChanged = plan.HomesDigest != state.Plan.HomesDigest;
+  state.LastEvent = now;
   state.Plan = std::move(plan);
-  putTargets(state);
+  putTargets(state, now);
   dropIdle(state);
-  drain({state, now, out});
+  openAhead(step);
+  if (homesChanged) { // A new home knows of nothing that is warm.
+    tellAllWarm(step);
+  }
+  drain(step);
+  tendUpstreams(step);
 }
 
 void confirmView(ServiceState &state, Instant validUntil) {
@@ -69,19 +67,23 @@
 void handle(ServiceState &state, const Event &event, Instant now,
             Actions &out) {
   const Step step{state, now, out};
+  if (std::exchange(state.LastEvent, now) == Instant{}) {
+    openAhead(step);
+  }
   // The event first: an answer that came in time must not lose to a timer.
   std::visit([&](const auto &it) { on(step, it); }, event);
   runTimers(step);
   drain(step);
+  tendUpstreams(step);
 }
 
 Instant nextWake(const ServiceState &state) {
-  Instant next = Instant::max();
+  Instant next = nextTending(state);
   if (!state.Timers.empty()) {
-    next = state.Timers.begin()->first;
+    next = std::min(next, state.Timers.begin()->first);
   }
   if (!state.Queue.empty()) {
-    next = std::min(next, state.ValidUntil);
+    next = std::min({next, state.ValidUntil, state.RecheckAt});
   }
   return next;
 }
--- a/src/dispatch/Life.h
+++ b/src/dispatch/Life.h
@@ -62,19 +62,56 @@
 
 // Candidates.cpp
 
+/// An upstream for a request.
+struct Choice {
+  UpstreamState *Upstream = nullptr; ///< Null when none has room.
+  /// How many must wait before a request for this upstream to be worth it: a
+  /// straggler's answer comes later than a quick upstream's free slot.
+  std::size_t MinAhead = 0;
+};
+
 /// Chooses an upstream for a request.
-/// \returns null when none has room that the request may use.
-UpstreamState *chooseUpstream(ServiceState &state, const RequestState &request,
-                              Instant now);
+Choice chooseUpstream(ServiceState &state, const RequestState &request,
+                      Instant now);
+
+/// Tells whether so many are ejected that ejection must not count.
+bool keepsEjected(const ServiceState &state, Instant now);
 
 /// How many own attempts an upstream may have now.
+/// \param keepEjected ejected upstreams are used like others.
 unsigned limitOf(const ServiceState &state, const UpstreamState &upstream,
-                 Instant now);
+                 bool keepEjected, Instant now);
 
 /// How fast waiting requests are worked off now.
 ServiceRate rateOf(const ServiceState &state, Instant now);
 
+/// Tells whether an upstream takes new work by the plan.
+bool takesWork(const UpstreamState &upstream);
+
 /// Tells whether any upstream takes new work.
 bool anyInService(const ServiceState &state);
 
+// Upstreams.cpp
+
+/// Learns from an attempt's end what it says of its upstream.
+void observe(Step step, UpstreamState &upstream, const AttemptState &attempt,
+             const AttemptEnded &event);
+void onProbe(Step step, const ProbeEnded &event);
+void onWord(Step step, const PeerWord &event);
+
+/// Takes the plan's targets over; those that are new or return are cold.
+void putTargets(ServiceState &state, Instant now);
+
+/// Asks for connections to every upstream that may be used.
+void openAhead(Step step);
+
+/// Tells the homes of every upstream that this one has warmed.
+void tellAllWarm(Step step);
+
+/// Repeats words and sends the probes that are wanted and paid for.
+void tendUpstreams(Step step);
+
+/// When tendUpstreams has something to do.
+Instant nextTending(const ServiceState &state);
+
 } // namespace zinniarail
--- a/src/dispatch/Requests.cpp
+++ b/src/dispatch/Requests.cpp
@@ -60,8 +60,9 @@
   if (!anyInService(state)) {
     return RefusalReason::NoUpstream;
   }
-  if (!admit(state.Queue, request.Waiting, state.Plan.Spec.QueueLimit)
-           .Admitted) {
+  const std::size_t limit = state.Plan.Spec.QueueLimit;
+  if (!admit(state.Queue, request.Waiting, limit).Admitted ||
+      state.ClaimsSought >= limit) {
     return RefusalReason::Overloaded;
   }
   return std::nullopt;
@@ -110,6 +111,7 @@
 void settleKey(Step step, const RequestState &request) {
   if (request.Stage == RequestStage::Claiming) {
     step.State.AbandonedClaims.emplace(numberOf(request.Id), request.Key);
+    --step.State.ClaimsSought;
     return;
   }
   if (request.Claimed && request.Live.empty() &&
@@ -189,6 +191,7 @@
     return enqueue(step, request);
   }
   request.Stage = RequestStage::Claiming;
+  ++state.ClaimsSought;
   emit(step, SeekClaim{request.Id, request.Key});
 }
 
@@ -210,6 +213,7 @@
   }
   RequestState &request = it->second;
   request.Stage = RequestStage::Running; // The claim is not sought any more.
+  --state.ClaimsSought;
   switch (event.Verdict) {
   case ClaimVerdict::Granted:
     request.Claimed = true;
--- a/src/dispatch/ServiceState.h
+++ b/src/dispatch/ServiceState.h
@@ -10,7 +10,10 @@
 
 #include "zinniarail/admission/Admission.h"
 #include "zinniarail/dispatch/Engine.h"
+#include "zinniarail/load/Load.h"
 #include "zinniarail/retry/Retry.h"
+#include "zinniarail/routing/Guard.h"
+#include "zinniarail/warmup/Warmup.h"
 
 namespace zinniarail {
 
@@ -18,7 +21,14 @@
 struct UpstreamState {
   Target Plan;
   bool Planned = true;
-  std::vector<AttemptId> Running;
+  std::vector<AttemptId> Running; ///< Oldest first.
+  UpstreamHealth Health;
+  Warmth Warm;
+  ReportedLoad Load;
+  Instant ProbedAt{};
+  bool ProbeOut = false;
+  unsigned WordsLeft = 0; ///< Times to repeat that it is warm.
+  Instant NextWord = Instant::max();
 };
 
 /// Where a request is in its life.
@@ -40,6 +50,7 @@
   Truth Past = Truth::DidNotRun;  ///< What its ended attempts leave known.
   std::vector<AttemptId> Live;
   std::vector<const UpstreamState *> Tried;
+  unsigned Broken = 0; ///< Attempts that broke off.
 };
 
 /// One running attempt. Its request may have its answer already.
@@ -63,11 +74,14 @@
   std::uint64_t Hedges = 0;
   std::uint64_t Retries = 0;
   std::uint64_t KeysReleased = 0;
+  std::uint64_t Ejections = 0;
+  std::uint64_t ColdStarts = 0;
 };
 
 struct ServiceState {
   ServicePlan Plan;
   Instant ValidUntil{};
+  Instant LastEvent{}; ///< The time of the last event.
   Random Draws;
   std::uint64_t NextAttempt = 0;
   std::uint64_t NextArrival = 0;
@@ -81,6 +95,14 @@
   std::set<std::pair<Instant, std::uint64_t>> Timers; ///< One a request.
   /// Claims still being sought for requests that have their answer.
   std::unordered_map<std::uint64_t, std::string> AbandonedClaims;
+  std::size_t ClaimsSought = 0;
+
+  /// The latency of most upstreams; zero until one answered.
+  Duration Typical{0};
+  unsigned AnswersToTypical = 0; ///< Until it is worked out anew.
+  /// When to look again at what waits for a quick upstream.
+  Instant RecheckAt = Instant::max();
+  ProbeBudget Probes;
 
   ShareBudget HedgeBudget;
   ShareBudget RetryBudget;
@@ -88,6 +110,13 @@
   EngineCounters Counters;
 };
 
+constexpr unsigned FirstServerError = 500;
+
+/// Tells whether an upstream answered that it failed.
+inline bool isServerError(const AttemptEnded &event) {
+  return event.End == AttemptEnd::Answered && event.Status >= FirstServerError;
+}
+
 inline std::uint64_t numberOf(RequestId id) {
   return static_cast<std::uint64_t>(id);
 }
--- a/src/routing/Routing.cpp
+++ b/src/routing/Routing.cpp
@@ -10,7 +10,8 @@
 bool hasRoom(const Candidate &it) { return it.InFlight < it.Limit; }
 
 bool isBetter(const Candidate &a, const Candidate &b) {
-  return std::tie(a.InFlight, a.Cost) < std::tie(b.InFlight, b.Cost);
+  return std::tie(a.Rank, a.InFlight, a.Others) <
+         std::tie(b.Rank, b.InFlight, b.Others);
 }
 
 std::vector<std::size_t> withRoom(std::span<const Candidate> candidates) {
