--- a/include/zinniarail/intent/Intent.h
+++ b/include/zinniarail/intent/Intent.h
@@ -3,6 +3,7 @@
 /// differences, and which version is in force.
 #pragma once
 
+#include "zinniarail/intent/Changes.h"
 #include "zinniarail/intent/Document.h"
 #include "zinniarail/intent/Format.h"
 #include "zinniarail/intent/InForce.h"
--- /dev/null
+++ b/programs/zinniactl/Change.h
@@ -0,0 +1,38 @@
+/// \file
+/// Reading and writing an environment's document with every answer settled.
+#pragma once
+
+#include <string>
+
+#include "Commands.h"
+#include "Session.h"
+#include "zinniarail/intent/Intent.h"
+
+namespace zinniarail::ctl {
+
+/// An environment's document as the platform has it.
+struct Stored {
+  platform::Outcome How = platform::Outcome::Unreachable;
+  std::uint64_t Version = 0; ///< 0: there is none.
+  std::string Bytes;
+};
+
+std::string documentKey(const std::string &environment);
+
+/// Reads the document.
+Stored readStored(Session &session, const std::string &environment);
+
+/// Writes bytes in place of what was seen, and settles lost answers.
+Report writeStored(Session &session, const std::string &environment,
+                   const Stored &seen, const std::string &bytes);
+
+/// A report of failure with one line.
+Report fail(ExitCode code, const std::string &line);
+
+/// A report of a document's faults.
+Report reportFaults(const std::string &name, const Faults &faults);
+
+/// A new change id.
+std::string drawChangeId();
+
+} // namespace zinniarail::ctl
--- /dev/null
+++ b/programs/zinniactl/DocumentCommands.cpp
@@ -0,0 +1,228 @@
+#include <fstream>
+#include <sstream>
+
+#include <boost/json.hpp>
+
+#include "Change.h"
+
+namespace zinniarail::ctl {
+
+namespace {
+
+using platform::Outcome;
+
+Result<std::string, Report> readFile(const std::string &name) {
+  std::ifstream in(name, std::ios::binary);
+  std::ostringstream bytes;
+  if (!in || !(bytes << in.rdbuf())) {
+    return fail(ExitCode::Failed, "can't read " + name);
+  }
+  return bytes.str();
+}
+
+std::string usage(const char *text) { return std::string("usage: ") + text; }
+
+bool isReached(const Stored &stored) {
+  return stored.How == Outcome::Done || stored.How == Outcome::NotFound;
+}
+
+Report failUnreachable(const Stored &stored) {
+  return fail(ExitCode::Unreachable,
+              std::string("the platform gave no answer (") +
+                  platform::nameOf(stored.How) + "); nothing was written");
+}
+
+// Whether an operator who saw another version must look again.
+bool isStale(const Options &options, const Stored &stored) {
+  return options.Expected && *options.Expected != stored.Version;
+}
+
+Report failStale(const Options &options, const Stored &stored) {
+  Report report =
+      fail(ExitCode::LostRace,
+           "lost a race: version " + std::to_string(stored.Version) +
+               " is current, not " + std::to_string(*options.Expected) +
+               "; nothing was written");
+  report.Data["currentVersion"] = stored.Version;
+  return report;
+}
+
+bool fits(const Document &document, const std::string &environment) {
+  return document.Environment.empty() || document.Environment == environment;
+}
+
+Report failPinned(const Document &document, const std::string &environment) {
+  return reportFaults("the document",
+                      {{"/environment", "pins it to " + document.Environment +
+                                            ", not " + environment}});
+}
+
+Report writeDocument(Session &session, const Options &options,
+                     const Stored &seen, Document document) {
+  if (!fits(document, options.Environment)) {
+    return failPinned(document, options.Environment);
+  }
+  document.ChangeId = drawChangeId();
+  return writeStored(session, options.Environment, seen,
+                     serialiseDocument(document));
+}
+
+// Reads the document, applies a small edit and writes it on condition that
+// nobody else wrote in between.
+template <typename Edit>
+Report editDocument(const Options &options, const std::string &missing,
+                    Edit edit) {
+  Session session(options.PlatformAddress, options.Timeout);
+  const Stored seen = readStored(session, options.Environment);
+  if (seen.How == Outcome::NotFound) {
+    return fail(ExitCode::Failed, options.Environment + " has no document");
+  }
+  if (!isReached(seen)) {
+    return failUnreachable(seen);
+  }
+  if (isStale(options, seen)) {
+    return failStale(options, seen);
+  }
+  auto parsed = parseDocument(seen.Bytes);
+  if (!parsed.has_value()) {
+    return reportFaults("the stored document", parsed.error());
+  }
+  if (!edit(parsed.value())) {
+    return fail(ExitCode::Failed, missing);
+  }
+  return writeDocument(session, options, seen, std::move(parsed.value()));
+}
+
+} // namespace
+
+Report validate(const Options &options) {
+  if (options.Words.size() != 2) {
+    return fail(ExitCode::Usage, usage("zinniactl validate FILE"));
+  }
+  const std::string &name = options.Words[1];
+  const auto bytes = readFile(name);
+  if (!bytes.has_value()) {
+    return bytes.error();
+  }
+  const auto parsed = parseDocument(bytes.value());
+  if (!parsed.has_value()) {
+    return reportFaults(name, parsed.error());
+  }
+  std::size_t upstreams = 0;
+  for (const ServiceSpec &it : parsed.value().Services) {
+    upstreams += it.Upstreams.size();
+  }
+  Report report;
+  report.Lines = {name + ": " + std::to_string(parsed.value().Services.size()) +
+                  " services, " + std::to_string(upstreams) +
+                  " upstreams, no faults"};
+  report.Data = {{"result", "valid"},
+                 {"services", parsed.value().Services.size()},
+                 {"upstreams", upstreams}};
+  return report;
+}
+
+Report apply(const Options &options) {
+  if (options.Words.size() != 2) {
+    return fail(ExitCode::Usage, usage("zinniactl apply FILE"));
+  }
+  const auto bytes = readFile(options.Words[1]);
+  if (!bytes.has_value()) {
+    return bytes.error();
+  }
+  auto parsed = parseDocument(bytes.value());
+  if (!parsed.has_value()) {
+    return reportFaults(options.Words[1], parsed.error());
+  }
+  Session session(options.PlatformAddress, options.Timeout);
+  const Stored seen = readStored(session, options.Environment);
+  if (!isReached(seen)) {
+    return failUnreachable(seen);
+  }
+  if (isStale(options, seen)) {
+    return failStale(options, seen);
+  }
+  return writeDocument(session, options, seen, std::move(parsed.value()));
+}
+
+Report show(const Options &options) {
+  Session session(options.PlatformAddress, options.Timeout);
+  const Stored seen = readStored(session, options.Environment);
+  if (seen.How == Outcome::NotFound) {
+    return fail(ExitCode::Failed, options.Environment + " has no document");
+  }
+  if (!isReached(seen)) {
+    return failUnreachable(seen);
+  }
+  Report report;
+  report.Lines = {seen.Bytes};
+  report.Data = {{"result", "shown"},
+                 {"environment", options.Environment},
+                 {"version", seen.Version},
+                 {"sha256", digestOf(seen.Bytes)},
+                 {"document", seen.Bytes}};
+  return report;
+}
+
+Report promote(const Options &options) {
+  if (options.Words.size() != 1 || options.From.empty() || options.To.empty() ||
+      options.From == options.To) {
+    return fail(ExitCode::Usage, usage("zinniactl promote --from A --to B"));
+  }
+  Session session(options.PlatformAddress, options.Timeout);
+  const Stored source = readStored(session, options.From);
+  const Stored target = readStored(session, options.To);
+  if (source.How == Outcome::NotFound) {
+    return fail(ExitCode::Failed, options.From + " has no document");
+  }
+  if (!isReached(source) || !isReached(target)) {
+    return failUnreachable(isReached(source) ? target : source);
+  }
+  if (isStale(options, target)) {
+    return failStale(options, target);
+  }
+  const auto parsed = parseDocument(source.Bytes);
+  if (!parsed.has_value()) {
+    return reportFaults(options.From, parsed.error());
+  }
+  if (!fits(parsed.value(), options.To)) {
+    return failPinned(parsed.value(), options.To);
+  }
+  if (target.How == Outcome::Done && target.Bytes == source.Bytes) {
+    Report report;
+    report.Lines = {options.To + " has these bytes already, version " +
+                        std::to_string(target.Version),
+                    "sha256 " + digestOf(source.Bytes)};
+    report.Data = {{"result", "accepted"},
+                   {"environment", options.To},
+                   {"version", target.Version},
+                   {"sha256", digestOf(source.Bytes)}};
+    return report;
+  }
+  return writeStored(session, options.To, target, source.Bytes);
+}
+
+Report changeDomain(const Options &options) {
+  const auto &words = options.Words;
+  if (words.size() != 3 || (words[1] != "out" && words[1] != "in")) {
+    return fail(ExitCode::Usage, usage("zinniactl domain out|in NAME"));
+  }
+  return editDocument(
+      options, "no failure domain is named " + words[2], [&](Document &it) {
+        return setDomainInService(it, words[2], words[1] == "in");
+      });
+}
+
+Report changeUpstream(const Options &options) {
+  const auto &words = options.Words;
+  if (words.size() != 4 || (words[1] != "leave" && words[1] != "return")) {
+    return fail(ExitCode::Usage,
+                usage("zinniactl upstream leave|return SERVICE ID"));
+  }
+  return editDocument(
+      options, words[2] + " has no upstream " + words[3], [&](Document &it) {
+        return setUpstreamLeaving(it, words[2], words[3], words[1] == "leave");
+      });
+}
+
+} // namespace zinniarail::ctl
--- a/src/control/Claims.cpp
+++ b/src/control/Claims.cpp
@@ -28,8 +28,6 @@
       done(ClaimVerdict::Granted);
       return;
     }
-    // A conflict may be with this very write: a connection that broke makes
-    // the HTTP library send it again.
     if (put.How != Outcome::Conflict && put.How != Outcome::Unknown) {
       done(ClaimVerdict::Unavailable);
       return;
--- a/src/platform/Http.cpp
+++ b/src/platform/Http.cpp
@@ -85,6 +85,11 @@
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &it);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, takeHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &it);
+  if (it.Request.Method != "GET") {
+    // On a kept connection that broke libcurl would send the request again by
+    // itself, and a write that took effect would come back as a conflict.
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+  }
   if (it.Request.Method == "PUT" || it.Request.Method == "POST") {
     curl_easy_setopt(easy, CURLOPT_POSTFIELDS, it.Request.Body.c_str());
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
