--- a/src/control/ControlTask.cpp
+++ b/src/control/ControlTask.cpp
@@ -239,8 +239,10 @@
   }
   const bool reader = isReader(liveInstances(Known.Members, now),
                                Known.Members.Self, Known.Readers);
+  // Without a version the next watch would be answered at once.
+  const bool watches = reader && Known.InstancesVersion != 0;
   noteEnd(Known.InstancesRead, answered(listing.How),
-          reader ? ReadPause : InstancesInterval, now, Draws);
+          watches ? ReadPause : InstancesInterval, now, Draws);
   advance();
 }
 
