--- a/include/zinniarail/intent/InForce.h
+++ b/include/zinniarail/intent/InForce.h
@@ -46,7 +46,9 @@
   Duration Lifetime{};                    ///< How long a proof lasts.
   std::shared_ptr<const Document> Intent; ///< Null before the first one.
   std::uint64_t Version = 0;              ///< Only rises.
-  std::string Digest;                     ///< Of the canonical bytes in force.
+  /// The canonical bytes of what is in force, for peers; null before.
+  std::shared_ptr<const std::string> Bytes;
+  std::string Digest; ///< Of Bytes.
   /// The newest version of the platform that is no valid document.
   std::uint64_t RefusedVersion = 0;
   Instant ConfirmedAsOf = Instant::min(); ///< The platform's own word.
--- a/src/control/ControlTask.cpp
+++ b/src/control/ControlTask.cpp
@@ -46,6 +46,8 @@
   void take(DocumentFetched &message);
   void take(KeepClaim &message);
   void take(ListClaims &message);
+  void take(ReadRoster &message);
+  void take(WriteRoster &message);
   void take(StopBegun &message);
   void take(DumpWanted &message);
 
@@ -156,6 +158,16 @@
       [this](peers::ClaimsListed listed) { Out.Peers(std::move(listed)); });
 }
 
+void ControlTask::Impl::take(ReadRoster &) {
+  readRoster(Platform, Known.Intent.Environment,
+             [this](peers::RosterRead read) { Out.Peers(std::move(read)); });
+}
+
+void ControlTask::Impl::take(WriteRoster &message) {
+  writeRoster(Platform, Known.Intent.Environment, message,
+              [this](peers::RosterRead read) { Out.Peers(std::move(read)); });
+}
+
 void ControlTask::Impl::take(StopBegun &) { beginStop(Known.Members); }
 
 void ControlTask::Impl::take(DumpWanted &message) {
--- a/src/control/State.cpp
+++ b/src/control/State.cpp
@@ -69,6 +69,7 @@
   View view;
   view.Intent = state.Intent.Intent;
   view.Version = state.Intent.Version;
+  view.Bytes = state.Intent.Bytes;
   view.Instances = liveInstances(state.Members, now);
   view.ValidUntil = validUntil(state.Intent, spanDomains(view.Instances));
   view.ConfirmedAsOf = confirmedAsOf(state.Intent);
--- a/src/intent/InForce.cpp
+++ b/src/intent/InForce.cpp
@@ -26,6 +26,7 @@
 struct Checked {
   OfferResult Result = OfferResult::Malformed;
   std::shared_ptr<const Document> Intent;
+  std::shared_ptr<const std::string> Bytes;
   std::string Digest;
 };
 
@@ -38,12 +39,17 @@
   if (!only.empty() && only != state.Environment) {
     return {.Result = OfferResult::WrongEnvironment};
   }
-  auto intent = std::make_shared<const Document>(std::move(parsed.value()));
-  return {OfferResult::Adopted, intent, digestOf(serialiseDocument(*intent))};
+  Checked checked{.Result = OfferResult::Adopted};
+  checked.Bytes =
+      std::make_shared<const std::string>(serialiseDocument(parsed.value()));
+  checked.Digest = digestOf(*checked.Bytes);
+  checked.Intent = std::make_shared<const Document>(std::move(parsed.value()));
+  return checked;
 }
 
 void adopt(InForce &state, std::uint64_t version, Checked checked) {
   state.Intent = std::move(checked.Intent);
+  state.Bytes = std::move(checked.Bytes);
   state.Digest = std::move(checked.Digest);
   if (version > state.Version) {
     state.ConfirmedAsOf = Instant::min(); // of another version
