--- a/src/control/ControlTask.cpp
+++ b/src/control/ControlTask.cpp
@@ -7,6 +7,7 @@
 #include <ev.h>
 
 #include "control/Claims.h"
+#include "control/Roster.h"
 #include "control/State.h"
 #include "zinniarail/platform/Platform.h"
 
