Control task and zinniactl against the platform's stand-in

Cause: outages, slowness, lost answers and racing operators were only played in memory. Ruled out: none. Change: tests/control with the stand-in as a process: three kinds of outage, a slow platform, malformed documents, documents from peers, claims with lost answers, every exit code of zinniactl, two operators racing. The roster calls stand once (control/Roster). Conclusion: what a real fleet does is for the cluster tests.

--- a/src/control/Claims.cpp
+++ b/src/control/Claims.cpp
@@ -5,14 +5,6 @@
 using platform::Outcome;
 using platform::Reply;
 
-namespace {
-
-std::string rosterKey(const std::string &environment) {
-  return "environments/" + environment + "/roster";
-}
-
-} // namespace
-
 std::string claimPrefix(const std::string &environment,
                         const std::string &service) {
   return "environments/" + environment + "/claims/" + service + "/";
@@ -63,32 +55,4 @@
   });
 }
 
-void readRoster(platform::Client &client, const std::string &environment,
-                std::function<void(peers::RosterRead)> done) {
-  client.get(rosterKey(environment), [done = std::move(done)](Reply read) {
-    if (read.How == Outcome::NotFound) {
-      done({.Reached = true});
-      return;
-    }
-    done({read.How == Outcome::Done, read.Version, std::move(read.Bytes)});
-  });
-}
-
-void writeRoster(platform::Client &client, const std::string &environment,
-                 const WriteRoster &wanted,
-                 std::function<void(peers::RosterRead)> done) {
-  client.put(rosterKey(environment), wanted.Bytes, wanted.Version,
-             [&client, environment, bytes = wanted.Bytes,
-              done = std::move(done)](const Reply &put) {
-               if (put.How == Outcome::Done) {
-                 done({true, put.Version, bytes});
-               } else if (put.How == Outcome::Conflict ||
-                          put.How == Outcome::Unknown) {
-                 readRoster(client, environment, done);
-               } else {
-                 done({});
-               }
-             });
-}
-
 } // namespace zinniarail::control
--- a/src/control/Claims.h
+++ b/src/control/Claims.h
@@ -32,13 +32,4 @@
                 const std::string &service,
                 std::function<void(peers::ClaimsListed)> done);
 
-/// Reads the environment's claim roster.
-void readRoster(platform::Client &client, const std::string &environment,
-                std::function<void(peers::RosterRead)> done);
-
-/// Writes it on condition of its version, and says what is stored after that.
-void writeRoster(platform::Client &client, const std::string &environment,
-                 const WriteRoster &wanted,
-                 std::function<void(peers::RosterRead)> done);
-
 } // namespace zinniarail::control
--- /dev/null
+++ b/tests/control/ControlTaskTest.cpp
@@ -0,0 +1,240 @@
+#include <future>
+
+#include <boost/json.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "Standin.h"
+#include "zinniarail/control/ControlTask.h"
+#include "zinniarail/intent/Format.h"
+
+using namespace zinniarail;
+using namespace zinniarail::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string documentOf(const std::string &changeId) {
+  return serialiseDocument(
+      {.ChangeId = changeId, .Domains = {{"a", "", true}, {"b", "", true}}});
+}
+
+// Keeps what a control task posts.
+struct Recorder {
+  std::mutex Mutex;
+  std::shared_ptr<const View> Latest;
+  bool WentBack = false;
+  std::vector<peers::Message> Words;
+
+  control::Outboxes outboxes() {
+    return {[this](gateway::Message message) {
+              const std::lock_guard lock(Mutex);
+              if (auto *it = std::get_if<gateway::ViewChanged>(&message)) {
+                WentBack = WentBack ||
+                           (Latest && it->Current->Version < Latest->Version);
+                Latest = it->Current;
+              }
+            },
+            [this](peers::Message message) {
+              const std::lock_guard lock(Mutex);
+              if (!std::holds_alternative<peers::ViewChanged>(message)) {
+                Words.push_back(std::move(message));
+              }
+            }};
+  }
+  std::shared_ptr<const View> view() {
+    const std::lock_guard lock(Mutex);
+    return Latest;
+  }
+  bool isValid() {
+    const auto it = view();
+    return it && it->ValidUntil > readClock();
+  }
+  bool hasChange(const std::string &changeId) {
+    const auto it = view();
+    return it && it->Intent->ChangeId == changeId;
+  }
+  template <typename Word> std::optional<Word> find() {
+    const std::lock_guard lock(Mutex);
+    for (peers::Message &it : Words) {
+      if (auto *word = std::get_if<Word>(&it)) {
+        return *word;
+      }
+    }
+    return std::nullopt;
+  }
+};
+
+// A platform and one instance's control task.
+struct Fixture {
+  explicit Fixture(const std::string &rest)
+      : Platform(testAddress(rest)), Task(settings(), Seen.outboxes()) {
+    Task.start();
+  }
+
+  Settings settings() const {
+    Settings it;
+    it.InstanceId = "i1";
+    it.FailureDomain = "a";
+    it.Environment = "trial";
+    it.PlatformAddress = Platform.Address;
+    it.Seed = 1;
+    return it;
+  }
+  void awaitChange(const std::string &changeId) {
+    BOOST_REQUIRE(waitFor([&] { return Seen.hasChange(changeId); }));
+    BOOST_REQUIRE(waitFor([&] { return Seen.isValid(); }));
+  }
+  // A peer in another domain answers now with the version in force here.
+  void hearPeer() {
+    const auto view = Seen.view();
+    Task.inbox().post(control::PeerSeen{{.Id = "i2", .Domain = "b"},
+                                        view ? view->Version : 0,
+                                        Duration::max(),
+                                        readClock()});
+  }
+  boost::json::object dump() {
+    auto answer = std::make_shared<std::promise<boost::json::object>>();
+    auto future = answer->get_future();
+    Task.inbox().post(control::DumpWanted{[answer](boost::json::object it) {
+      answer->set_value(std::move(it));
+    }});
+    return future.get();
+  }
+
+  PlatformStandin Platform;
+  Recorder Seen;
+  control::ControlTask Task;
+};
+
+const std::vector<std::string> Outages{"503", "close", "hang"};
+
+void goThroughOutage(const std::string &outage) {
+  Fixture it("50.1:7000");
+  it.Platform.putDocument(documentOf("c1"));
+  it.awaitChange("c1");
+  it.Platform.setFaults(R"({"outage":")" + outage + R"("})");
+  BOOST_TEST(waitFor([&] { return !it.Seen.isValid(); }));
+  BOOST_TEST(waitFor([&] {
+    it.hearPeer();
+    return it.Seen.isValid();
+  }));
+  BOOST_TEST(waitFor([&] { return !it.Seen.isValid(); }));
+  it.Platform.setFaults(R"({"outage":"none"})");
+  it.Platform.putDocument(documentOf("c2"));
+  it.awaitChange("c2");
+  BOOST_TEST(!it.Seen.WentBack);
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(anOutageEndsTheViewUnlessPeersAnswer, Outages, outage) {
+  goThroughOutage(outage);
+}
+
+BOOST_AUTO_TEST_CASE(aSlowPlatformKeepsTheViewValid) {
+  Fixture it("50.2:7000");
+  it.Platform.setFaults(R"({"delayMs":400})");
+  it.Platform.putDocument(documentOf("c1"));
+  it.awaitChange("c1");
+  it.Platform.putDocument(documentOf("c2"));
+  it.awaitChange("c2");
+}
+
+BOOST_AUTO_TEST_CASE(aMalformedDocumentIsNotPutIntoForce) {
+  Fixture it("50.3:7000");
+  it.Platform.putDocument(documentOf("c1"));
+  it.awaitChange("c1");
+  it.Platform.putDocument("{\"services\":7}");
+  BOOST_TEST(waitFor(
+      [&] { return it.dump().at("refusedVersion").to_number<int>() == 2; }));
+  BOOST_TEST(it.Seen.hasChange("c1"));
+  it.Platform.putDocument(documentOf("c3"));
+  it.awaitChange("c3");
+}
+
+BOOST_AUTO_TEST_CASE(aDocumentComesFromAPeerInAnOutage) {
+  Fixture it("50.4:7000");
+  it.Platform.setFaults(R"({"outage":"503"})");
+  it.Task.inbox().post(control::PeerSeen{
+      {.Id = "i2", .Domain = "b"}, 7, Duration::max(), readClock()});
+  BOOST_REQUIRE(waitFor(
+      [&] { return it.Seen.find<peers::FetchDocument>().has_value(); }));
+  BOOST_TEST(it.Seen.find<peers::FetchDocument>()->Version == 7u);
+  it.Task.inbox().post(control::DocumentFetched{"i2", 7, documentOf("c7")});
+  BOOST_TEST(waitFor([&] { return it.Seen.hasChange("c7"); }));
+  BOOST_TEST(waitFor([&] {
+    it.hearPeer();
+    return it.Seen.isValid();
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(theInstanceListBecomesTheView) {
+  Fixture it("50.5:7000");
+  it.Platform.putDocument(documentOf("c1"));
+  it.Platform.call("POST", "/control/instances",
+                   R"([{"id":"i2","domain":"b","callerAddress":"",
+    "peerAddress":"","operatorAddress":"","state":"leaving"}])");
+  BOOST_TEST(waitFor([&] {
+    const auto view = it.Seen.view();
+    return view && view->Instances.size() == 2 && view->Instances[1].Leaving;
+  }));
+  it.Task.inbox().post(control::StopBegun{});
+  BOOST_TEST(waitFor([&] { return it.Seen.view()->Instances[0].Leaving; }));
+}
+
+namespace {
+
+struct ClaimStory {
+  const char *Name;
+  const char *Faults;
+  const char *Stored; ///< Before; empty: nothing.
+  ClaimVerdict Expected;
+};
+std::ostream &operator<<(std::ostream &out, const ClaimStory &it) {
+  return out << it.Name;
+}
+
+const std::vector<ClaimStory> ClaimStories{
+    {"nobody has it", "{}", "", ClaimVerdict::Granted},
+    {"somebody has it", "{}", "i7/1/1", ClaimVerdict::Taken},
+    {"the answer is lost", R"({"kinds":["put"],"dropAnswerAfterWrite":1})", "",
+     ClaimVerdict::Granted},
+    {"the answer is lost and so is the read",
+     R"({"kinds":["get","put"],"outage":"close"})", "",
+     ClaimVerdict::Unavailable},
+    {"an outage", R"({"outage":"503"})", "", ClaimVerdict::Unavailable},
+};
+
+void keepClaimOnce(const ClaimStory &story) {
+  Fixture it("50.6:7000");
+  const std::string key = "/objects/environments/trial/claims/s/abc";
+  if (*story.Stored != '\0') {
+    it.Platform.call("PUT", key, story.Stored);
+  }
+  it.Platform.setFaults(story.Faults);
+  it.Task.inbox().post(control::KeepClaim{"s", RequestId{5}, "abc"});
+  BOOST_REQUIRE(
+      waitFor([&] { return it.Seen.find<peers::ClaimKept>().has_value(); }));
+  BOOST_TEST(static_cast<int>(it.Seen.find<peers::ClaimKept>()->Verdict) ==
+             static_cast<int>(story.Expected));
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(aClaimIsKeptOnce, ClaimStories, story) {
+  keepClaimOnce(story);
+}
+
+BOOST_AUTO_TEST_CASE(claimsAreListed) {
+  Fixture it("50.7:7000");
+  it.Platform.call("PUT", "/objects/environments/trial/claims/s/abc", "x");
+  it.Platform.call("PUT", "/objects/environments/trial/claims/t/def", "x");
+  it.Task.inbox().post(control::ListClaims{"s"});
+  BOOST_REQUIRE(
+      waitFor([&] { return it.Seen.find<peers::ClaimsListed>().has_value(); }));
+  const auto listed = *it.Seen.find<peers::ClaimsListed>();
+  BOOST_TEST(listed.Reached);
+  BOOST_REQUIRE(listed.KeyHashes.size() == 1u);
+  BOOST_TEST(listed.KeyHashes.front() == "abc");
+}
--- /dev/null
+++ b/tests/control/ZinniactlTest.cpp
@@ -0,0 +1,160 @@
+#include <filesystem>
+#include <fstream>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "Standin.h"
+#include "zinniarail/intent/Changes.h"
+#include "zinniarail/intent/Format.h"
+
+using namespace zinniarail;
+using namespace zinniarail::testing;
+
+namespace {
+
+// What zinniactl --help documents.
+constexpr int Done = 0;
+constexpr int Usage = 2;
+constexpr int Invalid = 3;
+constexpr int LostRace = 4;
+constexpr int Unreachable = 5;
+constexpr int Unknown = 6;
+constexpr int NotInForce = 7;
+
+const Document Base{.Domains = {{"a", "", true}, {"b", "", true}}};
+
+struct Fixture {
+  explicit Fixture(const std::string &rest) : Platform(testAddress(rest)) {
+    Folder = std::filesystem::temp_directory_path() /
+             ("zinniactl-" + std::to_string(getpid()));
+    std::filesystem::create_directories(Folder);
+  }
+  ~Fixture() { std::filesystem::remove_all(Folder); }
+  Fixture(const Fixture &) = delete;
+  Fixture &operator=(const Fixture &) = delete;
+
+  std::string file(const std::string &bytes) const {
+    const std::string name = Folder / "document.json";
+    std::ofstream(name) << bytes;
+    return name;
+  }
+  pid_t start(std::vector<std::string> words,
+              const std::string &environment = "trial") const {
+    words.insert(words.end(), {"--platform-address", Platform.Address,
+                               "--environment", environment});
+    return startProgram("/programs/zinniactl", words);
+  }
+  int run(const std::vector<std::string> &words) const {
+    return awaitExit(start(words));
+  }
+  std::string stored(const std::string &environment = "trial") const {
+    std::string bytes;
+    Platform.call("GET", "/objects/environments/" + environment + "/document",
+                  "", &bytes);
+    return bytes;
+  }
+
+  PlatformStandin Platform;
+  std::filesystem::path Folder;
+};
+
+struct Story {
+  const char *Name;
+  const char *Faults; ///< From the second command on.
+  std::vector<std::string> Words;
+  int Code;
+  bool Written; ///< Whether the document changed.
+};
+std::ostream &operator<<(std::ostream &out, const Story &it) {
+  return out << it.Name;
+}
+
+const std::vector<Story> Stories{
+    {"out", "{}", {"domain", "out", "a"}, Done, true},
+    {"out, slow", R"({"delayMs":300})", {"domain", "out", "a"}, Done, true},
+    {"answer lost",
+     R"({"kinds":["put"],"dropAnswerAfterWrite":1})",
+     {"domain", "out", "a"},
+     Done,
+     true},
+    {"every answer lost",
+     R"({"kinds":["put"],"dropAnswerAfterWrite":-1})",
+     {"domain", "out", "a"},
+     Done,
+     true},
+    {"every write fails",
+     R"({"kinds":["put"],"outage":"close"})",
+     {"domain", "out", "a"},
+     Unknown,
+     false},
+    {"outage",
+     R"({"outage":"503"})",
+     {"domain", "out", "a"},
+     Unreachable,
+     false},
+    {"another version was seen",
+     "{}",
+     {"domain", "out", "a", "--expect", "99"},
+     LostRace,
+     false},
+    {"no such domain", "{}", {"domain", "out", "z"}, 1, false},
+    {"half a command", "{}", {"domain", "out"}, Usage, false},
+    {"no such flag", "{}", {"domain", "out", "a", "--force"}, Usage, false},
+    {"no instance answers", "{}", {"status"}, NotInForce, false},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(aCommandSaysWhatHappened, Stories, story) {
+  Fixture it("51.1:7000");
+  BOOST_REQUIRE(it.run({"apply", it.file(serialiseDocument(Base))}) == Done);
+  const std::string before = it.stored();
+  it.Platform.setFaults(story.Faults);
+  BOOST_TEST(it.run(story.Words) == story.Code);
+  it.Platform.setFaults(R"({"outage":"none","delayMs":0})");
+  BOOST_TEST((it.stored() != before) == story.Written);
+}
+
+BOOST_AUTO_TEST_CASE(aRaceOfTwoOperatorsHasOneWinner) {
+  Fixture it("51.2:7000");
+  BOOST_REQUIRE(it.run({"apply", it.file(serialiseDocument(Base))}) == Done);
+  // Both write from version 1, whoever reads first.
+  it.Platform.setFaults(R"({"kinds":["get"],"delayMs":500})");
+  const pid_t a = it.start({"domain", "out", "a", "--expect", "1"});
+  const pid_t b = it.start({"domain", "out", "b", "--expect", "1"});
+  const int first = awaitExit(a);
+  const int second = awaitExit(b);
+  BOOST_TEST(std::min(first, second) == Done);
+  BOOST_TEST(std::max(first, second) == LostRace);
+  it.Platform.setFaults(R"({"kinds":["get"],"delayMs":0})");
+  const Document after = parseDocument(it.stored()).value();
+  BOOST_TEST(isInService(after, "a") == (first != Done));
+  BOOST_TEST(isInService(after, "b") == (second != Done));
+}
+
+BOOST_AUTO_TEST_CASE(promotionCarriesTheSameBytes) {
+  Fixture it("51.3:7000");
+  BOOST_REQUIRE(it.run({"apply", it.file(serialiseDocument(Base))}) == Done);
+  BOOST_TEST(it.run({"promote", "--from", "trial", "--to", "production"}) ==
+             Done);
+  BOOST_TEST(it.stored("production") == it.stored("trial"));
+  BOOST_TEST(it.run({"promote", "--from", "trial", "--to", "production"}) ==
+             Done);
+}
+
+BOOST_AUTO_TEST_CASE(aDocumentOfOneEnvironmentIsNotPromoted) {
+  Fixture it("51.4:7000");
+  Document pinned = Base;
+  pinned.Environment = "trial";
+  BOOST_REQUIRE(it.run({"apply", it.file(serialiseDocument(pinned))}) == Done);
+  BOOST_TEST(it.run({"promote", "--from", "trial", "--to", "production"}) ==
+             Invalid);
+}
+
+BOOST_AUTO_TEST_CASE(aDocumentWithFaultsIsNotWritten) {
+  Fixture it("51.5:7000");
+  BOOST_TEST(it.run({"validate", it.file("{\"services\":[{}]}")}) == Invalid);
+  BOOST_TEST(it.run({"apply", it.file("{\"services\":[{}]}")}) == Invalid);
+  BOOST_TEST(it.stored() == "no such object\n");
+}
