--- a/include/zinniarail/claims/Claims.h
+++ b/include/zinniarail/claims/Claims.h
@@ -88,7 +88,9 @@
   std::size_t OpenAsks = 4'096;     ///< Asks without an answer.
   std::size_t Generations = 32;     ///< In a roster.
   std::size_t PageSize = 2'000;     ///< Claims in one page of a hand-over.
-  Duration LongestWindow = std::chrono::minutes{10}; ///< Of any claim.
+  Duration WindowLimit = std::chrono::minutes{10}; ///< Of any claim.
+  /// Of the services there are; lost claims count this long. Never lower it.
+  Duration LongestWindow = std::chrono::seconds{30};
   /// An ask that took longer is not granted, so that a grant is never much
   /// younger than its records.
   Duration GrantSlack = std::chrono::seconds{5};
@@ -102,6 +104,7 @@
   /// After this a roster may be changed by one who sees only a minority.
   Duration MinorityDelay = std::chrono::seconds{10};
   Duration RosterReadInterval = std::chrono::seconds{1};
+  Duration PurgeInterval = std::chrono::seconds{1};
   Duration HandOverRetry = std::chrono::milliseconds{200};
   ClaimRule Broken = ClaimRule::None;
 };
@@ -173,7 +176,9 @@
   Instant NextRosterRead{};
   bool RosterAsked = false;  ///< A read or write is under way.
   bool RosterAbsent = false; ///< The platform said that none is stored.
-  bool Leaving = false;
+  /// The generation for which every service was got ready.
+  std::uint64_t PreparedFor = 0;
+  Instant NextPurge{};
 };
 
 // Events.
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -61,6 +61,7 @@
 
 struct ClaimPage {
   agreed @0 :Bool;              # False: the generations differ.
+  incarnation @4 :UInt64;       # Of the process that hands over.
   claims @1 :List(Claim);
   ready @2 :List(Readiness);    # With the last page only.
   last @3 :Bool;
--- a/src/claims/Asker.cpp
+++ b/src/claims/Asker.cpp
@@ -131,7 +131,7 @@
 void beginAsk(ClaimState &state, const ClaimSought &event, Instant now,
               ClaimActions &out) {
   if (state.Asks.size() >= state.Limits.OpenAsks ||
-      event.Window > state.Limits.LongestWindow) {
+      event.Window > state.Limits.WindowLimit) {
     out.emplace_back(
         DecideClaim{event.Service, {event.Request, ClaimVerdict::Unavailable}});
     return;
--- a/src/claims/Holder.cpp
+++ b/src/claims/Holder.cpp
@@ -8,6 +8,7 @@
 namespace zinniarail {
 
 using claims::isBroken;
+using claims::isHolder;
 
 namespace {
 
@@ -72,8 +73,10 @@
   return true;
 }
 
-bool isHolder(const ClaimState &state, const std::string &service,
-              const std::string &id) {
+} // namespace
+
+bool claims::isHolder(const ClaimState &state, const std::string &service,
+                      const std::string &id) {
   const Generation *current = currentGeneration(state);
   if (!current) {
     return false;
@@ -83,6 +86,8 @@
                      [&](const Member &it) { return it.Id == id; });
 }
 
+namespace {
+
 // Makes room for one claim; never at the cost of one that still counts.
 bool makeRoom(const ClaimState &state, ClaimShelf &shelf, Instant now) {
   if (shelf.Entries.size() < state.Limits.PerService) {
@@ -157,7 +162,7 @@
   if (!makeRoom(state, shelf, now)) {
     return RecordReply::Full;
   }
-  const Duration longest = state.Limits.LongestWindow + state.Limits.GrantSlack;
+  const Duration longest = state.Limits.WindowLimit + state.Limits.GrantSlack;
   shelf.Entries[record.Key] = {record.Token,
                                now + std::min(record.Keep, longest)};
   return RecordReply::Recorded;
--- a/src/claims/Keeper.cpp
+++ b/src/claims/Keeper.cpp
@@ -157,6 +157,29 @@
   out.emplace_back(SendRosterRead{});
 }
 
+// Gets ready for services before their first claim comes.
+void prepare(ClaimState &state, const std::vector<std::string> &services,
+             Instant now) {
+  const std::uint64_t current = currentNumber(state.Known);
+  if (state.PreparedFor == current) {
+    return;
+  }
+  bool all = true;
+  for (const std::string &it : services) {
+    if (!isHolder(state, it, state.Self.Id)) {
+      continue;
+    }
+    if (isReady(state, it, now)) {
+      state.Shelves[it].LastReady = current;
+    } else {
+      all = false;
+    }
+  }
+  if (all) {
+    state.PreparedFor = current;
+  }
+}
+
 } // namespace
 
 bool isOver(const ClaimState &state, std::uint64_t number, Instant now) {
@@ -265,11 +288,7 @@
   tendHandOvers(state, now, out);
   changeRoster(state, event, now, out);
   readRoster(state, event, now, out);
-  for (const std::string &it : event.Services) {
-    if (isReady(state, it, now)) {
-      state.Shelves[it].LastReady = currentNumber(state.Known);
-    }
-  }
+  prepare(state, event.Services, now);
 }
 
 } // namespace zinniarail::claims
@@ -291,6 +310,10 @@
 }
 
 void dropExpired(ClaimState &state, Instant now) {
+  if (now < state.NextPurge) {
+    return;
+  }
+  state.NextPurge = now + state.Limits.PurgeInterval;
   for (auto &[service, shelf] : state.Shelves) {
     std::erase_if(shelf.Entries,
                   [&](const auto &it) { return it.second.Expires <= now; });
--- a/src/claims/Rules.h
+++ b/src/claims/Rules.h
@@ -12,6 +12,10 @@
   return state.Limits.Broken == rule;
 }
 
+/// Whether an instance holds a service's claims in the current generation.
+bool isHolder(const ClaimState &state, const std::string &service,
+              const std::string &id);
+
 /// Whether everything granted in an earlier generation has expired: most of
 /// its members have left it, for longer than an asker may trust their answers
 /// and a claim counts.
