--- a/src/peers/Exchange.cpp
+++ b/src/peers/Exchange.cpp
@@ -108,13 +108,18 @@
 }
 
 void Exchange::changeView(std::shared_ptr<const View> view) {
+  if (!view || !view->Intent) {
+    return;
+  }
+  if (!Current || Current->Version != view->Version) {
+    Claims.PreparedFor = 0;
+  }
   const bool sameInstances = Current && Current->Instances == view->Instances;
   Current = std::move(view);
   Duration &longest = Claims.Limits.LongestWindow;
   for (const ServiceSpec &it : Current->Intent->Services) {
     longest = std::max(longest, it.ClaimWindow);
   }
-  Claims.PreparedFor = 0;
   if (!sameInstances) {
     updateLinks();
   }
@@ -142,8 +147,10 @@
   pulse.ConfirmedAge = Duration::max();
   if (Current) {
     pulse.Version = Current->Version;
-    const Instant confirmed = Current->ValidUntil - Set.ViewLifetime;
-    pulse.ConfirmedAge = std::max(Duration::zero(), readClock() - confirmed);
+  }
+  if (Current && Current->ConfirmedAsOf != Instant::min()) {
+    pulse.ConfirmedAge =
+        std::max(Duration::zero(), readClock() - Current->ConfirmedAsOf);
   }
   pulse.Generation = currentNumber(Claims.Known);
   pulse.Leaving = Stopping;
@@ -162,16 +169,17 @@
   if (Heard.size() >= AcquaintancesLimit && !Heard.contains(from.Who.Id)) {
     return "too many instances";
   }
-  hear(from);
+  hear(from, Instant{});
   return std::nullopt;
 }
 
-void Exchange::hear(const Greeting &from) {
+void Exchange::hear(const Greeting &from, Instant askedAt) {
   if (from.Who.Id == Set.InstanceId) {
     return;
   }
   Heard[from.Who.Id] = {from, readClock(), false};
-  ToControl(control::PeerSeen{from.Who, from.Version, from.ConfirmedAge});
+  ToControl(
+      control::PeerSeen{from.Who, from.Version, from.ConfirmedAge, askedAt});
 }
 
 void Exchange::serveWord(const std::string &service, const PeerWord &word) {
@@ -194,8 +202,12 @@
                      {"heardMsAgo", (readClock() - it.Heard) /
                                         std::chrono::milliseconds{1}}});
   }
+  const Generation *generation = currentGeneration(Claims);
   return {{"incarnation", Claims.Self.Incarnation},
           {"generation", currentNumber(Claims.Known)},
+          {"holdsClaims", generation && findSelf(Claims, *generation)},
+          {"readyForClaims", generation && findSelf(Claims, *generation) &&
+                                 Claims.PreparedFor == generation->Number},
           {"peers", std::move(peers)},
           {"claims", countClaims(Claims)},
           {"openAsks", Claims.Asks.size()},
--- a/src/peers/Exchange.h
+++ b/src/peers/Exchange.h
@@ -60,7 +60,9 @@
   Pulse pulse() const;
   /// \returns why the greeting is refused, or nothing.
   std::optional<std::string> greet(const Greeting &from);
-  void hear(const Greeting &from);
+  /// \param askedAt when the question was sent that this answers; the default
+  /// instant for a word that came unasked.
+  void hear(const Greeting &from, Instant askedAt);
   RecordReply serveRecord(std::uint64_t generation, const ClaimRecord &record);
   void serveRelease(const ClaimRecord &record);
   ClaimPage serveHandOver(const SendHandOver &request,
--- a/src/peers/ExchangeProbes.cpp
+++ b/src/peers/ExchangeProbes.cpp
@@ -137,7 +137,7 @@
 
 void Exchange::noteAnswer(Link &link, const Greeting &from, Instant sent) {
   link.Failed = false;
-  hear(from);
+  hear(from, sent);
   tellClaims(PeerAnswered{
       {.Who = {from.Who.Id, from.Incarnation, from.Who.Domain, link.Address},
        .Generation = from.Generation,
--- a/src/peers/PeerServer.cpp
+++ b/src/peers/PeerServer.cpp
@@ -38,7 +38,7 @@
   From->ConfirmedAge = pulse.ConfirmedAge;
   From->Generation = pulse.Generation;
   From->Who.Leaving = pulse.Leaving;
-  Owner.hear(*From);
+  Owner.hear(*From, Instant{});
   write(Owner.pulse(), context.getResults().getPulse());
   return kj::READY_NOW;
 }
