--- a/include/zinniarail/control/Messages.h
+++ b/include/zinniarail/control/Messages.h
@@ -27,6 +27,11 @@
   /// How old that peer's proof is that the version is the platform's current
   /// one; Duration::max() when it has none.
   Duration ConfirmedAge{};
+  /// When this process sent the question that the peer answered: what the peer
+  /// says is at least this fresh. The default is for words of unknown age (an
+  /// incoming call may have waited in a buffer while this process was stopped);
+  /// they tell who lives and which version exists, but prove nothing current.
+  Instant AskedAt{};
 };
 /// A peer answers no more.
 struct PeerLost {
@@ -48,6 +53,15 @@
 struct ListClaims {
   std::string Service;
 };
+/// Read the claim roster, "environments/NAME/roster"; answered by
+/// peers::RosterRead.
+struct ReadRoster {};
+/// Write the claim roster with If-Match, or create it when Version is 0;
+/// answered by peers::RosterRead with what is stored after that.
+struct WriteRoster {
+  std::uint64_t Version = 0; ///< The object's version that it replaces.
+  std::string Bytes;
+};
 /// This instance stops: it is leaving from now on.
 struct StopBegun {};
 /// Describe the task's state; the callback runs on the control task's thread.
@@ -55,8 +69,9 @@
   std::function<void(boost::json::object)> Answer;
 };
 
-using Message = std::variant<PeerSeen, PeerLost, DocumentFetched, KeepClaim,
-                             ListClaims, StopBegun, DumpWanted>;
+using Message =
+    std::variant<PeerSeen, PeerLost, DocumentFetched, KeepClaim, ListClaims,
+                 ReadRoster, WriteRoster, StopBegun, DumpWanted>;
 using Inbox = Mailbox<Message>;
 
 } // namespace zinniarail::control
