--- /dev/null
+++ b/standins/common/Process.h
@@ -0,0 +1,55 @@
+/// \file
+/// Child processes and blocking HTTP calls, for tests and benchmarks that run
+/// the programs.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+#include "common/HttpClient.h"
+#include "zinniarail/core/Time.h"
+
+namespace zinniarail::standins {
+
+/// A child process; destroying it kills it.
+class Process {
+public:
+  Process() = default;
+  ~Process();
+  Process(Process &&other) noexcept;
+  Process &operator=(Process &&other) noexcept;
+
+  /// Starts a program.
+  /// \param words the program's path and its arguments.
+  /// \param log file that gets its output; empty: discarded.
+  /// \returns false when it cannot be started.
+  bool start(const std::vector<std::string> &words, const std::string &log);
+
+  bool isRunning() const { return Id > 0; }
+  pid_t id() const { return Id; }
+  /// Sends a signal, when it runs.
+  void signal(int number) const;
+  /// Waits for its end.
+  /// \returns its exit code (128 + the signal that ended it), or nothing when
+  /// it still runs after \p timeout.
+  std::optional<int> wait(Duration timeout);
+  /// Processor time used so far, in user and kernel mode.
+  Duration processorTime() const;
+  /// Resident memory, in bytes.
+  std::size_t memory() const;
+
+private:
+  pid_t Id = 0;
+};
+
+/// Sends a call and waits for the answer. For threads without a loop.
+Reply fetch(const Call &call);
+
+/// Asks a URL until it answers with a status.
+/// \returns false when it has not within \p timeout.
+bool awaitStatus(const std::string &url, long status, Duration timeout);
+
+} // namespace zinniarail::standins
