--- a/programs/zinniactl/Options.cpp
+++ b/programs/zinniactl/Options.cpp
@@ -35,15 +35,15 @@
 }
 
 std::string toFlag(const std::string &variable) {
-  constexpr std::string_view Prefix = "ZINNIARAIL_";
-  constexpr std::string_view Read[] = {"PLATFORM_ADDRESS", "ENVIRONMENT",
-                                       "TIMEOUT_MS"};
-  if (!variable.starts_with(Prefix)) {
+  constexpr std::string_view prefix = "ZINNIARAIL_";
+  constexpr std::string_view known[] = {"PLATFORM_ADDRESS", "ENVIRONMENT",
+                                        "TIMEOUT_MS"};
+  if (!variable.starts_with(prefix)) {
     return "";
   }
   const std::string_view name =
-      std::string_view(variable).substr(Prefix.size());
-  for (const std::string_view it : Read) {
+      std::string_view(variable).substr(prefix.size());
+  for (const std::string_view it : known) {
     if (it == name) {
       std::string flag(name);
       for (char &letter : flag) {
--- a/programs/zinniactl/Session.cpp
+++ b/programs/zinniactl/Session.cpp
@@ -1,5 +1,6 @@
 #include "Session.h"
 
+#include <optional>
 #include <thread>
 
 namespace zinniarail::ctl {
@@ -9,16 +10,12 @@
 // Runs the loop until the call that \p start begins has ended.
 template <typename Reply, typename Start>
 Reply await(struct ev_loop *loop, Start start) {
-  Reply result{};
-  bool ended = false;
-  start([&](Reply reply) {
-    result = std::move(reply);
-    ended = true;
-  });
-  while (!ended) {
+  const auto ending = std::make_shared<std::optional<Reply>>();
+  start([ending](Reply reply) { *ending = std::move(reply); });
+  while (!ending->has_value()) {
     ev_run(loop, EVRUN_ONCE);
   }
-  return result;
+  return std::move(**ending);
 }
 
 } // namespace
--- a/src/control/Claims.cpp
+++ b/src/control/Claims.cpp
@@ -19,8 +19,8 @@
 }
 
 void keepClaim(platform::Client &client, const std::string &environment,
-               const KeepClaim &claim, std::string owner,
-               std::function<void(ClaimVerdict)> done) {
+               const KeepClaim &claim, const std::string &owner,
+               const std::function<void(ClaimVerdict)> &done) {
   const std::string key =
       claimPrefix(environment, claim.Service) + claim.KeyHash;
   client.put(key, owner, 0, [&client, key, owner, done](const Reply &put) {
--- a/src/control/Claims.h
+++ b/src/control/Claims.h
@@ -24,8 +24,8 @@
 /// Keeps a claim.
 /// \param owner unique to this request among all instances and starts.
 void keepClaim(platform::Client &client, const std::string &environment,
-               const KeepClaim &claim, std::string owner,
-               std::function<void(ClaimVerdict)> done);
+               const KeepClaim &claim, const std::string &owner,
+               const std::function<void(ClaimVerdict)> &done);
 
 /// Lists the claims kept for a service.
 void listClaims(platform::Client &client, const std::string &environment,
--- a/src/intent/Changes.cpp
+++ b/src/intent/Changes.cpp
@@ -62,8 +62,10 @@
   for (const auto &[key, it] : all) {
     const auto a = before.find(key);
     const auto b = after.find(key);
+    std::string place = path;
+    place.append("/").append(key);
     compare(a != before.end() ? a->second : nullptr,
-            b != after.end() ? b->second : nullptr, path + "/" + key, out);
+            b != after.end() ? b->second : nullptr, place, out);
   }
 }
 
--- a/src/intent/Format.cpp
+++ b/src/intent/Format.cpp
@@ -289,11 +289,11 @@
   unsigned size = 0;
   EVP_Digest(bytes.data(), bytes.size(), digest.data(), &size, EVP_sha256(),
              nullptr);
-  constexpr std::string_view Digits = "0123456789abcdef";
+  constexpr std::string_view digits = "0123456789abcdef";
   std::string text;
   for (unsigned n = 0; n < size; ++n) {
-    text += Digits[digest.at(n) >> 4];
-    text += Digits[digest.at(n) & 0xf];
+    text += digits[digest.at(n) >> 4];
+    text += digits[digest.at(n) & 0xf];
   }
   return text;
 }
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -18,8 +18,8 @@
   if (flaps == 0) {
     return {};
   }
-  constexpr unsigned MaxDoublings = 5;
-  const unsigned doublings = std::min(flaps - 1, MaxDoublings);
+  constexpr unsigned maxDoublings = 5;
+  const unsigned doublings = std::min(flaps - 1, maxDoublings);
   return std::min(FirstReadmission * (1U << doublings), LastReadmission);
 }
 
--- a/src/platform/Client.cpp
+++ b/src/platform/Client.cpp
@@ -259,8 +259,8 @@
 void Client::Impl::readInstances(HttpRequest request, Duration wait,
                                  InstancesCallback done) {
   const Instant sent = readClock();
-  Http.send(std::move(request), [this, sent, wait,
-                                 done = std::move(done)](HttpReply http) {
+  Http.send(std::move(request), [this, sent, wait, done = std::move(done)](
+                                    const HttpReply &http) {
     InstanceListing listing{.How = judgeRead(http),
                             .Version = parseVersion(http.Etag).value_or(0)};
     if (listing.How == Outcome::Done &&
@@ -303,16 +303,17 @@
 
 void Client::list(const std::string &prefix, ListingCallback done) {
   ++Self->Counts.Lists;
-  Self->Http.send(Self->request("GET", "/objects?prefix=" + prefix),
-                  [self = Self.get(), done = std::move(done)](HttpReply http) {
-                    Listing listing{.How = judgeRead(http)};
-                    if (listing.How == Outcome::Done &&
-                        !parseEntries(http.Body, listing.Entries)) {
-                      listing.How = Outcome::Malformed;
-                    }
-                    self->count(listing.How);
-                    done(std::move(listing));
-                  });
+  Self->Http.send(
+      Self->request("GET", "/objects?prefix=" + prefix),
+      [self = Self.get(), done = std::move(done)](const HttpReply &http) {
+        Listing listing{.How = judgeRead(http)};
+        if (listing.How == Outcome::Done &&
+            !parseEntries(http.Body, listing.Entries)) {
+          listing.How = Outcome::Malformed;
+        }
+        self->count(listing.How);
+        done(std::move(listing));
+      });
 }
 
 void Client::watch(const std::string &key, std::uint64_t after, Duration wait,
--- a/src/platform/Http.cpp
+++ b/src/platform/Http.cpp
@@ -38,17 +38,17 @@
 }
 
 std::size_t takeHeader(char *data, std::size_t, std::size_t size, void *user) {
-  constexpr std::string_view Name = "etag:";
-  constexpr std::size_t MaxEtag = 128;
+  constexpr std::string_view name = "etag:";
+  constexpr std::size_t maxEtag = 128;
   const std::string_view line(data, size);
   const auto alike = [](char a, char b) {
     return a == std::tolower(static_cast<unsigned char>(b));
   };
-  if (line.size() <= Name.size() || line.size() > MaxEtag ||
-      !std::equal(Name.begin(), Name.end(), line.begin(), alike)) {
+  if (line.size() <= name.size() || line.size() > maxEtag ||
+      !std::equal(name.begin(), name.end(), line.begin(), alike)) {
     return size;
   }
-  const auto from = line.find_first_not_of(" \t", Name.size());
+  const auto from = line.find_first_not_of(" \t", name.size());
   const auto to = line.find_last_not_of(" \t\r\n");
   if (from != std::string_view::npos && to >= from) {
     static_cast<Transfer *>(user)->Reply.Etag =
@@ -191,9 +191,9 @@
   auto &self = *static_cast<Impl *>(user);
   ev_timer_stop(self.Loop, &self.Timer);
   if (milliseconds >= 0) {
-    constexpr double MillisecondsPerSecond = 1000;
+    constexpr double millisecondsPerSecond = 1000;
     ev_timer_set(&self.Timer,
-                 static_cast<double>(milliseconds) / MillisecondsPerSecond, 0.);
+                 static_cast<double>(milliseconds) / millisecondsPerSecond, 0.);
     ev_timer_start(self.Loop, &self.Timer);
   }
   return 0;
--- a/tests/control/Standin.h
+++ b/tests/control/Standin.h
@@ -28,6 +28,7 @@
                           std::vector<std::string> words) {
   words.insert(words.begin(), std::string(ZINNIARAIL_BINARY_DIR) + program);
   std::vector<char *> arguments;
+  arguments.reserve(words.size() + 1);
   for (std::string &it : words) {
     arguments.push_back(it.data());
   }
--- a/tests/control/ZinniactlTest.cpp
+++ b/tests/control/ZinniactlTest.cpp
@@ -35,7 +35,7 @@
   Fixture &operator=(const Fixture &) = delete;
 
   std::string file(const std::string &bytes) const {
-    const std::string name = Folder / "document.json";
+    std::string name = Folder / "document.json";
     std::ofstream(name) << bytes;
     return name;
   }
