--- a/standins/common/Cluster.cpp
+++ b/standins/common/Cluster.cpp
@@ -144,8 +144,7 @@
   for (const auto &it : Members) {
     list.push_back(toJson(it));
   }
-  return post(platformAddress(), "/control/instances",
-              json::serialize(list)) &&
+  return post(platformAddress(), "/control/instances", json::serialize(list)) &&
          putDocument(DocumentBytes);
 }
 
@@ -165,15 +164,22 @@
 }
 
 bool Cluster::startInstance(ClusterInstance &it) {
-  std::vector<std::string> words{
-      Settings.BinaryDirectory + "/programs/zinniaraild",
-      "--instance-id",      it.Id,
-      "--failure-domain",   it.Domain,
-      "--environment",      Environment,
-      "--caller-address",   it.CallerAddress,
-      "--peer-address",     it.PeerAddress,
-      "--operator-address", it.OperatorAddress,
-      "--platform-address", platformAddress()};
+  std::vector<std::string> words{Settings.BinaryDirectory +
+                                     "/programs/zinniaraild",
+                                 "--instance-id",
+                                 it.Id,
+                                 "--failure-domain",
+                                 it.Domain,
+                                 "--environment",
+                                 Environment,
+                                 "--caller-address",
+                                 it.CallerAddress,
+                                 "--peer-address",
+                                 it.PeerAddress,
+                                 "--operator-address",
+                                 it.OperatorAddress,
+                                 "--platform-address",
+                                 platformAddress()};
   words.insert(words.end(), Settings.InstanceFlags.begin(),
                Settings.InstanceFlags.end());
   return it.Running.start(words, log(it.Id));
--- a/standins/common/Process.cpp
+++ b/standins/common/Process.cpp
@@ -89,8 +89,7 @@
   }
   Id = 0;
   constexpr int signalled = 128;
-  return WIFEXITED(status) ? WEXITSTATUS(status)
-                           : signalled + WTERMSIG(status);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : signalled + WTERMSIG(status);
 }
 
 Duration Process::processorTime() const {
--- a/standins/upstream-standin/Upstream.cpp
+++ b/standins/upstream-standin/Upstream.cpp
@@ -270,8 +270,10 @@
   for (const auto &it : std::exchange(Ended, {})) {
     finish(it);
   }
-  for (const auto &it : std::exchange(Held, {})) {
-    place(it);
+  while (!Held.empty()) { // one by one: the rest still count as in flight
+    const auto next = Held.front();
+    Held.pop_front();
+    place(next);
   }
 }
 
