--- a/standins/upstream-standin/Upstream.cpp
+++ b/standins/upstream-standin/Upstream.cpp
@@ -282,6 +282,10 @@
   if (change.contains("turnCold")) {
     turnCold();
   }
+  if (change.contains("turnWarm")) {
+    Cold = false;
+    Fallen = false;
+  }
   if (change.contains("crash")) {
     crash();
   }
--- a/standins/upstream-standin/Upstream.h
+++ b/standins/upstream-standin/Upstream.h
@@ -73,7 +73,8 @@
   /// Opens the listening socket.
   bool listen() { return Server.listen(); }
   const std::string &id() const { return Settings.Id; }
-  /// Changes fault switches; "turnCold" and "crash" act once.
+  /// Changes fault switches; "turnCold", "turnWarm" and
+  /// "crash" act once.
   void change(const boost::json::object &change);
   boost::json::object describe() const;
   void resetCounts() { Counts = {}; }
--- a/standins/upstream-standin/main.cpp
+++ b/standins/upstream-standin/main.cpp
@@ -21,7 +21,8 @@
        delayFactor noiseFactor noiseShare noiseBurstMs freeze refuse draining
        failShare shortShare crossedShare lateShare lateMs closeBeforeShare
        closeAfterShare reportLagMs lieLoad(zero|full|random) lieState
-       healthStatus crashDownMs; once: turnCold:true crash:true
+       healthStatus crashDownMs; once: turnCold:true turnWarm:true
+       crash:true
   GET  /control/counters  by upstream, and the keys that ran twice
   GET  /control/keys      runs by idempotency key
   POST /control/reset     counters and keys start anew
