--- a/standins/caller-standin/Callers.h
+++ b/standins/caller-standin/Callers.h
@@ -26,6 +26,7 @@
   double ShiftShare = 0; ///< The rate swings by this share up and down...
   Duration ShiftPeriod = std::chrono::seconds{1}; ///< ... each such period.
   Duration Length = std::chrono::seconds{10};
+  Duration WarmUp{0}; ///< Latencies of requests born in it don't count.
   Duration Timeout = std::chrono::seconds{5}; ///< Of one send.
   Duration Deadline{0};        ///< Sent as X-Deadline-Ms; 0: not sent.
   unsigned RefusalRetries = 3; ///< After "did not run".
--- a/standins/caller-standin/main.cpp
+++ b/standins/caller-standin/main.cpp
@@ -43,6 +43,7 @@
   out.ShiftShare = given["shift-share"].as<double>();
   out.ShiftPeriod = readMs(given, "shift-ms");
   out.Length = std::chrono::seconds{given["seconds"].as<unsigned>()};
+  out.WarmUp = readMs(given, "warm-up-ms");
   out.Timeout = readMs(given, "timeout-ms");
   out.Deadline = readMs(given, "deadline-ms");
   out.RefusalRetries = given["refusal-retries"].as<unsigned>();
@@ -107,6 +108,7 @@
   add("shift-share", options::value<double>()->default_value(0),
       "share by which the rate swings up and down");
   add("shift-ms", number(1000), "length of a swing");
+  add("warm-up-ms", number(0), "latencies of its requests don't count");
   add("timeout-ms", number(5000), "of one send");
   add("deadline-ms", number(0), "sent as X-Deadline-Ms; 0: not sent");
   add("refusal-retries", number(3), "comebacks after 'did not run'");
