Daemon: the peers task joins

Cause: the daemon ran without its peers task. Change: Daemon.cpp puts gateway, peers, control and operator tasks together.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -8,38 +8,12 @@
 #include "zinniarail/events/Events.h"
 #include "zinniarail/gateway/GatewayTask.h"
 #include "zinniarail/operator/OperatorTask.h"
+#include "zinniarail/peers/PeersTask.h"
 
 namespace zinniarail {
 
 namespace {
 
-// Stands for the peers task until that is there: vouches for no claim.
-struct PeersTask {
-  PeersTask(const Settings &, std::function<void(gateway::Message)> toGateway,
-            const std::function<void(control::Message)> &)
-      : ToGateway(std::move(toGateway)) {}
-
-  struct Started {
-    explicit operator bool() const { return true; }
-    gateway::GatewayError error() const { return {}; }
-  };
-  static Started start() { return {}; }
-  static void stop() {}
-  PeersTask &inbox() { return *this; }
-  void post(const peers::Message &message) const {
-    if (const auto *it = std::get_if<peers::ClaimWanted>(&message)) {
-      ToGateway(gateway::ClaimAnswer{it->Service,
-                                     {it->Request, ClaimVerdict::Unavailable}});
-    } else if (std::holds_alternative<peers::StopBegun>(message)) {
-      ToGateway(gateway::ClaimsHandedOver{});
-    } else if (const auto *dump = std::get_if<peers::DumpWanted>(&message)) {
-      dump->Answer({});
-    }
-  }
-
-  std::function<void(gateway::Message)> ToGateway;
-};
-
 /// The tasks of one process. Control and peers post to the gateway, so they
 /// end before it does.
 struct Tasks {
