Quarantine composed; queue, hedge, view and cold start as tables

Cause: requests that crash upstreams went on to the next one; the choice held requests back for quick upstreams too long at load. Change: a crash is noted once with all that was in flight; suspects are kept apart, the condemned refused; new word Suspect to the homes. A running attempt's age counts by half.

--- a/include/zinniarail/dispatch/Messages.h
+++ b/include/zinniarail/dispatch/Messages.h
@@ -95,7 +95,12 @@
 };
 /// A word from another home of the service.
 struct PeerWord {
-  enum class Kind : std::uint8_t { UpstreamCold, UpstreamWarm, Quarantine };
+  enum class Kind : std::uint8_t {
+    UpstreamCold,
+    UpstreamWarm,
+    Quarantine, ///< The fingerprint is condemned.
+    Suspect,    ///< The fingerprint was in flight when the upstream crashed.
+  };
   Kind What;
   std::string Upstream;
   std::uint64_t Incarnation = 0;
--- a/src/dispatch/Attempts.cpp
+++ b/src/dispatch/Attempts.cpp
@@ -159,8 +159,15 @@
   auto it = state.Queue.begin();
   while (it != state.Queue.end()) {
     RequestState &request = state.Requests.at(it->Request);
+    const Handling handling = judge(state, request, step.Now);
+    if (handling == Handling::Refuse) {
+      ++it;
+      refuse(step, request, RefusalReason::Quarantined);
+      continue;
+    }
     const Choice choice = chooseUpstream(state, request, step.Now);
-    if (choice.Upstream == nullptr && request.Tried.empty()) {
+    if (choice.Upstream == nullptr && request.Tried.empty() &&
+        handling == Handling::Normal) {
       return; // Nobody has room, for anyone behind it either.
     }
     if (choice.Upstream != nullptr && ahead < choice.MinAhead) {
@@ -208,6 +215,7 @@
 void hedge(Step step, RequestState &request) {
   ServiceState &state = step.State;
   if (request.Live.size() != 1 || !state.Queue.empty() ||
+      judge(state, request, step.Now) != Handling::Normal ||
       step.Now >= state.ValidUntil || state.HedgeBudget.Tokens < 1) {
     return;
   }
@@ -235,9 +243,14 @@
   if (it == state.Attempts.end()) {
     return;
   }
+  UpstreamState &upstream = *it->second.Upstream;
+  if (event.End == AttemptEnd::Broken && !it->second.Cancelled) {
+    noteBroken(step, upstream, it->second);
+  } else if (event.End == AttemptEnd::Answered) {
+    noteFinished(state.Dangerous, it->second.Fingerprint);
+  }
   const AttemptState attempt = std::move(it->second);
   state.Attempts.erase(it);
-  UpstreamState &upstream = *attempt.Upstream;
   std::erase(upstream.Running, event.Attempt);
   observe(step, upstream, attempt, event);
   const auto request = state.Requests.find(numberOf(attempt.Request));
--- a/src/dispatch/Candidates.cpp
+++ b/src/dispatch/Candidates.cpp
@@ -12,6 +12,13 @@
 // What an ejected upstream costs beside the typical one, when it is used.
 constexpr int EjectedFactor = 8;
 
+// A running attempt's age counts by half: many an answer takes twice the mean.
+constexpr int AgeDivisor = 2;
+
+// To use a straggler frees a quick slot for all who wait, so it is worth it
+// from a part of the wait that the one request itself would accept.
+constexpr Duration::rep HoldDivisor = 4;
+
 // An upstream is taken by rank before load.
 enum Rank : unsigned { Quick, Straggler, Ejected };
 
@@ -39,7 +46,7 @@
     return mean;
   }
   const auto oldest = state.Attempts.find(numberOf(upstream.Running.front()));
-  return std::max(mean, now - oldest->second.Started);
+  return std::max(mean, (now - oldest->second.Started) / AgeDivisor);
 }
 
 // What latency, and whether, an upstream is expected to give.
@@ -68,8 +75,9 @@
   if (quickSlots == 0 || latency <= state.Typical) {
     return 0;
   }
-  return static_cast<std::size_t>((latency - state.Typical) * quickSlots /
-                                  std::max(state.Typical, Duration{1}));
+  const Duration extra = latency - state.Typical;
+  return static_cast<std::size_t>(
+      extra * quickSlots / std::max(state.Typical, Duration{1}) / HoldDivisor);
 }
 
 } // namespace
@@ -138,9 +146,11 @@
   upstreams.reserve(state.Upstreams.size());
   const bool avoidTried = anyUntried(state, request);
   const bool keepEjected = keepsEjected(state, now);
+  const bool apart = judge(state, request, now) != Handling::Normal;
   unsigned quickSlots = 0;
   for (auto &[id, it] : state.Upstreams) {
-    if (avoidTried && wasTried(request, it)) {
+    if ((avoidTried && wasTried(request, it)) ||
+        (apart && mustKeepApart(state, it, now))) {
       continue;
     }
     const Outlook outlook = outlookOf(state, it, request.Idempotent, now);
--- a/src/dispatch/Describe.cpp
+++ b/src/dispatch/Describe.cpp
@@ -18,6 +18,8 @@
           {"hedges", counters.Hedges},
           {"retries", counters.Retries},
           {"keysReleased", counters.KeysReleased},
+          {"crashes", counters.Crashes},
+          {"condemned", counters.Condemned},
           {"ejections", counters.Ejections},
           {"coldStarts", counters.ColdStarts}};
 }
@@ -77,6 +79,8 @@
           {"meanLatencyUs", meanLatency(state.Latencies).count()},
           {"typicalLatencyUs", state.Typical.count()},
           {"probes", state.Probes.Spent},
+          {"suspects", state.Dangerous.Suspects.size()},
+          {"quarantined", state.Dangerous.Refused.size()},
           {"hedgeBudget", state.HedgeBudget.Tokens},
           {"retryBudget", state.RetryBudget.Tokens},
           {"counters", describeCounters(state.Counters)},
--- a/src/dispatch/Life.h
+++ b/src/dispatch/Life.h
@@ -91,6 +91,25 @@
 /// Tells whether any upstream takes new work.
 bool anyInService(const ServiceState &state);
 
+// Crashes.cpp
+
+/// Notes what was in flight at an upstream's crash, once for each crash, and
+/// tells the other homes. To be called while the attempt still counts as
+/// running.
+void noteBroken(Step step, UpstreamState &upstream,
+                const AttemptState &attempt);
+
+/// How a request may be handled, by its likes' past.
+Handling judge(const ServiceState &state, const RequestState &request,
+               Instant now);
+
+/// Tells whether a request must not join what runs on an upstream.
+bool mustKeepApart(const ServiceState &state, const UpstreamState &upstream,
+                   Instant now);
+
+/// Takes another home's word on a fingerprint.
+void onDangerWord(Step step, const PeerWord &word);
+
 // Upstreams.cpp
 
 /// Learns from an attempt's end what it says of its upstream.
--- a/src/dispatch/Requests.cpp
+++ b/src/dispatch/Requests.cpp
@@ -57,6 +57,9 @@
   if (now >= request.Deadline) {
     return RefusalReason::DeadlinePassed;
   }
+  if (judge(state, request, now) == Handling::Refuse) {
+    return RefusalReason::Quarantined;
+  }
   if (!anyInService(state)) {
     return RefusalReason::NoUpstream;
   }
@@ -77,8 +80,8 @@
          now + wait + rate.PerRequest > request.Deadline;
 }
 
-Duration retryAfter(const ServiceState &state, RefusalReason reason,
-                    Instant now) {
+Duration retryAfter(const ServiceState &state, const RequestState &request,
+                    RefusalReason reason, Instant now) {
   switch (reason) {
   case RefusalReason::Overloaded:
   case RefusalReason::DeadlinePassed: {
@@ -90,6 +93,8 @@
   case RefusalReason::KeyMissing: // Coming back as it is never helps.
   case RefusalReason::UnknownService:
     return Duration{0};
+  case RefusalReason::Quarantined:
+    return refusedFor(state.Dangerous, request.Fingerprint, now);
   case RefusalReason::KeyInUse:
     return std::chrono::duration_cast<Duration>(state.Plan.Spec.ClaimWindow);
   default:
@@ -124,7 +129,7 @@
               Truth truth) {
   cancelLive(step, request);
   emit(step, Refuse{request.Id, reason, truth,
-                    retryAfter(step.State, reason, step.Now)});
+                    retryAfter(step.State, request, reason, step.Now)});
   ++step.State.Counters.Refused[reason];
   settleKey(step, request);
   forget(step.State, request);
--- a/src/dispatch/ServiceState.h
+++ b/src/dispatch/ServiceState.h
@@ -11,6 +11,7 @@
 #include "zinniarail/admission/Admission.h"
 #include "zinniarail/dispatch/Engine.h"
 #include "zinniarail/load/Load.h"
+#include "zinniarail/quarantine/Quarantine.h"
 #include "zinniarail/retry/Retry.h"
 #include "zinniarail/routing/Guard.h"
 #include "zinniarail/warmup/Warmup.h"
@@ -25,6 +26,7 @@
   UpstreamHealth Health;
   Warmth Warm;
   ReportedLoad Load;
+  Instant CrashedAt{}; ///< Attempts from before it broke with that crash.
   Instant ProbedAt{};
   bool ProbeOut = false;
   unsigned WordsLeft = 0; ///< Times to repeat that it is warm.
@@ -74,6 +76,8 @@
   std::uint64_t Hedges = 0;
   std::uint64_t Retries = 0;
   std::uint64_t KeysReleased = 0;
+  std::uint64_t Crashes = 0;
+  std::uint64_t Condemned = 0;
   std::uint64_t Ejections = 0;
   std::uint64_t ColdStarts = 0;
 };
@@ -103,6 +107,7 @@
   /// When to look again at what waits for a quick upstream.
   Instant RecheckAt = Instant::max();
   ProbeBudget Probes;
+  Quarantine Dangerous;
 
   ShareBudget HedgeBudget;
   ShareBudget RetryBudget;
--- a/src/dispatch/Upstreams.cpp
+++ b/src/dispatch/Upstreams.cpp
@@ -249,6 +249,10 @@
 }
 
 void onWord(Step step, const PeerWord &event) {
+  if (event.What == PeerWord::Kind::Quarantine ||
+      event.What == PeerWord::Kind::Suspect) {
+    return onDangerWord(step, event);
+  }
   const auto at = step.State.Upstreams.find(event.Upstream);
   if (at == step.State.Upstreams.end() ||
       step.State.Plan.Policy != RoutingPolicy::Homes) {
@@ -264,6 +268,7 @@
     return applyChange(step, it,
                        noteWarmWord(it.Warm, event.Incarnation, step.Now));
   case PeerWord::Kind::Quarantine:
+  case PeerWord::Kind::Suspect:
     return;
   }
 }
--- a/src/warmup/Warmup.cpp
+++ b/src/warmup/Warmup.cpp
@@ -10,7 +10,7 @@
 constexpr unsigned AnswersPerStep = 4;
 
 // Likewise while the upstream itself says that it is cold.
-constexpr unsigned AnswersPerColdStep = 32;
+constexpr unsigned AnswersPerColdStep = 64;
 
 // After it a waiting home may take up an upstream that says it is warm: the
 // ramping home's word was lost, or that home is gone.
--- a/tests/dispatch/Schedule.cpp
+++ b/tests/dispatch/Schedule.cpp
@@ -70,7 +70,7 @@
   static const std::vector<std::string> Classes{"read", "write", "sheet"};
   const std::uint64_t id = NextRequest++;
   const std::string key = draw / 3 % 16 == 0 ? "" : "k" + std::to_string(id);
-  tell(RequestArrived{RequestId{id}, Classes[draw % 3], key, draw % 7,
+  tell(RequestArrived{RequestId{id}, Classes[draw % 3], key, 1 + draw % 200,
                       Engine.Now + Duration(draw / 48 % 200'000), true});
 }
 
--- a/tests/dispatch/Service.h
+++ b/tests/dispatch/Service.h
@@ -55,6 +55,18 @@
                                id, Now + patience, true});
   }
 
+  /// Serves reads one after the other, which warms upstreams.
+  void serve(std::uint64_t firstId, unsigned requests) {
+    for (unsigned n = 0; n < requests; ++n) {
+      arrive(firstId + n, "read");
+      const auto attempt = find<StartAttempt>();
+      Now += 5ms;
+      if (attempt) {
+        tell(AttemptEnded{attempt->Attempt, AttemptEnd::Answered, 200});
+      }
+    }
+  }
+
   /// The first action of a type that was asked for last.
   template <typename Wanted> std::optional<Wanted> find() const {
     for (const Action &it : Out) {
