--- a/src/dispatch/Attempts.cpp
+++ b/src/dispatch/Attempts.cpp
@@ -32,8 +32,13 @@
                           request.Deadline, isHedge});
 }
 
+// A hedge is due later than its budget asks: the loser has run for longer
+// than most requests when it is cancelled, and that counts as extra work.
+constexpr double HedgeShareSpent = 0.5;
+
 Duration hedgeDelay(const ServiceState &state) {
-  return latencyQuantile(state.Latencies, 1 - state.Plan.Spec.HedgeShare);
+  const double share = state.Plan.Spec.HedgeShare * HedgeShareSpent;
+  return latencyQuantile(state.Latencies, 1 - share);
 }
 
 void armHedge(Step step, RequestState &request) {
