Benchmark of policies: unique keys, exact extra work

Cause: scenarios shared idempotency keys, so from the second on each order was answered 409 key-in-use; extra work was reckoned from callers' reports and came out negative. Ruled out: a claim window shorter than a scenario: it would hide the fault. Change: keys bear the scenario; upstreams count distinct targets, so that arrivals beyond them are exactly the further tries.

--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -1,6 +1,7 @@
 // Routing policies side by side on real processes: both firms at their sizes of
 // today, each policy under the same scenarios and seeds.
 
+#include <cctype>
 #include <map>
 #include <memory>
 #include <thread>
@@ -135,6 +136,13 @@
   return out;
 }
 
+/// Keys must differ between scenarios: they count for the claim window.
+std::string keyPrefix(const Service &service, const Scenario &scenario) {
+  std::string out = std::string(service.Name) + scenario.Name;
+  std::erase_if(out, [](unsigned char it) { return std::isalnum(it) == 0; });
+  return out;
+}
+
 void startCallers(Side &side, const Plan &plan, const Policy &policy,
                   const Scenario &scenario, unsigned seed,
                   const std::string &directory) {
@@ -144,7 +152,8 @@
         scenario.Load * service.Upstreams * SlotsEach * 1000 / plan.MeanMs;
     auto command = side.Processes.callerCommand(service.Name);
     command.insert(command.end(),
-                   {"--rate", std::to_string(rate), "--seconds",
+                   {"--key-prefix", keyPrefix(service, scenario), "--rate",
+                    std::to_string(rate), "--seconds",
                     std::to_string(plan.Seconds), "--seed",
                     std::to_string(seed), "--orders-share", "0.1",
                     "--refusal-retries", "0", "--shift-share",
@@ -161,12 +170,14 @@
   double sent = 0;
   double served = 0;
   double refused = 0;
+  double unknown = 0;
   for (int n = 0; n < 2; ++n) {
     const auto report =
         side.Callers[n].finish(std::chrono::seconds{plan.Seconds} + Grace);
     sent += numberIn(report, "sent");
     served += numberIn(report, "served");
     refused += numberIn(report, "refusedTotal");
+    unknown += numberIn(report, "unknown");
     for (const char *fault :
          {"lost", "wrong", "doubled", "servedNotRun", "falseRefusals"}) {
       out.Unsound += numberIn(report, fault);
@@ -182,7 +193,11 @@
   const double arrived = sumOver(counters, "arrived");
   out.Values["goodput"].push_back(served / plan.Seconds);
   out.Values["refused"].push_back(100 * refused / sent);
-  out.Values["extra"].push_back(100 * (arrived - (sent - refused)) / sent);
+  out.Values["unknown"].push_back(100 * unknown / sent);
+  // Of the requests that reached an upstream: what more than one try adds.
+  const double reached = numberIn(counters, "requests");
+  out.Values["extra"].push_back(
+      reached > 0 ? 100 * (arrived - reached) / reached : 0);
   out.Values["probes"].push_back(sumOver(counters, "probes") / plan.Seconds);
   out.Values["cold"].push_back(sumOver(counters, "coldOverloadsTold"));
 }
@@ -248,8 +263,8 @@
   };
   printRow({scenario, policy, middle("p50", 1), spread("p99", 0),
             middle("p999", 0), spread("goodput", 0), middle("refused", 2),
-            spread("extra", 1), middle("probes", 0), spread("cold", 0),
-            format(it.Unsound, 0)});
+            middle("unknown", 2), spread("extra", 1), middle("probes", 0),
+            spread("cold", 0), format(it.Unsound, 0)});
 }
 
 void printResults(Results &results) {
@@ -257,8 +272,8 @@
     std::cout << "\n### " << firm.Name << "\n\nLatency of "
               << firm.Services[0].Name << ", the rest over both services.\n\n";
     printHeader({"scenario, load", "policy", "p50 ms", "p99 ms", "p99.9 ms",
-                 "served/s", "refused %", "extra work %", "probes/s",
-                 "cold overloads", "unsound"});
+                 "served/s", "refused %", "unknown %", "extra work %",
+                 "probes/s", "cold overloads", "unsound"});
     for (const auto &scenario : Scenarios) {
       for (const auto &policy : Policies) {
         const auto it = results.find({firm.Name, scenario.Name, policy.Name});
--- a/standins/common/Cluster.cpp
+++ b/standins/common/Cluster.cpp
@@ -251,9 +251,7 @@
           "--instances",
           callerAddresses(),
           "--upstream-controls",
-          upstreamControl(),
-          "--key-prefix",
-          service};
+          upstreamControl()};
 }
 
 } // namespace zinniarail::standins
--- a/standins/upstream-standin/Upstream.cpp
+++ b/standins/upstream-standin/Upstream.cpp
@@ -48,8 +48,8 @@
 };
 
 Upstream::Upstream(struct ev_loop *loop, UpstreamSettings settings,
-                   KeyRuns &keys)
-    : Loop(loop), Settings(std::move(settings)), Keys(keys),
+                   Ledger &ledger)
+    : Loop(loop), Settings(std::move(settings)), Shared(ledger),
       Draws(Settings.Seed), Incarnation(Settings.Incarnation),
       Cold(Settings.StartCold), Restart(loop),
       Server(
@@ -77,6 +77,7 @@
 
 void Upstream::handleRequest(const ExchangePtr &caller) {
   ++Counts.Arrived;
+  Shared.Targets.insert(hashBytes(caller->Target));
   if (draw(Faults.CloseBeforeShare)) {
     caller->abort();
     return;
@@ -143,7 +144,7 @@
   }
   ++Counts.Runs;
   if (!run->Key.empty()) {
-    ++Keys[run->Key];
+    ++Shared.KeyRuns[run->Key];
   }
   Running.push_back(run);
   const auto length = drawServiceTime();
--- a/standins/upstream-standin/Upstream.h
+++ b/standins/upstream-standin/Upstream.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <boost/json/object.hpp>
@@ -63,12 +64,17 @@
   std::int64_t NewWorkAtMs = 0; ///< Unix time; 0: never.
 };
 
-/// Runs by idempotency key, over all upstreams of a process.
-using KeyRuns = std::unordered_map<std::string, unsigned>;
+/// What the upstreams of a process count together.
+struct Ledger {
+  /// Runs by idempotency key.
+  std::unordered_map<std::string, unsigned> KeyRuns;
+  /// Hashes of the targets that arrived, to tell requests from attempts.
+  std::unordered_set<std::uint64_t> Targets;
+};
 
 class Upstream {
 public:
-  Upstream(struct ev_loop *loop, UpstreamSettings settings, KeyRuns &keys);
+  Upstream(struct ev_loop *loop, UpstreamSettings settings, Ledger &ledger);
 
   /// Opens the listening socket.
   bool listen() { return Server.listen(); }
@@ -107,7 +113,7 @@
 
   struct ev_loop *Loop;
   UpstreamSettings Settings;
-  KeyRuns &Keys;
+  Ledger &Shared;
   UpstreamFaults Faults;
   UpstreamCounts Counts;
   Random Draws;
--- a/standins/upstream-standin/main.cpp
+++ b/standins/upstream-standin/main.cpp
@@ -46,30 +46,33 @@
   }
 }
 
-json::object counters(const Upstreams &upstreams, const KeyRuns &keys) {
+json::object counters(const Upstreams &upstreams, const Ledger &ledger) {
   json::object each;
   for (const auto &[id, it] : upstreams) {
     each[id] = it->describe();
   }
   json::array doubles;
-  for (const auto &[key, runs] : keys) {
+  for (const auto &[key, runs] : ledger.KeyRuns) {
     if (runs > 1) {
       doubles.push_back(json::string(key));
     }
   }
-  return {{"upstreams", each}, {"keys", keys.size()}, {"doubles", doubles}};
+  return {{"upstreams", each},
+          {"keys", ledger.KeyRuns.size()},
+          {"requests", ledger.Targets.size()},
+          {"doubles", doubles}};
 }
 
-Answer control(Upstreams &upstreams, KeyRuns &keys, const Exchange &caller) {
+Answer control(Upstreams &upstreams, Ledger &ledger, const Exchange &caller) {
   const auto path = caller.path();
   if (path == "/control/counters") {
-    return jsonAnswer(counters(upstreams, keys));
+    return jsonAnswer(counters(upstreams, ledger));
   }
   if (path == "/control/keys") {
-    return jsonAnswer(json::value_from(keys));
+    return jsonAnswer(json::value_from(ledger.KeyRuns));
   }
   if (path == "/control/reset" && caller.Method == "POST") {
-    keys.clear();
+    ledger = {};
     for (const auto &[id, it] : upstreams) {
       it->resetCounts();
     }
@@ -82,10 +85,10 @@
   return {404, {}, "no such control\n"};
 }
 
-void handleControl(Upstreams &upstreams, KeyRuns &keys,
+void handleControl(Upstreams &upstreams, Ledger &ledger,
                    const ExchangePtr &caller) {
   try {
-    caller->answer(control(upstreams, keys, *caller));
+    caller->answer(control(upstreams, ledger, *caller));
   } catch (const std::exception &error) {
     caller->answer({400, {}, std::string(error.what()) + "\n"});
   }
@@ -125,7 +128,7 @@
 int serve(const options::variables_map &given) {
   struct ev_loop *loop = ev_default_loop(0);
   const StopSignals stop(loop);
-  KeyRuns keys;
+  Ledger ledger;
   Upstreams upstreams;
   auto settings = readSettings(given);
   for (const auto &it : given["listen"].as<std::vector<std::string>>()) {
@@ -136,7 +139,7 @@
     settings.Id = it.substr(0, equals);
     settings.Address = it.substr(equals + 1);
     ++settings.Seed;
-    auto upstream = std::make_unique<Upstream>(loop, settings, keys);
+    auto upstream = std::make_unique<Upstream>(loop, settings, ledger);
     if (!upstream->listen()) {
       std::cerr << "upstream-standin: cannot listen on " << it << '\n';
       return 1;
@@ -145,7 +148,7 @@
   }
   HttpServer server(
       loop, given["control"].as<std::string>(),
-      [&](const ExchangePtr &it) { handleControl(upstreams, keys, it); });
+      [&](const ExchangePtr &it) { handleControl(upstreams, ledger, it); });
   if (!server.listen()) {
     std::cerr << "upstream-standin: cannot listen on the control address\n";
     return 1;
