--- a/bench/control_cost.cpp
+++ b/bench/control_cost.cpp
@@ -20,23 +20,19 @@
 constexpr std::chrono::seconds Settle{3};
 constexpr std::chrono::seconds ForceTimeout{20};
 
-/// Bytes that a process's TCP sockets have sent, as far as /proc tells: what
-/// it has written to sockets and pipes.
-double bytesWritten(const Process &it) {
-  std::ifstream in("/proc/" + std::to_string(it.id()) + "/io");
-  for (std::string name, value; in >> name >> value;) {
-    if (name == "wchar:") {
-      return std::stod(value);
-    }
-  }
-  return 0;
+json::object getJson(const std::string &address, const std::string &path) {
+  standins::Call call;
+  call.Url = "http://" + address + path;
+  boost::system::error_code ec;
+  const auto body = json::parse(standins::fetch(call).Body, ec);
+  return !ec && body.is_object() ? body.as_object() : json::object{};
 }
 
 struct Totals {
   Instant At{};
   double Calls = 0;
   double PlatformBytes = 0;
-  double Written = 0;
+  double PeerBytes = 0; ///< Sent to other instances.
   double ProcessorMs = 0;
   double MemoryMb = 0;
 };
@@ -54,7 +50,8 @@
   }
   constexpr double megabyte = 1 << 20;
   for (const auto &it : cluster.instances()) {
-    out.Written += bytesWritten(it.Running);
+    out.PeerBytes +=
+        numberIn(getJson(it.OperatorAddress, "/dump"), "peers", "bytesOut");
     out.ProcessorMs += it.Running.processorTime() /
                        std::chrono::duration<double, std::milli>{1};
     out.MemoryMb += static_cast<double>(it.Running.memory()) / megabyte;
@@ -64,11 +61,7 @@
 
 /// Version in force on an instance; 0 when it does not say.
 double versionInForce(const std::string &operatorAddress) {
-  standins::Call call;
-  call.Url = "http://" + operatorAddress + "/version-in-force";
-  boost::system::error_code ec;
-  const auto body = json::parse(standins::fetch(call).Body, ec);
-  return ec ? 0 : numberIn(body, "version");
+  return numberIn(getJson(operatorAddress, "/version-in-force"), "version");
 }
 
 /// Puts a changed document and waits until it is in force everywhere.
@@ -121,7 +114,7 @@
             format((last.Calls - first.Calls) / length, 2),
             format((last.Calls - first.Calls) / each, 3),
             format((last.PlatformBytes - first.PlatformBytes) / each, 0),
-            format((last.Written - first.Written) / each, 0),
+            format((last.PeerBytes - first.PeerBytes) / each, 0),
             format((last.ProcessorMs - first.ProcessorMs) / each / 10, 2),
             format(last.MemoryMb / size, 1), format(spreadOf(times), 0)});
   return cluster.stop();
@@ -155,7 +148,7 @@
     std::cout << "load of the machine before: " << machineLoad() << "\n\n";
     printHeader({"instances", "platform calls/s", "of an instance",
                  "platform bytes/s of an instance",
-                 "bytes written/s of an instance", "CPU % of an instance",
+                 "peer bytes sent/s of an instance", "CPU % of an instance",
                  "memory MB", "accepted to in force everywhere ms"});
     bool all = true;
     for (const unsigned it : given["sizes"].as<std::vector<unsigned>>()) {
