A connecting attempt is not sent once its view has run out

Ruled out: a check in the engine, which cannot see the moment of sending. Change: UpstreamCall::SendBefore, looked at in libcurl's pre-request callback. Before and after: test nothingLeavesOnceItsViewHasRunOut, 3 checks failed (1 request at the upstream), then none (0 requests). Conclusion: the attempt ends as not sent, so its refusal truthfully says so.

--- a/src/gateway/DispatcherEngine.cpp
+++ b/src/gateway/DispatcherEngine.cpp
@@ -124,14 +124,16 @@
                .Request = request->first,
                .Target = wanted.Upstream};
   const Instant now = readClock();
-  Outlets.Start({.Id = id,
-                 .Address = addressOf(upstream->second),
-                 .Echo = AttemptPrefix + std::to_string(id),
-                 .Content = open.Content,
-                 .Extra = {deadlineHeader(wanted.Deadline, now)},
-                 .Deadline = wanted.Deadline,
-                 .Connections = entry.Connections[wanted.Upstream]},
-                now);
+  Outlets.Start(
+      {.Id = id,
+       .Address = addressOf(upstream->second),
+       .Echo = AttemptPrefix + std::to_string(id),
+       .Content = open.Content,
+       .Extra = {deadlineHeader(wanted.Deadline, now)},
+       .Deadline = wanted.Deadline,
+       .SendBefore = std::min(wanted.Deadline, Table.Current->ValidUntil),
+       .Connections = entry.Connections[wanted.Upstream]},
+      now);
 }
 
 void Dispatcher::deliver(const Deliver &wanted) {
--- a/src/gateway/UpstreamClient.cpp
+++ b/src/gateway/UpstreamClient.cpp
@@ -345,6 +345,9 @@
     transfer->Resend = true;
     return CURL_PREREQFUNC_ABORT;
   }
+  if (readClock() >= transfer->Call.SendBefore) {
+    return CURL_PREREQFUNC_ABORT;
+  }
   transfer->Sent = true;
   transfer->Owner->Notices.push_back({transfer->Call.Id, true, {}});
   return CURL_PREREQFUNC_OK;
--- a/src/gateway/UpstreamClient.h
+++ b/src/gateway/UpstreamClient.h
@@ -27,6 +27,9 @@
   std::shared_ptr<const Request> Content;
   Headers Extra; ///< Sent besides the content's own fields.
   Instant Deadline{};
+  /// No byte leaves from here on: a process that was paused while the call
+  /// was connecting must not send it on a view that has run out.
+  Instant SendBefore = Instant::max();
   unsigned Connections = 0; ///< Most open connections to the address; 0: any.
   bool FreshConnection = false;
 };
--- a/tests/gateway/UpstreamClientTest.cpp
+++ b/tests/gateway/UpstreamClientTest.cpp
@@ -196,6 +196,25 @@
   BOOST_TEST(bench.Sent[1] == 0);
 }
 
+// As after a pause that lasted from the choice of the upstream until now.
+BOOST_AUTO_TEST_CASE(nothingLeavesOnceItsViewHasRunOut) {
+  FakeUpstream upstream(testAddress(1), [](const std::string &request, int) {
+    return Reply{wholeAnswer(request)};
+  });
+  Bench bench;
+  bench.Client.start(
+      {.Id = 1,
+       .Address = upstream.address(),
+       .Echo = "try-1",
+       .Content = std::make_shared<Request>(Request{"POST", "/s/x", {}, {}}),
+       .Deadline = readClock() + std::chrono::seconds{20},
+       .SendBefore = readClock()},
+      readClock());
+  BOOST_TEST((bench.await(1).End == AttemptEnd::NotSent));
+  BOOST_TEST(bench.Sent[1] == 0);
+  BOOST_TEST(upstream.requests() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(connectionsStayWithinTheirLimit) {
   std::atomic<bool> go{false};
   FakeUpstream upstream(testAddress(1), [&](const std::string &request, int) {
