--- a/src/dispatch/Candidates.cpp
+++ b/src/dispatch/Candidates.cpp
@@ -138,16 +138,22 @@
   return rate;
 }
 
-Choice chooseUpstream(ServiceState &state, const RequestState &request,
-                      Instant now) {
-  std::vector<Candidate> candidates;
-  std::vector<UpstreamState *> upstreams;
-  candidates.reserve(state.Upstreams.size());
-  upstreams.reserve(state.Upstreams.size());
+namespace {
+
+// The upstreams that a request may use.
+struct Field {
+  std::vector<Candidate> Candidates;
+  std::vector<UpstreamState *> Upstreams;
+  unsigned QuickSlots = 0; ///< Of those that are no stragglers.
+};
+
+Field survey(ServiceState &state, const RequestState &request, Instant now) {
+  Field field;
+  field.Candidates.reserve(state.Upstreams.size());
+  field.Upstreams.reserve(state.Upstreams.size());
   const bool avoidTried = anyUntried(state, request);
   const bool keepEjected = keepsEjected(state, now);
   const bool apart = judge(state, request, now) != Handling::Normal;
-  unsigned quickSlots = 0;
   for (auto &[id, it] : state.Upstreams) {
     if ((avoidTried && wasTried(request, it)) ||
         (apart && mustKeepApart(state, it, now))) {
@@ -160,22 +166,30 @@
     candidate.Rank = outlook.Order;
     candidate.Others =
         othersInFlight(it.Load, it.Plan.Spec.Slots, state.Typical, now);
-    quickSlots += outlook.Order == Quick ? candidate.Limit : 0;
-    candidates.push_back(candidate);
-    upstreams.push_back(&it);
+    field.QuickSlots += outlook.Order == Quick ? candidate.Limit : 0;
+    field.Candidates.push_back(candidate);
+    field.Upstreams.push_back(&it);
   }
-  const auto best =
-      pickUpstream(candidates, state.Plan.Policy, state.Draws, state.Cursor);
+  return field;
+}
+
+} // namespace
+
+Choice chooseUpstream(ServiceState &state, const RequestState &request,
+                      Instant now) {
+  const Field field = survey(state, request, now);
+  const auto best = pickUpstream(field.Candidates, state.Plan.Policy,
+                                 state.Draws, state.Cursor);
   if (!best) {
     return {};
   }
-  UpstreamState *chosen = upstreams[*best];
-  if (candidates[*best].Rank == Quick ||
+  UpstreamState *chosen = field.Upstreams[*best];
+  if (field.Candidates[*best].Rank == Quick ||
       state.Plan.Policy != RoutingPolicy::Homes) {
     return {chosen, 0};
   }
   const Outlook outlook = outlookOf(state, *chosen, false, false, now);
-  return {chosen, worthFrom(state, outlook.Latency, quickSlots)};
+  return {chosen, worthFrom(state, outlook.Latency, field.QuickSlots)};
 }
 
 } // namespace zinniarail
--- a/tests/dispatch/PropertyTest.cpp
+++ b/tests/dispatch/PropertyTest.cpp
@@ -51,8 +51,8 @@
 }
 
 template <typename Wanted>
-Tamper
-onEach(std::function<void(Wanted &, Actions &, const Checker &)> change) {
+Tamper onEach(
+    const std::function<void(Wanted &, Actions &, const Checker &)> &change) {
   return [change](Actions &actions, const Checker &watch) {
     const Actions before = actions;
     actions.clear();
@@ -90,7 +90,7 @@
       });
 }
 
-Tamper retarget(std::function<bool(const SeenUpstream &)> wanted) {
+Tamper retarget(const std::function<bool(const SeenUpstream &)> &wanted) {
   return onEach<StartAttempt>(
       [wanted](StartAttempt &it, Actions &, const Checker &watch) {
         for (const auto &[id, upstream] : watch.Upstreams) {
