Peers: crashes show by the closed connection; two probes an interval

Ruled out: one probe: a frozen instance would be found too late. Change: two probes; a link that closes is probed at once, and so is one whose record call failed; a witness counts longer where there are many members.

--- a/include/zinniarail/claims/Claims.h
+++ b/include/zinniarail/claims/Claims.h
@@ -99,8 +99,11 @@
   /// How long an ask waits for holders that are not ready.
   Duration Patience = std::chrono::milliseconds{500};
   Duration RetryInterval = std::chrono::milliseconds{20};
-  /// How long a member's answer proves which generation it was in.
+  /// How long a member's answer proves which generation it was in: at least
+  /// this, and longer in a generation of many members, which are asked in
+  /// turn. Alike on all instances.
   Duration WitnessLifetime = std::chrono::seconds{3};
+  Duration WitnessPerMember = std::chrono::milliseconds{250};
   /// How long the members wanted must stay alike before the roster changes.
   Duration SettleTime = std::chrono::milliseconds{300};
   /// After this a roster may be changed by one who sees only a minority.
--- a/src/claims/Holder.cpp
+++ b/src/claims/Holder.cpp
@@ -65,7 +65,7 @@
       }
       continue; // A majority never vouched in it, so nothing was granted in it.
     }
-    if (!claims::isOver(state, history[it].Number, now) &&
+    if (!claims::isOver(state, history[it], now) &&
         !isBroken(state, ClaimRule::WaitWhenLost)) {
       return false;
     }
--- a/src/claims/Keeper.cpp
+++ b/src/claims/Keeper.cpp
@@ -8,6 +8,13 @@
 
 namespace {
 
+Duration witnessLifetime(const ClaimState &state,
+                         const Generation &generation) {
+  const auto members = static_cast<std::int64_t>(generation.Members.size());
+  return std::max(state.Limits.WitnessLifetime,
+                  state.Limits.WitnessPerMember * members);
+}
+
 // Whether a member is known to have left a generation for good: it answered
 // in a later one, or another process answers at its address.
 bool hasLeft(const ClaimState &state, const Member &member,
@@ -104,7 +111,7 @@
 // Drops generations whose claims have all expired, the oldest first.
 void dropOver(const ClaimState &state, Roster &roster, Instant now) {
   while (roster.History.size() > 1 &&
-         isOver(state, roster.History.front().Number, now)) {
+         isOver(state, roster.History.front(), now)) {
     roster.History.erase(roster.History.begin());
   }
 }
@@ -182,12 +189,13 @@
 
 } // namespace
 
-bool isOver(const ClaimState &state, std::uint64_t number, Instant now) {
-  const auto it = state.QuietSince.find(number);
+bool isOver(const ClaimState &state, const Generation &generation,
+            Instant now) {
+  const auto it = state.QuietSince.find(generation.Number);
   return it != state.QuietSince.end() &&
          now - it->second > state.Limits.LongestWindow +
                                 state.Limits.GrantSlack +
-                                state.Limits.WitnessLifetime;
+                                witnessLifetime(state, generation);
 }
 
 bool hasWitnesses(const ClaimState &state, Instant now) {
@@ -206,7 +214,7 @@
     return peer != state.Peers.end() &&
            peer->second.Who.Incarnation == it.Incarnation &&
            peer->second.Generation <= current->Number &&
-           now - peer->second.At <= state.Limits.WitnessLifetime;
+           now - peer->second.At <= witnessLifetime(state, *current);
   };
   const auto count =
       std::count_if(current->Members.begin(), current->Members.end(), seen);
--- a/src/claims/Rules.h
+++ b/src/claims/Rules.h
@@ -19,7 +19,7 @@
 /// Whether everything granted in an earlier generation has expired: most of
 /// its members have left it, for longer than an asker may trust their answers
 /// and a claim counts.
-bool isOver(const ClaimState &state, std::uint64_t number, Instant now);
+bool isOver(const ClaimState &state, const Generation &generation, Instant now);
 
 /// Whether this instance has seen most members of the current generation in
 /// it lately. Nobody can then have found the generation over.
--- a/src/peers/Exchange.h
+++ b/src/peers/Exchange.h
@@ -92,6 +92,7 @@
   void probe(const std::shared_ptr<Link> &link);
   kj::Promise<void> openLink(const std::shared_ptr<Link> &link, Instant sent);
   kj::Promise<void> pingLink(const std::shared_ptr<Link> &link, Instant sent);
+  void watchLink(const std::shared_ptr<Link> &link);
   void noteAnswer(Link &link, const Greeting &from, Instant sent);
   void findLost();
   void fetchRoster(const std::shared_ptr<Link> &link);
--- a/src/peers/ExchangeClaims.cpp
+++ b/src/peers/ExchangeClaims.cpp
@@ -61,8 +61,10 @@
         [](capnp::Response<wire::Peer::RecordResults> response) {
           return fromWire(response.getReply());
         });
-    startCall(link, RecordTimeout, kj::mv(call), answer,
-              [answer] { answer(RecordReply::Unreached); });
+    startCall(link, RecordTimeout, kj::mv(call), answer, [this, link, answer] {
+      probe(link); // It may be gone; do not wait for its turn.
+      answer(RecordReply::Unreached);
+    });
     return;
   }
   // Not from within the claims module's own step.
--- a/src/peers/ExchangeProbes.cpp
+++ b/src/peers/ExchangeProbes.cpp
@@ -9,7 +9,7 @@
 
 // Each interval this many peers are probed, in an order drawn anew each time
 // round, so that the bytes do not grow with the fleet.
-constexpr std::size_t ProbesPerInterval = 3;
+constexpr std::size_t ProbesPerInterval = 2;
 
 } // namespace
 
@@ -107,6 +107,7 @@
         if (link->Epoch == epoch) {
           link->Backoff = Duration::zero();
           link->Peer = from;
+          watchLink(link);
           noteAnswer(*link, from, sent);
         }
       });
@@ -138,6 +139,22 @@
   return KJ_EXCEPTION(OVERLOADED, "too many open calls");
 }
 
+// A process that ends closes its connections: that shows before a probe would.
+void Exchange::watchLink(const std::shared_ptr<Link> &link) {
+  KJ_IF_MAYBE (connection, link->Connection) {
+    Tasks.add((*connection)
+                  ->whenDisconnected()
+                  .then([this, link, epoch = link->Epoch] {
+                    if (link->Epoch != epoch) {
+                      return;
+                    }
+                    dropConnection(*link, readClock());
+                    link->NextTry = Instant{};
+                    probe(link);
+                  }));
+  }
+}
+
 void Exchange::noteAnswer(Link &link, const Greeting &from, Instant sent) {
   link.Failed = false;
   hear(from, sent);
--- a/tests/claims/ClaimNet.cpp
+++ b/tests/claims/ClaimNet.cpp
@@ -23,6 +23,7 @@
   limits.GrantSlack = 500ms;
   limits.Patience = 300ms;
   limits.WitnessLifetime = 500ms;
+  limits.WitnessPerMember = 0ms;
   limits.SettleTime = 100ms;
   limits.MinorityDelay = 1s;
   limits.RosterReadInterval = 200ms;
