Events: numbered log lines with a catalogue; forwards proved

Cause: the daemon wrote no log of what is in force and what fails; tests counted health checks as requests and waited for a ramp that an absent home would have had to make. Tests of forwards: an unreachable home is passed over, a forwarded request goes no further, a broken one is not sent again.

--- a/include/zinniarail/events/Events.h
+++ b/include/zinniarail/events/Events.h
@@ -22,7 +22,6 @@
   ViewConfirmed = 201,
   ViewExpired = 202,
   ViewValidAgain = 203,
-  HomesChanged = 204,
   AttemptBroken = 300,
   HomeUnreachable = 301,
   TraceUnusable = 302,
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -37,8 +37,6 @@
      "pause of the process it mends by itself."},
     {EventId::ViewValidAgain, "view-valid-again", EventLevel::Info,
      "The view was confirmed after it had expired."},
-    {EventId::HomesChanged, "homes-changed", EventLevel::Info,
-     "The number of services at home here changed."},
     {EventId::AttemptBroken, "attempt-broken", EventLevel::Debug,
      "An attempt that was sent came to no whole answer of its own."},
     {EventId::HomeUnreachable, "home-unreachable", EventLevel::Warn,
@@ -69,8 +67,7 @@
 
 const log4cplus::Logger &logger() {
   initializer();
-  static const log4cplus::Logger it =
-      log4cplus::Logger::getInstance("zinniarail");
+  static log4cplus::Logger it = log4cplus::Logger::getInstance("zinniarail");
   return it;
 }
 
--- a/src/gateway/Dispatcher.h
+++ b/src/gateway/Dispatcher.h
@@ -126,6 +126,8 @@
   // Forwards.
   void forward(std::uint64_t id);
   void endForward(std::uint64_t id, const Call &call, CallEnd end);
+  void noteUnreachable(const std::string &instance, const std::string &error,
+                       Instant now);
 
   ServiceTable Table;
   GatewayMetrics &Metrics;
--- a/src/gateway/DispatcherEngine.cpp
+++ b/src/gateway/DispatcherEngine.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "gateway/Answers.h"
+#include "zinniarail/events/Events.h"
 
 namespace zinniarail::gateway {
 
@@ -238,6 +239,9 @@
   ServiceMetrics &metrics = Metrics.of(call.Entry->Name);
   if (end.End == AttemptEnd::Broken) {
     metrics.Broken->Increment();
+    if (isLogged(EventId::AttemptBroken)) {
+      logEvent(EventId::AttemptBroken, call.Target + ": " + end.Error);
+    }
   } else if (end.End == AttemptEnd::RefusedUnrun) {
     metrics.RefusedUnrun->Increment();
   }
--- a/src/gateway/DispatcherForward.cpp
+++ b/src/gateway/DispatcherForward.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/json.hpp>
 
+#include "zinniarail/events/Events.h"
+
 namespace zinniarail::gateway {
 
 namespace {
@@ -86,7 +88,7 @@
     return;
   }
   if (end.End == AttemptEnd::NotSent) {
-    Unreachable[call.Target] = now + UnreachableFor;
+    noteUnreachable(call.Target, end.Error, now);
   } else {
     request.MayHaveRun = true;
   }
@@ -100,6 +102,16 @@
   }
 }
 
+// Logged once for as long as it lasts, not by request.
+void Dispatcher::noteUnreachable(const std::string &instance,
+                                 const std::string &error, Instant now) {
+  Instant &until = Unreachable[instance];
+  if (until <= now) {
+    logEvent(EventId::HomeUnreachable, instance + ": " + error);
+  }
+  until = now + UnreachableFor;
+}
+
 boost::json::object Dispatcher::describe(Instant now) const {
   namespace json = boost::json;
   json::object services;
--- a/src/gateway/GatewayTask.cpp
+++ b/src/gateway/GatewayTask.cpp
@@ -13,6 +13,7 @@
 #include "gateway/CallerServer.h"
 #include "gateway/Dispatcher.h"
 #include "gateway/Stop.h"
+#include "zinniarail/events/Events.h"
 
 namespace zinniarail::gateway {
 
@@ -54,6 +55,7 @@
   void take(ClaimsHandedOver &message);
   void take(StopWanted &message);
   void take(DumpWanted &message);
+  void logView(const View &next);
   void beginStop();
   void checkStop();
   void settle();
@@ -89,6 +91,7 @@
   std::unique_ptr<CallerServer> Server;
   std::optional<StopState> Stop;
   Instant LastArrival{};
+  bool ViewLapsed = false; ///< And it was logged.
   ExitCode Result = ExitCode::Done;
   mutable std::mutex StatusMutex;
   Status Shown;
@@ -160,6 +163,7 @@
 }
 
 void GatewayTask::Running::take(ViewChanged &message) {
+  logView(*message.Current);
   {
     const std::lock_guard lock(StatusMutex);
     Shown.Current = message.Current;
@@ -167,6 +171,22 @@
   Core.onView(std::move(message.Current));
 }
 
+void GatewayTask::Running::logView(const View &next) {
+  const View *last = Core.view();
+  const std::string what = "version " + std::to_string(next.Version) + ", " +
+                           std::to_string(next.Instances.size()) + " instances";
+  if (last == nullptr || last->Version != next.Version ||
+      last->Instances != next.Instances) {
+    logEvent(EventId::ViewInForce, what);
+  } else {
+    logEvent(EventId::ViewConfirmed, what);
+  }
+  if (ViewLapsed && readClock() < next.ValidUntil) {
+    ViewLapsed = false;
+    logEvent(EventId::ViewValidAgain, what);
+  }
+}
+
 void GatewayTask::Running::take(ClaimAnswer &message) {
   Core.onClaim(message.Service, message.Decision);
 }
@@ -205,6 +225,7 @@
                                 : Core.view()->Intent->ResolveLifetime;
   Stop = StopState{.ServeUntil = now + serveTime(lifetime, Options.PeerTimeout),
                    .GiveUpAt = now + Options.StopTimeout};
+  logEvent(EventId::StopBegan, Options.InstanceId);
   Server->closeAfterAnswers();
   Out.Control(control::StopBegun{});
   Out.Peers(peers::StopBegun{});
@@ -245,7 +266,13 @@
 void GatewayTask::Running::wakeEngines() { Core.onWake(); }
 
 void GatewayTask::Running::measure() {
-  Core.measure(readClock());
+  const Instant now = readClock();
+  Core.measure(now);
+  if (!ViewLapsed && Core.view() != nullptr && !Core.isReady(now)) {
+    ViewLapsed = true;
+    logEvent(EventId::ViewExpired,
+             "version " + std::to_string(Core.view()->Version));
+  }
   Metrics.Callers.Set(static_cast<double>(Server->connections()));
 }
 
--- a/tests/gateway/FakeUpstream.h
+++ b/tests/gateway/FakeUpstream.h
@@ -144,6 +144,7 @@
   }
 
   std::string address() const { return Host + ":" + std::to_string(Port); }
+  /// Health checks and probes do not count.
   int requests() const { return Requests; }
   int connections() const { return Connections; }
 
@@ -167,6 +168,10 @@
       if (request.empty()) {
         return;
       }
+      if (request.find(" /.") < request.find('\r')) {
+        sendAll(fd, wholeAnswer(request, "")); // a health check or a probe
+        continue;
+      }
       const Reply reply = Answer(request, ++Requests);
       sendAll(fd, reply.Bytes);
       if (reply.Close) {
--- a/tests/gateway/GatewayTaskTest.cpp
+++ b/tests/gateway/GatewayTaskTest.cpp
@@ -245,27 +245,64 @@
              gateway.Options.CallerAddress);
 }
 
-BOOST_AUTO_TEST_CASE(aRequestIsHandedToAHomeAndNotFurther) {
-  FakeUpstream upstream(testAddress(1), &echoWhole);
-  Instanced one(10);
-  Instanced two(11);
+namespace {
+
+/// A view of three instances in which the first is no home, for its failure
+/// domain is out, one home is \p home and the other cannot be reached.
+std::shared_ptr<View> makeViewFrom(Instance self, const Instance &home) {
+  const std::string host = testAddress(12);
+  self.Domain = "out";
   const Instance gone{.Id = "gone",
                       .Domain = "a",
                       .CallerAddress =
-                          testAddress(12) + ":" +
-                          std::to_string(freePort(testAddress(12)))};
-  const auto view =
-      makeView({one.self(), two.self(), gone}, {upstream.address()}, 2);
-  one.Task.inbox().post(ViewChanged{view});
-  two.Task.inbox().post(ViewChanged{view});
+                          host + ":" + std::to_string(freePort(host))};
+  return makeView({self, home, gone}, {}, 2);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(aRequestIsHandedToAHomeThatCanBeReached) {
+  FakeUpstream upstream(testAddress(1), &echoWhole);
+  Instanced one(10);
+  Instanced two(11);
+  one.Task.inbox().post(ViewChanged{makeViewFrom(one.self(), two.self())});
+  two.Task.inbox().post(
+      ViewChanged{makeView({two.self()}, {upstream.address()})});
   for (int n = 0; n < 4; ++n) {
-    for (const Instanced *it : {&one, &two}) {
-      const std::string answer = it->ask(get("/s/x", "X-Request-Id: mine\r\n"));
-      BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer);
-      BOOST_TEST(fieldOf(answer, "X-Request-Id") == "mine");
-    }
+    const std::string answer = one.ask(get("/s/x", "X-Request-Id: mine\r\n"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer);
+    BOOST_TEST(fieldOf(answer, "X-Request-Id") == "mine");
+    BOOST_TEST(fieldOf(answer, "X-Attempt-Id").empty());
   }
-  BOOST_TEST(upstream.requests() == 8);
+  BOOST_TEST(upstream.requests() == 4);
+}
+
+BOOST_AUTO_TEST_CASE(aForwardedRequestIsNotForwardedAgain) {
+  FakeUpstream upstream(testAddress(1), &echoWhole);
+  Instanced one(10);
+  Instanced two(11);
+  // Each takes the other for the home.
+  one.Task.inbox().post(ViewChanged{makeViewFrom(one.self(), two.self())});
+  two.Task.inbox().post(ViewChanged{makeViewFrom(two.self(), one.self())});
+  const std::string answer = one.ask(get("/s/x"));
+  BOOST_TEST(answer.starts_with("HTTP/1.1 503"), answer);
+  BOOST_TEST(fieldOf(answer, "X-Zinniarail-Reason") == "no-upstream");
+  BOOST_TEST(fieldOf(answer, "X-Zinniarail-Outcome") == "did-not-run");
+}
+
+BOOST_AUTO_TEST_CASE(aBrokenForwardIsNotSentAgain) {
+  FakeUpstream home(testAddress(11), [](const std::string &, int) {
+    return Reply{"", true};
+  });
+  Instanced one(10);
+  const Instance two{
+      .Id = "i11", .Domain = "a", .CallerAddress = home.address()};
+  one.Task.inbox().post(ViewChanged{makeViewFrom(one.self(), two)});
+  const std::string answer =
+      one.ask(postWith("Idempotency-Key: k\r\n", "order"));
+  BOOST_TEST(answer.starts_with("HTTP/1.1 502"), answer);
+  BOOST_TEST(fieldOf(answer, "X-Zinniarail-Outcome") == "unknown");
+  BOOST_TEST(home.requests() == 1);
 }
 
 BOOST_AUTO_TEST_CASE(aHalfClosedCallerIsServed) {
