--- a/include/zinniarail/claims/Claims.h
+++ b/include/zinniarail/claims/Claims.h
@@ -6,7 +6,6 @@
 /// events and actions into calls. docs/design/claims.md has the argument.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -26,7 +25,10 @@
   std::uint64_t High = 0;
   std::uint64_t Low = 0;
 
-  auto operator<=>(const ClaimKey &) const = default;
+  bool operator==(const ClaimKey &) const = default;
+  bool operator<(const ClaimKey &other) const {
+    return High != other.High ? High < other.High : Low < other.Low;
+  }
 };
 
 /// Hashes an idempotency key.
@@ -38,7 +40,7 @@
   std::uint64_t Incarnation = 0; ///< Of the process that asks.
   std::uint64_t Sequence = 0;
 
-  auto operator<=>(const ClaimToken &) const = default;
+  bool operator==(const ClaimToken &) const = default;
 };
 
 /// What a holder keeps of one claim.
@@ -97,8 +99,11 @@
   /// How long an ask waits for holders that are not ready.
   Duration Patience = std::chrono::milliseconds{500};
   Duration RetryInterval = std::chrono::milliseconds{20};
-  /// How long a member's answer proves which generation it was in.
+  /// How long a member's answer proves which generation it was in: at least
+  /// this, and longer in a generation of many members, which are asked in
+  /// turn. Alike on all instances.
   Duration WitnessLifetime = std::chrono::seconds{3};
+  Duration WitnessPerMember = std::chrono::milliseconds{250};
   /// How long the members wanted must stay alike before the roster changes.
   Duration SettleTime = std::chrono::milliseconds{300};
   /// After this a roster may be changed by one who sees only a minority.
--- a/src/dispatch/Attempts.cpp
+++ b/src/dispatch/Attempts.cpp
@@ -9,6 +9,9 @@
 // Tries of one request, the first included.
 constexpr std::size_t MostTries = 3;
 
+// What timers of the sockets round off.
+constexpr Duration DeadlineMargin = std::chrono::milliseconds{2};
+
 // Upstreams that may break under one request; it may be what breaks them.
 constexpr unsigned MostBroken = 2;
 
@@ -20,6 +23,7 @@
   attempt.Request = request.Id;
   attempt.Upstream = &upstream;
   attempt.Started = step.Now;
+  attempt.Deadline = request.Deadline;
   attempt.Fingerprint = request.Fingerprint;
   attempt.Key = request.Claimed ? request.Key : std::string{};
   attempt.Hedge = isHedge;
@@ -32,8 +36,13 @@
                           request.Deadline, isHedge});
 }
 
+// A hedge is due later than its budget asks: the loser has run for longer
+// than most requests when it is cancelled, and that counts as extra work.
+constexpr double HedgeShareSpent = 0.5;
+
 Duration hedgeDelay(const ServiceState &state) {
-  return latencyQuantile(state.Latencies, 1 - state.Plan.Spec.HedgeShare);
+  const double share = state.Plan.Spec.HedgeShare * HedgeShareSpent;
+  return latencyQuantile(state.Latencies, 1 - share);
 }
 
 void armHedge(Step step, RequestState &request) {
@@ -135,6 +144,13 @@
   }
 }
 
+// An attempt that was given up on at its deadline broke nothing.
+bool isCrash(const AttemptEnded &event, const AttemptState &attempt,
+             Instant now) {
+  return event.End == AttemptEnd::Broken && !attempt.Cancelled &&
+         now + DeadlineMargin < attempt.Deadline;
+}
+
 void dropUnplanned(ServiceState &state, UpstreamState &upstream) {
   if (!upstream.Planned && upstream.Running.empty()) {
     for (auto &[id, request] : state.Requests) {
@@ -159,8 +175,15 @@
   auto it = state.Queue.begin();
   while (it != state.Queue.end()) {
     RequestState &request = state.Requests.at(it->Request);
+    const Handling handling = judge(state, request, step.Now);
+    if (handling == Handling::Refuse) {
+      ++it;
+      refuse(step, request, RefusalReason::Quarantined);
+      continue;
+    }
     const Choice choice = chooseUpstream(state, request, step.Now);
-    if (choice.Upstream == nullptr && request.Tried.empty()) {
+    if (choice.Upstream == nullptr && request.Tried.empty() &&
+        handling == Handling::Normal) {
       return; // Nobody has room, for anyone behind it either.
     }
     if (choice.Upstream != nullptr && ahead < choice.MinAhead) {
@@ -208,6 +231,7 @@
 void hedge(Step step, RequestState &request) {
   ServiceState &state = step.State;
   if (request.Live.size() != 1 || !state.Queue.empty() ||
+      judge(state, request, step.Now) != Handling::Normal ||
       step.Now >= state.ValidUntil || state.HedgeBudget.Tokens < 1) {
     return;
   }
@@ -235,9 +259,14 @@
   if (it == state.Attempts.end()) {
     return;
   }
+  UpstreamState &upstream = *it->second.Upstream;
+  if (isCrash(event, it->second, step.Now)) {
+    noteBroken(step, upstream, it->second);
+  } else if (event.End == AttemptEnd::Answered) {
+    noteFinished(state.Dangerous, it->second.Fingerprint);
+  }
   const AttemptState attempt = std::move(it->second);
   state.Attempts.erase(it);
-  UpstreamState &upstream = *attempt.Upstream;
   std::erase(upstream.Running, event.Attempt);
   observe(step, upstream, attempt, event);
   const auto request = state.Requests.find(numberOf(attempt.Request));
--- a/src/dispatch/Candidates.cpp
+++ b/src/dispatch/Candidates.cpp
@@ -12,6 +12,13 @@
 // What an ejected upstream costs beside the typical one, when it is used.
 constexpr int EjectedFactor = 8;
 
+// A running attempt's age counts by half: many an answer takes twice the mean.
+constexpr int AgeDivisor = 2;
+
+// To use a straggler frees a quick slot for all who wait, so it is worth it
+// from a part of the wait that the one request itself would accept.
+constexpr Duration::rep HoldDivisor = 4;
+
 // An upstream is taken by rank before load.
 enum Rank : unsigned { Quick, Straggler, Ejected };
 
@@ -39,7 +46,7 @@
     return mean;
   }
   const auto oldest = state.Attempts.find(numberOf(upstream.Running.front()));
-  return std::max(mean, now - oldest->second.Started);
+  return std::max(mean, (now - oldest->second.Started) / AgeDivisor);
 }
 
 // What latency, and whether, an upstream is expected to give.
@@ -49,13 +56,13 @@
 };
 
 Outlook outlookOf(const ServiceState &state, const UpstreamState &upstream,
-                  bool mayTry, Instant now) {
+                  bool mayTry, bool hedged, Instant now) {
   if (standingOf(upstream.Health, now) == Standing::Ejected) {
     return {Ejected, state.Typical * EjectedFactor};
   }
   const Duration latency = latencyOf(state, upstream, now);
-  const bool onTrial =
-      mayTry && upstream.Running.empty() && isTrialDue(upstream.Health, now);
+  const bool onTrial = mayTry && upstream.Running.empty() &&
+                       isTrialDue(upstream.Health, hedged, now);
   if (!isStraggler(latency, state.Typical) || onTrial) {
     return {Quick, latency};
   }
@@ -68,8 +75,9 @@
   if (quickSlots == 0 || latency <= state.Typical) {
     return 0;
   }
-  return static_cast<std::size_t>((latency - state.Typical) * quickSlots /
-                                  std::max(state.Typical, Duration{1}));
+  const Duration extra = latency - state.Typical;
+  return static_cast<std::size_t>(
+      extra * quickSlots / std::max(state.Typical, Duration{1}) / HoldDivisor);
 }
 
 } // namespace
@@ -130,42 +138,58 @@
   return rate;
 }
 
-Choice chooseUpstream(ServiceState &state, const RequestState &request,
-                      Instant now) {
-  std::vector<Candidate> candidates;
-  std::vector<UpstreamState *> upstreams;
-  candidates.reserve(state.Upstreams.size());
-  upstreams.reserve(state.Upstreams.size());
+namespace {
+
+// The upstreams that a request may use.
+struct Field {
+  std::vector<Candidate> Candidates;
+  std::vector<UpstreamState *> Upstreams;
+  unsigned QuickSlots = 0; ///< Of those that are no stragglers.
+};
+
+Field survey(ServiceState &state, const RequestState &request, Instant now) {
+  Field field;
+  field.Candidates.reserve(state.Upstreams.size());
+  field.Upstreams.reserve(state.Upstreams.size());
   const bool avoidTried = anyUntried(state, request);
   const bool keepEjected = keepsEjected(state, now);
-  unsigned quickSlots = 0;
+  const bool apart = judge(state, request, now) != Handling::Normal;
   for (auto &[id, it] : state.Upstreams) {
-    if (avoidTried && wasTried(request, it)) {
+    if ((avoidTried && wasTried(request, it)) ||
+        (apart && mustKeepApart(state, it, now))) {
       continue;
     }
-    const Outlook outlook = outlookOf(state, it, request.Idempotent, now);
+    const Outlook outlook = outlookOf(state, it, true, request.Idempotent, now);
     Candidate candidate;
     candidate.InFlight = static_cast<unsigned>(it.Running.size());
     candidate.Limit = limitOf(state, it, keepEjected, now);
     candidate.Rank = outlook.Order;
     candidate.Others =
         othersInFlight(it.Load, it.Plan.Spec.Slots, state.Typical, now);
-    quickSlots += outlook.Order == Quick ? candidate.Limit : 0;
-    candidates.push_back(candidate);
-    upstreams.push_back(&it);
+    field.QuickSlots += outlook.Order == Quick ? candidate.Limit : 0;
+    field.Candidates.push_back(candidate);
+    field.Upstreams.push_back(&it);
   }
-  const auto best =
-      pickUpstream(candidates, state.Plan.Policy, state.Draws, state.Cursor);
+  return field;
+}
+
+} // namespace
+
+Choice chooseUpstream(ServiceState &state, const RequestState &request,
+                      Instant now) {
+  const Field field = survey(state, request, now);
+  const auto best = pickUpstream(field.Candidates, state.Plan.Policy,
+                                 state.Draws, state.Cursor);
   if (!best) {
     return {};
   }
-  UpstreamState *chosen = upstreams[*best];
-  if (candidates[*best].Rank == Quick ||
+  UpstreamState *chosen = field.Upstreams[*best];
+  if (field.Candidates[*best].Rank == Quick ||
       state.Plan.Policy != RoutingPolicy::Homes) {
     return {chosen, 0};
   }
-  const Outlook outlook = outlookOf(state, *chosen, false, now);
-  return {chosen, worthFrom(state, outlook.Latency, quickSlots)};
+  const Outlook outlook = outlookOf(state, *chosen, false, false, now);
+  return {chosen, worthFrom(state, outlook.Latency, field.QuickSlots)};
 }
 
 } // namespace zinniarail
--- a/src/dispatch/Upstreams.cpp
+++ b/src/dispatch/Upstreams.cpp
@@ -45,7 +45,8 @@
 void openSome(Step step, const UpstreamState &upstream) {
   const unsigned count = std::min(allowance(upstream.Warm, shareOf(upstream)),
                                   upstream.Plan.Share.Connections);
-  if (count > 0 && takesWork(upstream)) {
+  const bool homes = step.State.Plan.Policy == RoutingPolicy::Homes;
+  if (homes && count > 0 && takesWork(upstream)) {
     emit(step, OpenConnections{upstream.Plan.Spec.Id, count});
   }
 }
@@ -249,6 +250,10 @@
 }
 
 void onWord(Step step, const PeerWord &event) {
+  if (event.What == PeerWord::Kind::Quarantine ||
+      event.What == PeerWord::Kind::Suspect) {
+    return onDangerWord(step, event);
+  }
   const auto at = step.State.Upstreams.find(event.Upstream);
   if (at == step.State.Upstreams.end() ||
       step.State.Plan.Policy != RoutingPolicy::Homes) {
@@ -264,6 +269,7 @@
     return applyChange(step, it,
                        noteWarmWord(it.Warm, event.Incarnation, step.Now));
   case PeerWord::Kind::Quarantine:
+  case PeerWord::Kind::Suspect:
     return;
   }
 }
--- a/src/peers/ExchangeProbes.cpp
+++ b/src/peers/ExchangeProbes.cpp
@@ -9,7 +9,7 @@
 
 // Each interval this many peers are probed, in an order drawn anew each time
 // round, so that the bytes do not grow with the fleet.
-constexpr std::size_t ProbesPerInterval = 3;
+constexpr std::size_t ProbesPerInterval = 2;
 
 } // namespace
 
@@ -81,7 +81,8 @@
       });
 }
 
-kj::Promise<void> Exchange::openLink(std::shared_ptr<Link> link, Instant sent) {
+kj::Promise<void> Exchange::openLink(const std::shared_ptr<Link> &link,
+                                     Instant sent) {
   link->Connection = nullptr;
   const std::uint64_t epoch = ++link->Epoch;
   return Net.parseAddress(link->Address.c_str())
@@ -100,17 +101,20 @@
              sent](capnp::Response<wire::Peer::HelloResults> response) {
         Greeting from;
         const auto reason = read(response.getFrom(), from);
-        KJ_REQUIRE(!reason && from.Environment == Set.Environment,
-                   "greeting refused");
+        if (reason || from.Environment != Set.Environment) {
+          failCall("greeting refused");
+        }
         if (link->Epoch == epoch) {
           link->Backoff = Duration::zero();
           link->Peer = from;
+          watchLink(link);
           noteAnswer(*link, from, sent);
         }
       });
 }
 
-kj::Promise<void> Exchange::pingLink(std::shared_ptr<Link> link, Instant sent) {
+kj::Promise<void> Exchange::pingLink(const std::shared_ptr<Link> &link,
+                                     Instant sent) {
   KJ_IF_MAYBE (peer, openPeer(*link)) {
     auto request = peer->pingRequest();
     write(pulse(), request.getPulse());
@@ -135,6 +139,22 @@
   return KJ_EXCEPTION(OVERLOADED, "too many open calls");
 }
 
+// A process that ends closes its connections: that shows before a probe would.
+void Exchange::watchLink(const std::shared_ptr<Link> &link) {
+  KJ_IF_MAYBE (connection, link->Connection) {
+    Tasks.add((*connection)
+                  ->whenDisconnected()
+                  .then([this, link, epoch = link->Epoch] {
+                    if (link->Epoch != epoch) {
+                      return;
+                    }
+                    dropConnection(*link, readClock());
+                    link->NextTry = Instant{};
+                    probe(link);
+                  }));
+  }
+}
+
 void Exchange::noteAnswer(Link &link, const Greeting &from, Instant sent) {
   link.Failed = false;
   hear(from, sent);
--- a/standins/upstream-standin/Upstream.h
+++ b/standins/upstream-standin/Upstream.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <boost/json/object.hpp>
@@ -63,17 +64,23 @@
   std::int64_t NewWorkAtMs = 0; ///< Unix time; 0: never.
 };
 
-/// Runs by idempotency key, over all upstreams of a process.
-using KeyRuns = std::unordered_map<std::string, unsigned>;
+/// What the upstreams of a process count together.
+struct Ledger {
+  /// Runs by idempotency key.
+  std::unordered_map<std::string, unsigned> KeyRuns;
+  /// Hashes of the targets that arrived, to tell requests from attempts.
+  std::unordered_set<std::uint64_t> Targets;
+};
 
 class Upstream {
 public:
-  Upstream(struct ev_loop *loop, UpstreamSettings settings, KeyRuns &keys);
+  Upstream(struct ev_loop *loop, UpstreamSettings settings, Ledger &ledger);
 
   /// Opens the listening socket.
   bool listen() { return Server.listen(); }
   const std::string &id() const { return Settings.Id; }
-  /// Changes fault switches; "turnCold" and "crash" act once.
+  /// Changes fault switches; "turnCold", "turnWarm" and
+  /// "crash" act once.
   void change(const boost::json::object &change);
   boost::json::object describe() const;
   void resetCounts() { Counts = {}; }
@@ -106,7 +113,7 @@
 
   struct ev_loop *Loop;
   UpstreamSettings Settings;
-  KeyRuns &Keys;
+  Ledger &Shared;
   UpstreamFaults Faults;
   UpstreamCounts Counts;
   Random Draws;
