A waiting home takes an upstream up after ten seconds of silence

Cause: with both the ramping home's words and all probes lost, the other homes never used a warm upstream again. Ruled out: earlier: a ramp with little work may still be going on. Change: noteTime and takeUpDue; two homes that both believe they ramp, in a test. Conclusion: no loss of words or probes strands an upstream for ever.

--- a/include/zinniarail/warmup/Warmup.h
+++ b/include/zinniarail/warmup/Warmup.h
@@ -69,6 +69,13 @@
 WarmthChange noteColdWord(Warmth &warmth, std::uint64_t incarnation, bool ramps,
                           Instant now);
 
+/// When a waiting home takes an upstream up, from one request in flight,
+/// though it heard nothing at all; Instant::max() when it does not wait.
+Instant takeUpDue(const Warmth &warmth);
+
+/// Takes an upstream up when takeUpDue has come.
+WarmthChange noteTime(Warmth &warmth, Instant now);
+
 /// Takes a probe's report. A waiting home takes the upstream up, from one
 /// request in flight, when it is in the life that was warm before, or when
 /// the ramping home's word is overdue and the upstream says it is warm.
--- a/src/dispatch/Upstreams.cpp
+++ b/src/dispatch/Upstreams.cpp
@@ -304,6 +304,7 @@
     if (it.Warm.Since == Instant{}) { // Made before the first event.
       it.Warm.Since = step.Now;
     }
+    applyChange(step, it, noteTime(it.Warm, step.Now));
     if (it.NextWord > step.Now) {
       continue;
     }
@@ -323,6 +324,9 @@
   Instant probe = Instant::max();
   for (const auto &[id, it] : state.Upstreams) {
     next = std::min(next, it.NextWord);
+    if (!state.Queue.empty() && takesWork(it)) {
+      next = std::min(next, takeUpDue(it.Warm));
+    }
     if (wantsProbe(it)) {
       probe = std::min(probe, probeDue(it));
     }
--- a/src/warmup/Warmup.cpp
+++ b/src/warmup/Warmup.cpp
@@ -16,6 +16,10 @@
 // ramping home's word was lost, or that home is gone.
 constexpr Duration WordOverdue = std::chrono::milliseconds{500};
 
+// After it a waiting home takes an upstream up without any word or probe: both
+// are cut off, and a ramp with work takes far less.
+constexpr Duration NothingHeard = std::chrono::seconds{10};
+
 // Cold turns of one life, by reports alone, that are believed in a row.
 constexpr unsigned ColdTurnsBelieved = 3;
 constexpr Duration DistrustTime = std::chrono::seconds{30};
@@ -152,6 +156,15 @@
   return WarmthChange::TurnedCold;
 }
 
+Instant takeUpDue(const Warmth &warmth) {
+  return warmth.Phase == WarmthPhase::Waiting ? warmth.Since + NothingHeard
+                                              : Instant::max();
+}
+
+WarmthChange noteTime(Warmth &warmth, Instant now) {
+  return now >= takeUpDue(warmth) ? takeUp(warmth, now) : WarmthChange::None;
+}
+
 WarmthChange noteProbe(Warmth &warmth, const LoadReport &report, bool ramps,
                        Instant now) {
   const WarmthChange change = noteReport(warmth, report, ramps, now);
--- a/tests/dispatch/HomesTest.cpp
+++ b/tests/dispatch/HomesTest.cpp
@@ -31,10 +31,10 @@
 
 class Trio {
 public:
-  explicit Trio(const Words &words) : Case(words) {
+  explicit Trio(const Words &words, unsigned ramping = 1) : Case(words) {
     for (unsigned n = 0; n < 3; ++n) {
       auto plan = makePlan(1, 4);
-      plan.Targets[0].Share = {n == 0 ? 2U : 1U, 73, n == 0};
+      plan.Targets[0].Share = {n == 0 ? 2U : 1U, 73, n < ramping};
       plan.Spec.QueueLimit = 1000;
       Homes.emplace_back(std::move(plan));
       Running.emplace_back();
@@ -116,6 +116,18 @@
   BOOST_TEST(!trio.Running[0].empty());
   BOOST_TEST(!trio.Running[1].empty() == it.AllTakeUp);
   BOOST_TEST(!trio.Running[2].empty() == it.AllTakeUp);
+  for (int n = 0; n < 500; ++n) { // Nothing heard for ten seconds.
+    trio.play(20ms);
+  }
+  BOOST_TEST(trio.Most <= 4u);
+  BOOST_TEST(!trio.Running[1].empty());
+  BOOST_TEST(!trio.Running[2].empty());
+}
+
+BOOST_AUTO_TEST_CASE(homesThatDisagreeRampFromOneEach) {
+  Trio trio(WordCases[2], 2);
+  trio.play(1ms);
+  BOOST_TEST(trio.Most == 2u);
 }
 
 BOOST_AUTO_TEST_CASE(oneThatTurnsColdGetsOneAtATimeOverAllHomes) {
