A lost instance goes on being called, so that it is found again

Cause: peers called only the live instances of the view. One that was killed and restarted during an outage of the platform was called by nobody, knew nobody and had no document (trial with four processes: no document 8 s after its restart, nobody heard); two instances that lost each other would not have found each other again. Ruled out: keeping lost ones among the live (callers would be sent to them). Change: View.Known, knownInstances; the peers task calls these, and those who called it, also before its first view. Conclusion: an instance with a new address is still found only when the list is back.

--- a/include/zinniarail/membership/Membership.h
+++ b/include/zinniarail/membership/Membership.h
@@ -43,6 +43,10 @@
 /// taken out on that evidence.
 std::vector<Instance> liveInstances(const Membership &state, Instant now);
 
+/// Everybody who lives or may come back, by id; to be called by the peers
+/// task, also while lost.
+std::vector<Instance> knownInstances(const Membership &state);
+
 /// When liveInstances changes without a further word; max when it does not.
 Instant nextReadmission(const Membership &state, Instant now);
 
--- a/include/zinniarail/membership/View.h
+++ b/include/zinniarail/membership/View.h
@@ -21,6 +21,9 @@
   /// The document as it is stored, for peers that lack it; null when unknown.
   std::shared_ptr<const std::string> Bytes;
   std::vector<Instance> Instances; ///< Live ones, by id, leaving included.
+  /// Besides, all that may come back: lost ones too. Peers go on calling them,
+  /// since nobody else would notice their return while the list lags.
+  std::vector<Instance> Known;
   /// Past this nothing new is dispatched until a later view confirms the
   /// version. It moves on with each confirmation, and lies in the past for a
   /// process that wakes from a pause.
--- a/src/control/State.cpp
+++ b/src/control/State.cpp
@@ -71,6 +71,7 @@
   view.Version = state.Intent.Version;
   view.Bytes = state.Intent.Bytes;
   view.Instances = liveInstances(state.Members, now);
+  view.Known = knownInstances(state.Members);
   view.ValidUntil = validUntil(state.Intent, spanDomains(view.Instances));
   view.ConfirmedAsOf = confirmedAsOf(state.Intent);
   return view;
@@ -82,7 +83,7 @@
     return false;
   }
   if (last.Intent != next.Intent || last.Version != next.Version ||
-      last.Instances != next.Instances) {
+      last.Instances != next.Instances || last.Known != next.Known) {
     return true;
   }
   if (last.ValidUntil == next.ValidUntil &&
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -120,6 +120,19 @@
   return live;
 }
 
+std::vector<Instance> knownInstances(const Membership &state) {
+  auto all = candidates(state);
+  for (const auto &[id, evidence] : state.Direct) {
+    all.emplace(id, evidence.Peer);
+  }
+  std::vector<Instance> known;
+  known.reserve(all.size());
+  for (auto &[id, instance] : all) {
+    known.push_back(std::move(instance));
+  }
+  return known;
+}
+
 Instant nextReadmission(const Membership &state, Instant now) {
   Instant next = Instant::max();
   for (const auto &[id, evidence] : state.Direct) {
--- a/src/peers/Exchange.cpp
+++ b/src/peers/Exchange.cpp
@@ -116,7 +116,8 @@
   if (!Current || Current->Version != view->Version) {
     Claims.PreparedFor = 0;
   }
-  const bool sameInstances = Current && Current->Instances == view->Instances;
+  const bool sameInstances = Current && Current->Instances == view->Instances &&
+                             Current->Known == view->Known;
   Current = std::move(view);
   Duration &longest = Claims.Limits.LongestWindow;
   for (const ServiceSpec &it : Current->Intent->Services) {
--- a/src/peers/ExchangeProbes.cpp
+++ b/src/peers/ExchangeProbes.cpp
@@ -31,6 +31,17 @@
     for (const Instance &it : Current->Instances) {
       want(it.PeerAddress);
     }
+    // A lost one is found again by calling it.
+    for (const Instance &it : Current->Known) {
+      want(it.PeerAddress);
+    }
+  }
+  // Before its first view an instance knows only those who called it, and one
+  // of them has to give it the document.
+  for (const auto &[id, it] : Heard) {
+    if (!it.Lost) {
+      want(it.Last.Who.PeerAddress);
+    }
   }
   for (const Generation &it : Claims.Known.History) {
     for (const Member &member : it.Members) {
--- a/tests/membership/MembershipTest.cpp
+++ b/tests/membership/MembershipTest.cpp
@@ -129,6 +129,23 @@
   }
 }
 
+// Who is to be called: nobody may be forgotten because it is lost.
+const std::vector<Story> KnownStories{
+    {"alone", {}, "i1"},
+    {"lost, listed",
+     {{'l', "i1 i2 i3"}, {'s', "i2"}, {'s', "i3"}, {'o', "i3"}},
+     "i1 i2 i3"},
+    {"lost, never listed", {{'s', "i2"}, {'s', "i3"}, {'o', "i3"}}, "i1 i2 i3"},
+    {"lost and gone from the list for long",
+     {{'l', "i1 i2 i3"},
+      {'s', "i2"},
+      {'s', "i3"},
+      {'o', "i3"},
+      {'w', "61000"},
+      {'l', "i1 i2"}},
+     "i1 i2"},
+};
+
 std::vector<Instance> makeFleet(unsigned count, unsigned domains) {
   std::vector<Instance> fleet;
   for (unsigned n = 0; n < count; ++n) {
@@ -149,6 +166,15 @@
   BOOST_TEST(formatList(liveInstances(state, now)) == it.Live);
 }
 
+BOOST_DATA_TEST_CASE(whoIsToBeCalled, KnownStories, it) {
+  Membership state{.Self = makeInstance("i1")};
+  Instant now = Start;
+  for (const Step &step : it.Steps) {
+    play(state, step, now);
+  }
+  BOOST_TEST(formatList(knownInstances(state)) == it.Live);
+}
+
 BOOST_DATA_TEST_CASE(readersGrowWithTheDomainsNotWithTheFleet,
                      (std::vector<unsigned>{13, 16, 17, 52, 104, 400}), count) {
   const auto fleet = makeFleet(count, 4);
