--- a/src/peers/Exchange.cpp
+++ b/src/peers/Exchange.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr Duration ClaimTickInterval = std::chrono::milliseconds{10};
+constexpr Duration ClaimTickInterval = std::chrono::milliseconds{25};
 constexpr Duration HandOverLimit = std::chrono::seconds{5};
 constexpr unsigned IncomingLimit = 1024;
 constexpr std::size_t AcquaintancesLimit = 4096;
@@ -77,7 +77,7 @@
 kj::Promise<void> Exchange::tickClaims() {
   ClaimTick tick;
   tick.Wanted = wantedMembers();
-  if (Current) {
+  if (Current && Claims.PreparedFor != currentNumber(Claims.Known)) {
     for (const ServiceSpec &it : Current->Intent->Services) {
       tick.Services.push_back(it.Name);
     }
--- a/src/peers/Exchange.h
+++ b/src/peers/Exchange.h
@@ -83,6 +83,8 @@
   void changeView(std::shared_ptr<const View> view);
   void seekClaim(const ClaimWanted &message);
   void sendWord(const std::string &service, const PeerWord &word);
+  void sendWordTo(const std::string &instance, const std::string &service,
+                  const PeerWord &word, unsigned tries);
   void fetchDocument(const FetchDocument &message);
   void noteRoster(const RosterRead &message);
   boost::json::object describe() const;
--- a/src/peers/ExchangeClaims.cpp
+++ b/src/peers/ExchangeClaims.cpp
@@ -6,6 +6,14 @@
 
 namespace zinniarail::peers {
 
+namespace {
+
+// A word is best effort: the engine has its own remedy for a lost one.
+constexpr unsigned WordTries = 3;
+constexpr Duration WordRetry = std::chrono::milliseconds{200};
+
+} // namespace
+
 void Exchange::tellClaims(const ClaimEvent &event) {
   ClaimActions actions;
   handle(Claims, event, readClock(), actions);
@@ -177,19 +185,37 @@
     return;
   }
   for (const Instance &it : placeService(*Current, *spec, spec->Homes).Ranked) {
-    const auto link = it.Id != Set.InstanceId ? findLink(it.Id) : nullptr;
-    if (!link) {
-      continue;
+    if (it.Id != Set.InstanceId) {
+      sendWordTo(it.Id, service, word, WordTries);
     }
-    KJ_IF_MAYBE (peer, openPeer(*link)) {
-      ++Counts.WordsSent;
-      auto request = peer->tellRequest();
-      request.setService(service);
-      write(word, request.getWord());
-      startCall(
-          link, RecordTimeout, request.send().ignoreResult(), [] {}, [] {});
+  }
+}
+
+void Exchange::sendWordTo(const std::string &instance,
+                          const std::string &service, const PeerWord &word,
+                          unsigned tries) {
+  const auto again = [this, instance, service, word, tries] {
+    if (tries > 1) {
+      Tasks.add(Clock.afterDelay(toKjDuration(WordRetry)).then([=, this] {
+        sendWordTo(instance, service, word, tries - 1);
+      }));
     }
+  };
+  const auto link = findLink(instance);
+  kj::Maybe<wire::Peer::Client> client;
+  if (link) {
+    client = openPeer(*link);
+  }
+  KJ_IF_MAYBE (peer, client) {
+    ++Counts.WordsSent;
+    auto request = peer->tellRequest();
+    request.setService(service);
+    write(word, request.getWord());
+    startCall(
+        link, RecordTimeout, request.send().ignoreResult(), [] {}, again);
+    return;
   }
+  again();
 }
 
 void Exchange::fetchDocument(const FetchDocument &message) {
