One place for faults on real processes

Cause: two tables of faults on a firm's processes landed at the same time, with the same cases. Change: tests/system joins tests/cluster; cases that stood in both stay in the stricter form (a rolling restart: everything sent is served; kills, pauses, broken connections and answers: the callers' own verdict). Kept beside them: kills in two domains, freezes during a platform outage or with frozen upstreams, all instances killed at once, a domain that is out gets nothing.

--- a/tests/system/FaultTest.cpp
+++ b/tests/cluster/CombinedFaultTest.cpp
@@ -2,7 +2,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "system/System.h"
+#include "cluster/System.h"
 
 using namespace zinniarail::testing;
 
@@ -21,12 +21,6 @@
   it.kill(it.Nodes.instances()[1]);
 }
 
-void killAndReturn(System &it) {
-  killOne(it);
-  rest(Pause);
-  BOOST_REQUIRE(it.Nodes.startInstance(it.Nodes.instances()[0]));
-}
-
 void freezeAndWake(System &it) {
   it.Nodes.instances()[2].Running.signal(SIGSTOP);
   rest(LongPause);
@@ -38,20 +32,16 @@
   rest(LongPause);
 }
 
-void killWhilePlatformIsOut(System &it) {
-  platformOut(it);
-  killOne(it);
-}
-
 void freezeWhilePlatformIsOut(System &it) {
   platformOut(it);
   freezeAndWake(it);
 }
 
-void upstreamsFail(System &it, const boost::json::object &faults) {
-  boost::json::object change = faults;
-  change["upstreams"] = {"pedidos-1", "pedidos-2", "pedidos-3"};
-  BOOST_TEST(it.Nodes.setUpstreamFaults(change));
+void freezeUpstreamsAndKill(System &it) {
+  BOOST_TEST(it.Nodes.setUpstreamFaults(
+      {{"freeze", true},
+       {"upstreams", {"pedidos-1", "pedidos-2", "pedidos-3"}}}));
+  killOne(it);
 }
 
 struct Case {
@@ -64,34 +54,10 @@
 }
 
 const std::vector<Case> Cases{
-    {"an instance is killed", killOne},
     {"instances of two failure domains are killed", killTwoDomains},
-    {"an instance is killed and returns", killAndReturn},
-    {"an instance is frozen beyond its view, and wakes", freezeAndWake},
-    {"the platform hangs", platformOut},
-    {"an instance is killed while the platform hangs", killWhilePlatformIsOut},
     {"an instance is frozen and wakes while the platform hangs",
      freezeWhilePlatformIsOut},
-    {"upstreams crash",
-     [](System &it) {
-       upstreamsFail(it, {{"crash", true}});
-     }},
-    {"upstreams freeze, and an instance is killed",
-     [](System &it) {
-       upstreamsFail(it, {{"freeze", true}});
-       killOne(it);
-     }},
-    {"upstreams close connections before and after the run",
-     [](System &it) {
-       upstreamsFail(it, {{"closeBeforeShare", 0.3}, {"closeAfterShare", 0.3}});
-     }},
-    {"upstreams answer short, crossed and late",
-     [](System &it) {
-       upstreamsFail(it, {{"shortShare", 0.2},
-                          {"crossedShare", 0.2},
-                          {"lateShare", 0.2},
-                          {"lateMs", 300}});
-     }},
+    {"upstreams freeze, and an instance is killed", freezeUpstreamsAndKill},
 };
 
 constexpr unsigned LoadSeconds = 8;
@@ -121,20 +87,6 @@
   checkTrue(system.finish());
 }
 
-BOOST_AUTO_TEST_CASE(aRollingRestartCutsOffNoRequest) {
-  System system;
-  constexpr unsigned seconds = 25;
-  system.startCallers(seconds);
-  rest(Pause);
-  for (auto &node : system.Nodes.instances()) {
-    system.restart(node);
-  }
-  const auto report = system.finish();
-  checkSound(report);
-  BOOST_TEST(countIn(report, "unknown") == 0u, report);
-  BOOST_TEST(countIn(report, "refusedTotal") == 0u, report);
-}
-
 BOOST_AUTO_TEST_CASE(aDomainThatIsOutGetsNoNewWorkUntilItReturns) {
   System system;
   constexpr unsigned seconds = 12;
--- a/tests/system/System.h
+++ b/tests/cluster/System.h
@@ -68,14 +68,6 @@
     return boost::json::parse(text).as_object();
   }
 
-  /// A planned stop and a new start.
-  void restart(ClusterInstance &it) {
-    it.Running.signal(SIGTERM);
-    const auto code = it.Running.wait(Patience);
-    BOOST_TEST((code && *code == 0), it.Id + " did not stop cleanly");
-    BOOST_REQUIRE(Nodes.startInstance(it));
-  }
-
   void kill(ClusterInstance &it) {
     it.Running.signal(SIGKILL);
     BOOST_TEST(it.Running.wait(Patience).has_value());
