Gateway: chunked and oversize requests proved; lint

Cause: bad input had no tests; clang-tidy refused three places. Change: a chunked 1 MB body both ways and a body over 8 MB in the tests; a constructor, a deduction guide and a reference for clang-tidy.

--- a/src/gateway/Dispatcher.cpp
+++ b/src/gateway/Dispatcher.cpp
@@ -218,7 +218,7 @@
 
 // Forgets the calls that are over; those still on their way are forgotten as
 // they end.
-void Dispatcher::closeCalls(std::vector<std::uint64_t> calls) {
+void Dispatcher::closeCalls(const std::vector<std::uint64_t> &calls) {
   for (const std::uint64_t it : calls) {
     const auto found = Calls.find(it);
     if (found != Calls.end() && found->second.Done) {
--- a/src/gateway/Dispatcher.h
+++ b/src/gateway/Dispatcher.h
@@ -110,7 +110,7 @@
   void refuse(std::uint64_t id, RefusalReason reason, Truth truth,
               Duration retryAfter);
   void countRefusal(const std::string &service, RefusalReason reason);
-  void closeCalls(std::vector<std::uint64_t> calls);
+  void closeCalls(const std::vector<std::uint64_t> &calls);
 
   // Engines.
   void post(ServiceEntry &entry, Event event);
--- a/src/gateway/DispatcherEngine.cpp
+++ b/src/gateway/DispatcherEngine.cpp
@@ -17,6 +17,7 @@
 template <typename... Cases> struct Overloaded : Cases... {
   using Cases::operator()...;
 };
+template <typename... Cases> Overloaded(Cases...) -> Overloaded<Cases...>;
 
 std::string addressOf(const UpstreamSpec &upstream) {
   return upstream.Address + ":" + std::to_string(upstream.Port);
--- a/src/operator/OperatorTask.cpp
+++ b/src/operator/OperatorTask.cpp
@@ -150,6 +150,8 @@
 } // namespace
 
 struct OperatorTask::Running {
+  explicit Running(OperatorSources sources) : Sources(std::move(sources)) {}
+
   OperatorSources Sources;
   MHD_Daemon *Daemon = nullptr;
 };
--- a/tests/gateway/GatewayTaskTest.cpp
+++ b/tests/gateway/GatewayTaskTest.cpp
@@ -187,6 +187,8 @@
     {postWith("Idempotency-Key: " + std::string(129, 'k') + "\r\n", ""), 400,
      "malformed"},
     {postWith("", "order"), 400, "key-missing"},
+    {"POST /s/x HTTP/1.1\r\nHost: x\r\nContent-Length: 8388609\r\n\r\n", 413,
+     "body-too-large"},
 };
 
 } // namespace
@@ -305,6 +307,24 @@
   BOOST_TEST(home.requests() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(aChunkedRequestArrivesWhole) {
+  const std::string body(1U << 20U, 'b');
+  std::size_t seen = 0;
+  FakeUpstream upstream(testAddress(1), [&](const std::string &it, int) {
+    seen = it.size() - it.find("\r\n\r\n") - 4;
+    return Reply{wholeAnswer(it, body)};
+  });
+  Instanced gateway(10);
+  gateway.Task.inbox().post(
+      ViewChanged{makeView({gateway.self()}, {upstream.address()})});
+  const std::string answer =
+      gateway.ask("POST /s/x HTTP/1.1\r\nHost: x\r\nIdempotency-Key: "
+                  "k\r\nTransfer-Encoding: chunked\r\n\r\n100000\r\n" +
+                  body + "\r\n0\r\n\r\n");
+  BOOST_TEST(answer.ends_with("\r\n\r\n" + body));
+  BOOST_TEST(seen == body.size());
+}
+
 BOOST_AUTO_TEST_CASE(aHalfClosedCallerIsServed) {
   std::atomic<bool> go{false};
   FakeUpstream upstream(testAddress(1), [&](const std::string &it, int n) {
