Lint: a constant of the retry tests at file scope

Cause: clang-tidy's rule for local names. Before and after: scripts/check-lint over the six slices, their tests and two benchmarks named this one fault; none for the file after. Conclusion: clean.

--- a/tests/retry/RetryTest.cpp
+++ b/tests/retry/RetryTest.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr unsigned Requests = 10'000;
 const std::vector<double> Shares{0.0, 0.05, 0.1, 1.0};
 const std::vector<double> Quantiles{0.5, 0.9, 0.95, 0.99};
 
@@ -18,7 +19,6 @@
 
 BOOST_DATA_TEST_CASE(extraTriesStayAShareOfRequests, Shares, share) {
   ShareBudget budget;
-  constexpr unsigned Requests = 10'000;
   unsigned spent = 0;
   for (unsigned n = 0; n < Requests; ++n) {
     earnFor(budget, share);
