Claims: lint of tests and benchmark

Cause: clang-tidy named two constants and one string. Ruled out: suppressing them. Conclusion: none.

--- a/bench/claims.cpp
+++ b/bench/claims.cpp
@@ -104,13 +104,13 @@
 }
 
 void measureMemory() {
-  constexpr std::uint64_t Claims = 100'000;
+  constexpr std::uint64_t count = 100'000;
   ClaimState state = makeClaims({"i0", 1, "d0", "a"}, {});
   ClaimActions actions;
   handle(state, RosterLearned{{1, {{1, {state.Self}}}}}, Instant{}, actions);
   const std::size_t before = mallinfo2().uordblks;
   const Instant begin = readClock();
-  for (std::uint64_t it = 0; it < Claims; ++it) {
+  for (std::uint64_t it = 0; it < count; ++it) {
     recordClaim(state, 1,
                 {"orders",
                  makeClaimKey(std::to_string(it)),
@@ -121,8 +121,8 @@
   const auto took = readClock() - begin;
   std::printf("memory claims=%zu bytes/claim=%.0f record=%.2fus\n",
               countClaims(state),
-              static_cast<double>(mallinfo2().uordblks - before) / Claims,
-              static_cast<double>(took.count()) / Claims);
+              static_cast<double>(mallinfo2().uordblks - before) / count,
+              static_cast<double>(took.count()) / count);
 }
 
 } // namespace
--- a/tests/peers/FaultTest.cpp
+++ b/tests/peers/FaultTest.cpp
@@ -121,10 +121,10 @@
 BOOST_AUTO_TEST_CASE(twoSendsAtATimeAreGrantedOnce) {
   Fleet fleet(4, 9240);
   startHolders(fleet);
-  constexpr std::uint64_t FirstRequest = 1'000'000;
+  constexpr std::uint64_t firstRequest = 1'000'000;
   int total = 0;
   for (std::uint64_t round = 0; round < 100; ++round) {
-    const RequestId id{FirstRequest + round};
+    const RequestId id{firstRequest + round};
     for (const auto &node : fleet.Nodes) {
       node->Task->inbox().post(peers::ClaimWanted{
           "orders", id, "both" + std::to_string(round), readClock() + 4s});
--- a/tests/peers/Fleet.h
+++ b/tests/peers/Fleet.h
@@ -183,7 +183,7 @@
   /// \returns the key; empty when none was.
   std::string grantSome(Node &node) {
     for (const Instant end = readClock() + LongWait; readClock() < end;) {
-      const std::string key = "some" + std::to_string(NextRequest);
+      std::string key = "some" + std::to_string(NextRequest);
       if (claim(node, key) == ClaimVerdict::Granted) {
         return key;
       }
