--- a/src/gateway/Dispatcher.h
+++ b/src/gateway/Dispatcher.h
@@ -110,7 +110,7 @@
   void refuse(std::uint64_t id, RefusalReason reason, Truth truth,
               Duration retryAfter);
   void countRefusal(const std::string &service, RefusalReason reason);
-  void closeCalls(std::vector<std::uint64_t> calls);
+  void closeCalls(const std::vector<std::uint64_t> &calls);
 
   // Engines.
   void post(ServiceEntry &entry, Event event);
@@ -126,6 +126,8 @@
   // Forwards.
   void forward(std::uint64_t id);
   void endForward(std::uint64_t id, const Call &call, CallEnd end);
+  void noteUnreachable(const std::string &instance, const std::string &error,
+                       Instant now);
 
   ServiceTable Table;
   GatewayMetrics &Metrics;
--- a/src/gateway/DispatcherEngine.cpp
+++ b/src/gateway/DispatcherEngine.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "gateway/Answers.h"
+#include "zinniarail/events/Events.h"
 
 namespace zinniarail::gateway {
 
@@ -16,6 +17,7 @@
 template <typename... Cases> struct Overloaded : Cases... {
   using Cases::operator()...;
 };
+template <typename... Cases> Overloaded(Cases...) -> Overloaded<Cases...>;
 
 std::string addressOf(const UpstreamSpec &upstream) {
   return upstream.Address + ":" + std::to_string(upstream.Port);
@@ -240,6 +242,9 @@
   ServiceMetrics &metrics = Metrics.of(call.Entry->Name);
   if (end.End == AttemptEnd::Broken) {
     metrics.Broken->Increment();
+    if (isLogged(EventId::AttemptBroken)) {
+      logEvent(EventId::AttemptBroken, call.Target + ": " + end.Error);
+    }
   } else if (end.End == AttemptEnd::RefusedUnrun) {
     metrics.RefusedUnrun->Increment();
   }
