A request that matches no class is not idempotent unless its method is

Cause: the gateway did not tell the engine the method of a request without a class, so a POST without a key was sent, and could be sent again. Change: RequestArrived::IdempotentMethod is set from the method. Conclusion: such a POST is refused as key-missing, without a run.

--- a/src/gateway/Dispatcher.cpp
+++ b/src/gateway/Dispatcher.cpp
@@ -168,7 +168,8 @@
       .Class = std::move(className),
       .Key = copyOf(findHeader(content.Fields, "Idempotency-Key")),
       .Fingerprint = fingerprintOf(content),
-      .Deadline = deadline};
+      .Deadline = deadline,
+      .IdempotentMethod = isSafeMethod(content.Method)};
   engineOf(Table, entry);
   post(entry, std::move(event));
   drain();
--- a/tests/gateway/GatewayTaskTest.cpp
+++ b/tests/gateway/GatewayTaskTest.cpp
@@ -118,7 +118,10 @@
                                  .Port = address.Port,
                                  .Domain = "a"});
   }
-  document->Services = {service};
+  ServiceSpec bare = service; // Its requests match no class.
+  bare.Name = "bare";
+  bare.Classes.clear();
+  document->Services = {service, bare};
   auto view = std::make_shared<View>();
   view->Intent = document;
   view->Version = 3;
@@ -187,6 +190,8 @@
     {postWith("Idempotency-Key: " + std::string(129, 'k') + "\r\n", ""), 400,
      "malformed"},
     {postWith("", "order"), 400, "key-missing"},
+    {"POST /bare/x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 400,
+     "key-missing"},
     {"POST /s/x HTTP/1.1\r\nHost: x\r\nContent-Length: 8388609\r\n\r\n", 413,
      "body-too-large"},
 };
