Claims: a name of its own for what is known of a peer

Cause: membership and claims each defined zinniarail::PeerEvidence, of unlike size; the linker kept one destructor, and a stop under load freed the wrong size (ASan: new-delete-type-mismatch, 264 allocated, 192 freed). Ruled out: a leak, and the stop itself; a stop without peers was clean. Change: the claims' struct is ClaimPeer. Before and after: test_cluster with ASan, callersLoseNothing/_4 (rolling restart), 6 checks failed (each instance ended with 1), then none. Conclusion: no other struct of the library stands twice in one namespace.

--- a/include/zinniarail/claims/Claims.h
+++ b/include/zinniarail/claims/Claims.h
@@ -115,7 +115,7 @@
 };
 
 /// What this instance knows of a peer, from its answers.
-struct PeerEvidence {
+struct ClaimPeer {
   Member Who;
   std::uint64_t Generation = 0;
   Instant At{}; ///< When the question was sent that it answered.
@@ -168,7 +168,7 @@
   Roster Known;
   Instant LearnedAt{}; ///< When Known came.
   std::map<std::string, ClaimShelf> Shelves;
-  std::map<std::string, PeerEvidence> Peers;
+  std::map<std::string, ClaimPeer> Peers;
   std::map<std::string, HandedOver> HandOvers; ///< For the current one.
   std::map<std::uint64_t, Instant> QuietSince; ///< By generation.
   std::map<std::uint64_t, ClaimAsk> Asks;      ///< By token's sequence.
@@ -199,7 +199,7 @@
 };
 /// A peer answered, or was lost.
 struct PeerAnswered {
-  PeerEvidence Evidence;
+  ClaimPeer Evidence;
 };
 struct PeerSilent {
   std::string Id;
--- a/src/claims/Keeper.cpp
+++ b/src/claims/Keeper.cpp
@@ -27,7 +27,7 @@
   if (it == state.Peers.end()) {
     return false;
   }
-  const PeerEvidence &peer = it->second;
+  const ClaimPeer &peer = it->second;
   if (peer.Who.Incarnation == member.Incarnation) {
     return peer.Generation > number;
   }
@@ -311,8 +311,8 @@
 template <typename... Handlers>
 Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
-void notePeer(ClaimState &state, const PeerEvidence &evidence) {
-  PeerEvidence &it = state.Peers[evidence.Who.Id];
+void notePeer(ClaimState &state, const ClaimPeer &evidence) {
+  ClaimPeer &it = state.Peers[evidence.Who.Id];
   // Answers may come in another order than their questions.
   if (evidence.At >= it.At) {
     it = evidence;
--- a/tests/claims/ClaimNet.cpp
+++ b/tests/claims/ClaimNet.cpp
@@ -166,9 +166,9 @@
           node, to, SilentAfter,
           [=, this] {
             const NetNode &it = *Nodes[to];
-            const PeerEvidence evidence{it.State.Self,
-                                        currentNumber(it.State.Known), sent,
-                                        true, it.Leaving};
+            const ClaimPeer evidence{it.State.Self,
+                                     currentNumber(it.State.Known), sent, true,
+                                     it.Leaving};
             const Roster known = it.State.Known;
             return [=, this] {
               Nodes[node]->Heard[evidence.Who.Id] = Now;
