An instance names the environment that it serves

Cause: /version-in-force and the dump printed the document's environment, which is empty in documents that may be promoted. Change: the operator port names the environment of the settings; the gateway's dump leaves it to that. Before and after: the check joins aDomainThatIsOutGetsNoNewWorkUntilItReturns; before, the field was seen empty by hand; after, the case passes.

--- a/include/zinniarail/operator/OperatorTask.h
+++ b/include/zinniarail/operator/OperatorTask.h
@@ -31,6 +31,7 @@
 /// its threads.
 struct OperatorSources {
   std::string Instance;
+  std::string Environment;
   std::function<std::shared_ptr<const View>()> Current; ///< Null at first.
   std::function<bool()> Stopping;
   std::function<void()> Drain; ///< Begins a graceful stop.
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -49,6 +49,7 @@
                             prometheus::Registry &registry) {
   OperatorSources sources;
   sources.Instance = settings.InstanceId;
+  sources.Environment = settings.Environment;
   sources.Current = [&tasks] { return tasks.Gateway.status().Current; };
   sources.Stopping = [&tasks] { return tasks.Gateway.status().Stopping; };
   sources.Drain = [&tasks] {
--- a/src/gateway/DispatcherForward.cpp
+++ b/src/gateway/DispatcherForward.cpp
@@ -136,7 +136,6 @@
         Table.Current->ValidUntil - now);
     out["version"] = Table.Current->Version;
     out["changeId"] = Table.Current->Intent->ChangeId;
-    out["environment"] = Table.Current->Intent->Environment;
     out["validForMs"] = left.count();
     out["instances"] = Table.Current->Instances.size();
   }
--- a/src/operator/OperatorTask.cpp
+++ b/src/operator/OperatorTask.cpp
@@ -58,7 +58,7 @@
   return {
       200, "application/json",
       json::serialize(json::object{{"instance", sources.Instance},
-                                   {"environment", view->Intent->Environment},
+                                   {"environment", sources.Environment},
                                    {"version", view->Version},
                                    {"changeId", view->Intent->ChangeId},
                                    {"validForMs", left.count()}})};
--- a/tests/cluster/CombinedFaultTest.cpp
+++ b/tests/cluster/CombinedFaultTest.cpp
@@ -4,6 +4,7 @@
 
 #include "cluster/System.h"
 
+using namespace zinniarail;
 using namespace zinniarail::testing;
 
 namespace {
@@ -93,6 +94,11 @@
   system.startCallers(seconds);
   rest(Pause);
   BOOST_TEST(system.takenIn("bilbao") > 0u);
+  const auto shown = standins::fetch(
+      {.Url = "http://" + system.Nodes.instances()[0].OperatorAddress +
+              "/version-in-force"});
+  BOOST_TEST(boost::json::parse(shown.Body).at("environment").as_string() ==
+             "production");
   BOOST_TEST(system.operate({"domain", "out", "bilbao"}) == 0);
   BOOST_TEST(system.operate({"status", "--wait-ms", "60000"}) == 0);
   const auto before = system.takenIn("bilbao");
