--- a/src/operator/OperatorTask.cpp
+++ b/src/operator/OperatorTask.cpp
@@ -55,13 +55,12 @@
   }
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       view->ValidUntil - readClock());
-  return {
-      200, "application/json",
-      json::serialize(json::object{{"instance", sources.Instance},
-                                   {"environment", sources.Environment},
-                                   {"version", view->Version},
-                                   {"changeId", view->Intent->ChangeId},
-                                   {"validForMs", left.count()}})};
+  return {200, "application/json",
+          json::serialize(json::object{{"instance", sources.Instance},
+                                       {"environment", sources.Environment},
+                                       {"version", view->Version},
+                                       {"changeId", view->Intent->ChangeId},
+                                       {"validForMs", left.count()}})};
 }
 
 Reply showDump(const OperatorSources &sources) {
