--- a/include/zinniarail/events/Events.h
+++ b/include/zinniarail/events/Events.h
@@ -24,7 +24,6 @@
   ViewValidAgain = 203,
   AttemptBroken = 300,
   HomeUnreachable = 301,
-  TraceUnusable = 302,
 };
 
 /// One kind of event.
--- a/include/zinniarail/settings/Settings.h
+++ b/include/zinniarail/settings/Settings.h
@@ -24,7 +24,6 @@
   std::string OperatorAddress; ///< "ip:port"
   std::string PlatformAddress; ///< "ip:port"
   std::string LogLevel = "info";
-  std::string TraceFile; ///< Empty: no trace.
   RoutingPolicy Policy = RoutingPolicy::Homes;
   /// How long a proof that the version is current lasts.
   Duration ViewLifetime = std::chrono::seconds{3};
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -42,8 +42,6 @@
     {EventId::HomeUnreachable, "home-unreachable", EventLevel::Warn,
      "A request could not be handed to a home of its service; another is "
      "tried. Look at that instance when it goes on."},
-    {EventId::TraceUnusable, "trace-unusable", EventLevel::Error,
-     "The file of --trace-file could not be opened; nothing is recorded."},
 };
 
 log4cplus::LogLevel levelOf(EventLevel level) {
--- a/src/gateway/Dispatcher.h
+++ b/src/gateway/Dispatcher.h
@@ -35,10 +35,6 @@
       SeekClaim;
   std::function<void(const std::string &service, RequestId)> ReleaseClaim;
   std::function<void(const std::string &service, const PeerWord &)> TellHomes;
-  /// Each event with its service and time, before it is handled; may be null.
-  std::function<void(const ServiceEntry &, const Event &, Instant)> Trace;
-  /// The actions that it led to; may be null.
-  std::function<void(const ServiceEntry &, const Actions &)> TraceActions;
 };
 
 /// Owns the requests between their arrival and their answer. Every function
--- a/src/gateway/DispatcherEngine.cpp
+++ b/src/gateway/DispatcherEngine.cpp
@@ -48,14 +48,8 @@
     auto [entry, event] = std::move(Events.front());
     Events.pop_front();
     const Instant now = readClock();
-    if (Outlets.Trace) {
-      Outlets.Trace(*entry, event, now);
-    }
     actions.clear();
     handle(*entry->Engine, event, now, actions);
-    if (Outlets.TraceActions) {
-      Outlets.TraceActions(*entry, actions);
-    }
     for (Action &it : actions) {
       perform(*entry, it);
     }
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -59,15 +59,13 @@
       "where callers connect")("peer-address", text(it.PeerAddress, "IP:PORT"),
                                "where other instances connect")(
       "operator-address", text(it.OperatorAddress, "IP:PORT"),
-      "where operators connect")("platform-address",
-                                 text(it.PlatformAddress, "IP:PORT"),
-                                 "the platform's object API")(
-      "log-level",
-      po::value(&it.LogLevel)
-          ->default_value(defaults.LogLevel)
-          ->value_name("LEVEL"),
-      "error, warn, info or debug")("trace-file", text(it.TraceFile, "FILE"),
-                                    "record each event there; empty: none")(
+      "where operators connect")(
+      "platform-address", text(it.PlatformAddress, "IP:PORT"),
+      "the platform's object API")("log-level",
+                                   po::value(&it.LogLevel)
+                                       ->default_value(defaults.LogLevel)
+                                       ->value_name("LEVEL"),
+                                   "error, warn, info or debug")(
       "policy",
       po::value(&raw.Policy)->default_value("homes")->value_name("NAME"),
       "homes; two-choices, random and round-robin are for measurements")(
