--- a/include/zinniarail/dispatch/Engine.h
+++ b/include/zinniarail/dispatch/Engine.h
@@ -71,6 +71,12 @@
 /// How many requests are without their final answer.
 std::size_t openRequests(const ServiceState &state);
 
+/// How many requests wait for an upstream.
+std::size_t waitingRequests(const ServiceState &state);
+
+/// How many of the planned upstreams are cold, as far as this home knows.
+std::size_t coldUpstreams(const ServiceState &state);
+
 /// The state for a dump, with stable keys.
 boost::json::object describe(const ServiceState &state, Instant now);
 
--- a/src/dispatch/Engine.cpp
+++ b/src/dispatch/Engine.cpp
@@ -96,4 +96,15 @@
   return state.Requests.size();
 }
 
+std::size_t waitingRequests(const ServiceState &state) {
+  return state.Queue.size();
+}
+
+std::size_t coldUpstreams(const ServiceState &state) {
+  return std::count_if(
+      state.Upstreams.begin(), state.Upstreams.end(), [](const auto &it) {
+        return it.second.Planned && it.second.Warm.Phase != WarmthPhase::Warm;
+      });
+}
+
 } // namespace zinniarail
--- a/src/gateway/DispatcherForward.cpp
+++ b/src/gateway/DispatcherForward.cpp
@@ -156,6 +156,8 @@
     ServiceMetrics &metrics = Metrics.of(name);
     metrics.Open->Set(
         static_cast<double>(zinniarail::openRequests(*it->Engine)));
+    metrics.Queued->Set(static_cast<double>(waitingRequests(*it->Engine)));
+    metrics.Cold->Set(static_cast<double>(coldUpstreams(*it->Engine)));
     metrics.ProbeBudget->Set(it->Spec.ProbesPerSecond);
   }
 }
--- a/tests/dispatch/PressureTest.cpp
+++ b/tests/dispatch/PressureTest.cpp
@@ -46,6 +46,17 @@
   BOOST_TEST((refusal->RetryAfter > 0s));
 }
 
+BOOST_AUTO_TEST_CASE(whatWaitsAndWhatIsColdIsCounted) {
+  Service it(makePlan(2, 1));
+  BOOST_TEST(coldUpstreams(*it.State) == 2u);
+  it.serve(1, 100);
+  BOOST_TEST(coldUpstreams(*it.State) == 0u);
+  for (std::uint64_t id = 200; id < 205; ++id) {
+    it.arrive(id, "read");
+  }
+  BOOST_TEST(waitingRequests(*it.State) == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(whatCannotBeServedInTimeIsRefusedAtOnce) {
   Service service = makeBusy("read", 1);
   service.arrive(9, "read", 15ms); // Two services of 10 ms are ahead.
