An answer from before a cold start warms nothing

Cause: an upstream that leaves and returns starts cold, but the good answer to a request that was under way counted for the new ramp. With three answers of its own the ramp already allowed a second request in flight.

Ruled out: the checker. It counts the answers of attempts started since the cold start, which is what the ramp is to be earned by.

Change: a cold start has a number; an attempt bears the one it started under, and its good answer counts only for that one. Bad answers count as before.

Conclusion: the engine erred.

--- a/include/zinniarail/warmup/Warmup.h
+++ b/include/zinniarail/warmup/Warmup.h
@@ -31,6 +31,9 @@
   /// often of one life while its answers were good.
   Instant DistrustedUntil{};
   bool Announce = false; ///< Tell the other homes when it is warm.
+  /// Cold starts begun so far. What an attempt from before the last one made
+  /// of it says nothing about this one.
+  unsigned ColdStarts = 0;
 };
 
 /// What an observation made of it.
--- a/src/dispatch/Attempts.cpp
+++ b/src/dispatch/Attempts.cpp
@@ -26,6 +26,7 @@
   attempt.Deadline = request.Deadline;
   attempt.Fingerprint = request.Fingerprint;
   attempt.Key = request.Claimed ? request.Key : std::string{};
+  attempt.ColdStarts = upstream.Warm.ColdStarts;
   attempt.Hedge = isHedge;
   state.Attempts.emplace(numberOf(id), std::move(attempt));
   upstream.Running.push_back(id);
--- a/src/dispatch/ServiceState.h
+++ b/src/dispatch/ServiceState.h
@@ -62,7 +62,8 @@
   Instant Started{};
   Instant Deadline{};
   std::uint64_t Fingerprint = 0;
-  std::string Key; ///< The granted key that it carries, if any.
+  std::string Key;         ///< The granted key that it carries, if any.
+  unsigned ColdStarts = 0; ///< The upstream's, as it started.
   bool Sent = false;
   bool Hedge = false;
   bool Cancelled = false;
--- a/src/dispatch/Upstreams.cpp
+++ b/src/dispatch/Upstreams.cpp
@@ -128,12 +128,14 @@
   state.AnswersToTypical = AnswersPerTypical;
 }
 
-void observeAnswer(Step step, UpstreamState &upstream, Duration latency) {
+void observeAnswer(Step step, UpstreamState &upstream,
+                   const AttemptState &attempt) {
   ServiceState &state = step.State;
+  const Duration latency = step.Now - attempt.Started;
   noteAnswer(upstream.Health, latency, step.Now);
   if (state.Typical != Duration{0} && latency > state.Typical * SlowFactor) {
     noteBad(upstream.Warm);
-  } else {
+  } else if (attempt.ColdStarts == upstream.Warm.ColdStarts) {
     applyChange(step, upstream,
                 noteGood(upstream.Warm, shareOf(upstream), step.Now));
   }
@@ -142,18 +144,18 @@
 
 void observeEnd(Step step, UpstreamState &upstream, const AttemptState &attempt,
                 const AttemptEnded &event) {
-  const Duration latency = step.Now - attempt.Started;
   if (isServerError(event)) {
     return observeFailure(step, upstream, false);
   }
   if (event.End == AttemptEnd::Answered) {
-    return observeAnswer(step, upstream, latency);
+    return observeAnswer(step, upstream, attempt);
   }
   if (event.End == AttemptEnd::RefusedUnrun) {
     return observeRefusal(step, upstream);
   }
   if (attempt.Cancelled) {
-    return noteUnfinished(upstream.Health, latency, step.Now);
+    return noteUnfinished(upstream.Health, step.Now - attempt.Started,
+                          step.Now);
   }
   observeFailure(step, upstream, true);
 }
--- a/src/warmup/Warmup.cpp
+++ b/src/warmup/Warmup.cpp
@@ -58,6 +58,7 @@
 void beginCold(Warmth &warmth, bool ramps, Instant now) {
   begin(warmth, ramps ? WarmthPhase::Ramping : WarmthPhase::Waiting, now);
   warmth.Announce = ramps;
+  ++warmth.ColdStarts;
 }
 
 void moveRamp(Warmth &warmth, bool ramps, Instant now) {
