--- a/standins/caller-standin/Callers.cpp
+++ b/standins/caller-standin/Callers.cpp
@@ -1,6 +1,8 @@
 #include "caller-standin/Callers.h"
 
+#include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <sys/timerfd.h>
 #include <unistd.h>
 
@@ -38,7 +40,7 @@
 /// Whether it is said or plain that the request did not run.
 bool surelyUnrun(const Reply &reply) {
   if (!reply.isWhole()) {
-    return reply.Code == CURLE_COULDNT_CONNECT;
+    return !reply.MayHaveArrived;
   }
   return reply.header("x-zinniarail-outcome") == "did-not-run" ||
          reply.header("x-not-run") == "1";
@@ -120,6 +122,7 @@
       addresses.emplace_back(it.at("address").as_string());
     }
     Addresses = Settings.SpreadAll ? Settings.Instances : addresses;
+    Failed.clear();
     again = std::chrono::milliseconds{body.at("keepMs").to_number<int>()};
   }
   if (!Addresses.empty() && !Begun) {
@@ -207,11 +210,16 @@
   send(request);
 }
 
-/// Picks at random, another one than last time where there is one.
-const std::string &Callers::pickAddress(const std::string &besides) {
-  const auto n = static_cast<std::uint32_t>(Addresses.size());
+/// Picks at random: not one that failed, nor the one of last time, where there
+/// is another.
+std::string Callers::pickAddress(const std::string &besides) {
+  std::vector<std::string> sound;
+  std::copy_if(Addresses.begin(), Addresses.end(), std::back_inserter(sound),
+               [this](const auto &it) { return !Failed.contains(it); });
+  const auto &among = sound.empty() ? Addresses : sound;
+  const auto n = static_cast<std::uint32_t>(among.size());
   const auto i = drawBelow(Draws, n);
-  return Addresses[i] == besides ? Addresses[(i + 1) % n] : Addresses[i];
+  return among[i] == besides ? among[(i + 1) % n] : among[i];
 }
 
 void Callers::send(const RequestPtr &request) {
@@ -239,6 +247,9 @@
 }
 
 void Callers::answered(const RequestPtr &request, const Reply &reply) {
+  if (!reply.isWhole()) {
+    Failed.insert(request->Address);
+  }
   if (reply.isWhole() && reply.Status == 200) {
     served(request, reply);
   } else {
--- a/standins/caller-standin/Callers.h
+++ b/standins/caller-standin/Callers.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -71,7 +72,7 @@
   void end(const RequestPtr &request, const std::string &how, OrderEnd order);
   void finishIfDone();
   void fetchKeys(std::size_t index);
-  const std::string &pickAddress(const std::string &besides);
+  std::string pickAddress(const std::string &besides);
 
   struct ev_loop *Loop;
   CallerSettings Settings;
@@ -79,6 +80,7 @@
   Random Draws;
   Tally Counts;
   std::vector<std::string> Addresses;
+  std::set<std::string> Failed; ///< Gave no answer since the last resolve.
   std::size_t NextInstance = 0;
   Timer ResolveTimer;
   int ArrivalClock; ///< A timerfd: libev's own timers round to milliseconds.
--- a/standins/common/HttpClient.cpp
+++ b/standins/common/HttpClient.cpp
@@ -88,6 +88,8 @@
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(ms.count()));
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &onPrerequest);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
@@ -95,6 +97,17 @@
   curl_multi_add_handle(Multi, easy);
 }
 
+// libcurl sends a call anew when a kept connection turns out dead, whether or
+// not it was read there. Only a GET may run twice.
+int HttpClient::onPrerequest(void *transfer, char *, char *, int, int) {
+  auto &it = *static_cast<Transfer *>(transfer);
+  if (it.Answer.MayHaveArrived && it.Sent.Method != "GET") {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  it.Answer.MayHaveArrived = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 std::size_t HttpClient::onBody(char *data, std::size_t size, std::size_t n,
                                void *transfer) {
   static_cast<Transfer *>(transfer)->Answer.Body.append(data, size * n);
--- a/standins/common/HttpClient.h
+++ b/standins/common/HttpClient.h
@@ -32,6 +32,8 @@
   /// By name in lower case.
   std::unordered_map<std::string, std::string> Headers;
   std::string Body;
+  /// Whether the call may have been read: sending began at least once.
+  bool MayHaveArrived = false;
 
   bool isWhole() const { return Code == CURLE_OK; }
   /// A header by its name in lower case, or "".
@@ -60,6 +62,7 @@
   static int onSocket(CURL *easy, curl_socket_t fd, int what, void *self,
                       void *watcher);
   static int onTimer(CURLM *multi, long ms, void *self);
+  static int onPrerequest(void *transfer, char *, char *, int, int);
   static std::size_t onBody(char *data, std::size_t size, std::size_t n,
                             void *transfer);
   static std::size_t onHeader(char *data, std::size_t size, std::size_t n,
