One reading of command lines and addresses for stand-ins and benchmarks

The same reading of flags, help and errors stood in six mains of bench/ and standins/; it is runProgram of standins/common now. The stand-ins' HTTP server took ip:port apart by itself beside parseAddress of the settings.

--- a/bench/Harness.h
+++ b/bench/Harness.h
@@ -16,6 +16,7 @@
 #include <boost/json.hpp>
 
 #include "common/Cluster.h"
+#include "common/CommandLine.h"
 
 namespace zinniarail::bench {
 
--- a/bench/added_latency.cpp
+++ b/bench/added_latency.cpp
@@ -157,7 +157,6 @@
       "bench_added_latency: direct against through an instance. Run it at the "
       "root of the source tree");
   auto add = flags.add_options();
-  add("help", "show this");
   add("build", options::value<std::string>()->default_value("build/release"),
       "directory of the build");
   add("rates",
@@ -166,17 +165,5 @@
       "calls a second");
   add("seconds", options::value<unsigned>()->default_value(5), "of each run");
   add("runs", options::value<unsigned>()->default_value(3), "of each rate");
-  options::variables_map given;
-  try {
-    options::store(options::parse_command_line(argc, argv, flags), given);
-    if (given.count("help") != 0) {
-      std::cout << flags;
-      return 0;
-    }
-    options::notify(given);
-    return run(given);
-  } catch (const std::exception &error) {
-    std::cerr << "bench_added_latency: " << error.what() << '\n';
-    return 2;
-  }
+  return standins::runProgram(argc, argv, flags, run);
 }
--- a/bench/control_cost.cpp
+++ b/bench/control_cost.cpp
@@ -120,6 +120,23 @@
   return cluster.stop();
 }
 
+int run(const options::variables_map &given) {
+  std::cout << "load of the machine before: " << machineLoad() << "\n\n";
+  printHeader({"instances", "platform calls/s", "of an instance",
+               "platform bytes/s of an instance",
+               "peer bytes sent/s of an instance", "CPU % of an instance",
+               "memory MB", "accepted to in force everywhere ms"});
+  bool all = true;
+  for (const unsigned it : given["sizes"].as<std::vector<unsigned>>()) {
+    all = measure(given["build"].as<std::string>(), it,
+                  given["seconds"].as<unsigned>(),
+                  given["changes"].as<unsigned>()) &&
+          all;
+  }
+  std::cout << "\nload of the machine after: " << machineLoad() << '\n';
+  return all ? 0 : 1;
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
@@ -127,7 +144,6 @@
       "bench_control_cost: an idle fleet. Run it at the root of the source "
       "tree");
   auto add = flags.add_options();
-  add("help", "show this");
   add("build", options::value<std::string>()->default_value("build/release"),
       "directory of the build");
   add("sizes",
@@ -137,30 +153,5 @@
   add("seconds", options::value<unsigned>()->default_value(10), "idle time");
   add("changes", options::value<unsigned>()->default_value(5),
       "of the document, timed");
-  options::variables_map given;
-  try {
-    options::store(options::parse_command_line(argc, argv, flags), given);
-    if (given.count("help") != 0) {
-      std::cout << flags;
-      return 0;
-    }
-    options::notify(given);
-    std::cout << "load of the machine before: " << machineLoad() << "\n\n";
-    printHeader({"instances", "platform calls/s", "of an instance",
-                 "platform bytes/s of an instance",
-                 "peer bytes sent/s of an instance", "CPU % of an instance",
-                 "memory MB", "accepted to in force everywhere ms"});
-    bool all = true;
-    for (const unsigned it : given["sizes"].as<std::vector<unsigned>>()) {
-      all = measure(given["build"].as<std::string>(), it,
-                    given["seconds"].as<unsigned>(),
-                    given["changes"].as<unsigned>()) &&
-            all;
-    }
-    std::cout << "\nload of the machine after: " << machineLoad() << '\n';
-    return all ? 0 : 1;
-  } catch (const std::exception &error) {
-    std::cerr << "bench_control_cost: " << error.what() << '\n';
-    return 2;
-  }
+  return standins::runProgram(argc, argv, flags, run);
 }
--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -347,7 +347,6 @@
       "bench_policies: routing policies side by side. Run it at the root of "
       "the source tree");
   auto add = flags.add_options();
-  add("help", "show this");
   add("build", options::value(&plan.Build)->default_value("build/release"),
       "directory of the build");
   add("seconds", options::value(&plan.Seconds)->default_value(8),
@@ -358,17 +357,7 @@
   add("scenario", options::value(&plan.Only)->default_value(""),
       "only those whose name contains this");
   add("policy", options::value(&policy)->default_value(""), "likewise");
-  options::variables_map given;
-  try {
-    options::store(options::parse_command_line(argc, argv, flags), given);
-    options::notify(given);
-    if (given.count("help") != 0) {
-      std::cout << flags;
-      return 0;
-    }
-    return run(plan, policy);
-  } catch (const std::exception &error) {
-    std::cerr << "bench_policies: " << error.what() << '\n';
-    return 2;
-  }
+  return standins::runProgram(
+      argc, argv, flags,
+      [&](const options::variables_map &) { return run(plan, policy); });
 }
--- a/standins/caller-standin/main.cpp
+++ b/standins/caller-standin/main.cpp
@@ -6,6 +6,7 @@
 #include <boost/program_options.hpp>
 
 #include "caller-standin/Callers.h"
+#include "common/CommandLine.h"
 #include "common/Signals.h"
 
 namespace {
@@ -13,7 +14,6 @@
 namespace options = boost::program_options;
 using namespace zinniarail::standins;
 
-constexpr int ExitUsage = 2;
 constexpr int ExitUnsound = 3;
 
 std::vector<std::string> splitList(const std::string &text) {
@@ -93,7 +93,6 @@
   const auto number = [](unsigned fallback) {
     return options::value<unsigned>()->default_value(fallback);
   };
-  add("help", "show this");
   add("instances", text(""), "caller addresses of instances, ip:port,...");
   add("direct", text(""), "send here instead, ip:port,...");
   add("upstream-controls", text(""),
@@ -127,17 +126,5 @@
 
 int main(int argc, char **argv) {
   const auto flags = describeFlags();
-  options::variables_map given;
-  try {
-    options::store(options::parse_command_line(argc, argv, flags), given);
-    if (given.count("help") != 0) {
-      std::cout << flags;
-      return 0;
-    }
-    options::notify(given);
-    return run(given);
-  } catch (const std::exception &error) {
-    std::cerr << "caller-standin: " << error.what() << '\n';
-    return ExitUsage;
-  }
+  return runProgram(argc, argv, flags, run);
 }
--- a/standins/common/HttpServer.cpp
+++ b/standins/common/HttpServer.cpp
@@ -1,13 +1,14 @@
 #include "common/HttpServer.h"
 
 #include <arpa/inet.h>
-#include <charconv>
 #include <cstdio>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "zinniarail/settings/Settings.h"
+
 namespace zinniarail::standins {
 
 namespace {
@@ -17,13 +18,13 @@
 constexpr int Backlog = 1024;
 
 std::optional<sockaddr_in> toSocketAddress(const std::string &address) {
-  const auto parts = splitAddress(address);
+  const SocketAddress it = parseAddress(address);
   sockaddr_in out{};
   out.sin_family = AF_INET;
-  if (!parts || inet_pton(AF_INET, parts->first.c_str(), &out.sin_addr) != 1) {
+  if (inet_pton(AF_INET, it.Host.c_str(), &out.sin_addr) != 1) {
     return std::nullopt;
   }
-  out.sin_port = htons(parts->second);
+  out.sin_port = htons(it.Port);
   return out;
 }
 
@@ -57,22 +58,6 @@
 
 } // namespace
 
-std::optional<std::pair<std::string, std::uint16_t>>
-splitAddress(const std::string &address) {
-  const auto colon = address.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  std::uint16_t port = 0;
-  const char *end = address.data() + address.size();
-  const auto [rest, ec] =
-      std::from_chars(address.data() + colon + 1, end, port);
-  if (ec != std::errc{} || rest != end) {
-    return std::nullopt;
-  }
-  return std::pair{address.substr(0, colon), port};
-}
-
 std::string Exchange::path() const {
   return Target.substr(0, Target.find('?'));
 }
--- a/standins/common/HttpServer.h
+++ b/standins/common/HttpServer.h
@@ -137,9 +137,4 @@
   std::uint64_t OverLimit = 0;
 };
 
-/// Splits "ip:port".
-/// \returns nothing when it is no such pair.
-std::optional<std::pair<std::string, std::uint16_t>>
-splitAddress(const std::string &address);
-
 } // namespace zinniarail::standins
--- a/standins/platform-standin/main.cpp
+++ b/standins/platform-standin/main.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 #include <boost/program_options.hpp>
 
+#include "common/CommandLine.h"
 #include "common/Signals.h"
 #include "platform-standin/Platform.h"
 
@@ -13,7 +14,6 @@
 namespace options = boost::program_options;
 using namespace zinniarail::standins;
 
-constexpr int ExitUsage = 2;
 constexpr const char *ControlHelp = R"(
 Control, on the same address and free of faults:
   POST /control/faults     {"kinds":["put",...],"delayMs":N,
@@ -60,23 +60,10 @@
   options::options_description flags("platform-standin: the platform's object "
                                      "API and instance list, in memory");
   auto add = flags.add_options();
-  add("help", "show this");
   add("address", options::value<std::string>()->required(), "ip:port");
   add("instances", options::value<std::string>()->default_value(""),
       "file with the JSON list of instances at the start");
   add("instance-list-lag-ms", options::value<unsigned>()->default_value(0),
       "how long the instance list lags behind a change");
-  options::variables_map given;
-  try {
-    options::store(options::parse_command_line(argc, argv, flags), given);
-    if (given.count("help") != 0) {
-      std::cout << flags << ControlHelp;
-      return 0;
-    }
-    options::notify(given);
-    return serve(given);
-  } catch (const std::exception &error) {
-    std::cerr << "platform-standin: " << error.what() << '\n';
-    return ExitUsage;
-  }
+  return runProgram(argc, argv, flags, serve, ControlHelp);
 }
--- a/standins/upstream-standin/main.cpp
+++ b/standins/upstream-standin/main.cpp
@@ -4,6 +4,7 @@
 #include <boost/json.hpp>
 #include <boost/program_options.hpp>
 
+#include "common/CommandLine.h"
 #include "common/Signals.h"
 #include "upstream-standin/Upstream.h"
 
@@ -13,7 +14,6 @@
 namespace options = boost::program_options;
 using namespace zinniarail::standins;
 
-constexpr int ExitUsage = 2;
 constexpr const char *ControlHelp = R"(
 Control, on the control address:
   POST /control/faults    {"upstreams":[ID,...], SWITCH:VALUE,...}
@@ -161,7 +161,6 @@
   options::options_description out("upstream-standin: upstreams with slots, "
                                    "cold start and faults");
   auto add = out.add_options();
-  add("help", "show this");
   add("listen", options::value<std::vector<std::string>>()->required(),
       "ID=IP:PORT of an upstream; repeat for more");
   add("control", options::value<std::string>()->required(), "ip:port");
@@ -192,17 +191,5 @@
 
 int main(int argc, char **argv) {
   const auto flags = describeFlags();
-  options::variables_map given;
-  try {
-    options::store(options::parse_command_line(argc, argv, flags), given);
-    if (given.count("help") != 0) {
-      std::cout << flags << ControlHelp;
-      return 0;
-    }
-    options::notify(given);
-    return serve(given);
-  } catch (const std::exception &error) {
-    std::cerr << "upstream-standin: " << error.what() << '\n';
-    return ExitUsage;
-  }
+  return runProgram(argc, argv, flags, serve, ControlHelp);
 }
