--- a/tests/standins/CallersTest.cpp
+++ b/tests/standins/CallersTest.cpp
@@ -84,11 +84,12 @@
   });
   const std::string file = std::filesystem::temp_directory_path() /
                            ("zinniarail-left-out-" + std::to_string(getpid()));
+  const std::string program = ZINNIARAIL_BINARY_DIR "/standins/caller-standin";
   Process callers;
-  BOOST_REQUIRE(callers.start(
-      {ZINNIARAIL_BINARY_DIR "/standins/caller-standin", "--instances", Served,
-       "--service", "s", "--rate", "200", "--seconds", "1", "--output", file},
-      ""));
+  BOOST_REQUIRE(
+      callers.start({program, "--instances", Served, "--service", "s", "--rate",
+                     "200", "--seconds", "1", "--output", file},
+                    ""));
   std::optional<int> code;
   const auto until = readClock() + Patience;
   while (!code && readClock() < until) {
