--- a/tests/cluster/System.h
+++ b/tests/cluster/System.h
@@ -28,15 +28,38 @@
 // Far beyond what a step takes; a loaded machine is slow, never wrong.
 constexpr Duration Patience = 90s;
 
-inline standins::ClusterSettings makeClusterSettings() {
+/// One firm at a small size, and how its callers send.
+struct Firm {
+  const char *Document;
+  const char *Service;
+  unsigned Number; ///< Of its cluster, in its addresses.
+  std::vector<std::string> UpstreamFlags;
+  std::vector<std::string> CallerFlags;
+};
+
+inline const Firm Cierzo{"cierzo.json",
+                         "pedidos",
+                         7,
+                         {"--mean-ms", "3", "--seed", "11"},
+                         {"--rate", "80", "--orders-share", "0.4"}};
+
+inline const Firm Serrano{
+    "serrano.json",
+    "credencial",
+    9,
+    {},
+    {"--rate", "200", "--loss-retries", "6", "--refusal-retries", "6"}};
+
+inline standins::ClusterSettings makeClusterSettings(const Firm &firm) {
+  const char *net = std::getenv("ZINNIARAIL_TEST_NET");
   standins::ClusterSettings settings;
   settings.BinaryDirectory = ZINNIARAIL_BINARY_DIR;
-  settings.Document = ZINNIARAIL_SOURCE_DIR "/examples/cierzo.json";
-  const char *net = std::getenv("ZINNIARAIL_TEST_NET");
+  settings.Document =
+      std::string(ZINNIARAIL_SOURCE_DIR "/examples/") + firm.Document;
   settings.Net = net == nullptr ? 40 : std::strtoul(net, nullptr, 10);
-  settings.Number = 7;
+  settings.Number = firm.Number;
   settings.Instances = 6;
-  settings.UpstreamFlags = {"--mean-ms", "3", "--seed", "11"};
+  settings.UpstreamFlags = firm.UpstreamFlags;
   settings.InstanceFlags = {"--log-level", "error"};
   return settings;
 }
@@ -44,16 +67,18 @@
 /// A cluster whose callers run while a test disturbs it.
 class System {
 public:
-  System() : Nodes(makeClusterSettings()) {
+  explicit System(const Firm &firm = Cierzo)
+      : Nodes(makeClusterSettings(firm)), Sending(firm) {
     BOOST_REQUIRE_MESSAGE(Nodes.start(), Nodes.error());
   }
 
   void startCallers(unsigned seconds,
                     const std::vector<std::string> &flags = {}) {
-    auto command = Nodes.callerCommand("pedidos");
+    auto command = Nodes.callerCommand(Sending.Service);
+    command.insert(command.end(), Sending.CallerFlags.begin(),
+                   Sending.CallerFlags.end());
     command.insert(command.end(),
-                   {"--rate", "80", "--seconds", std::to_string(seconds),
-                    "--orders-share", "0.4", "--output", Report});
+                   {"--seconds", std::to_string(seconds), "--output", Report});
     command.insert(command.end(), flags.begin(), flags.end());
     BOOST_REQUIRE(Callers.start(command, ""));
   }
@@ -73,6 +98,14 @@
     BOOST_TEST(it.Running.wait(Patience).has_value());
   }
 
+  /// Stops an instance gracefully and starts it again.
+  bool restart(ClusterInstance &it) {
+    it.Running.signal(SIGTERM);
+    return it.Running.wait(Patience) == 0 && Nodes.startInstance(it) &&
+           standins::awaitStatus("http://" + it.OperatorAddress + "/health",
+                                 200, Patience);
+  }
+
   /// Runs zinniactl on this cluster. \returns its exit code.
   int operate(std::vector<std::string> words) {
     words.insert(words.begin(), ZINNIARAIL_BINARY_DIR "/programs/zinniactl");
@@ -104,6 +137,7 @@
   Cluster Nodes;
 
 private:
+  const Firm &Sending;
   Process Callers;
   std::string Report = std::filesystem::temp_directory_path() /
                        ("zinniarail-system-" + std::to_string(getpid()));
