Claim tests end under AddressSanitizer; holders are ranked without copies

Two causes: each ranking of claim holders built a view and copied every instance at each comparison (42% of the test's time, by perf), and each probe of the simulation carried a copy of the roster through four closures.

Ruled out: a loop that does not end; the debugger showed the simulation at work, freeing rosters. Optimising the whole sanitizer build (-O1): GCC takes a header of KJ's for a use of something uninitialised, and the build takes far longer.

--- a/src/claims/Roster.cpp
+++ b/src/claims/Roster.cpp
@@ -1,11 +1,10 @@
 #include "zinniarail/claims/Roster.h"
 
 #include <algorithm>
-#include <memory>
 
 #include <boost/json.hpp>
 
-#include "zinniarail/homes/Homes.h"
+#include "homes/Ranking.h"
 
 namespace zinniarail {
 
@@ -117,17 +116,13 @@
                                  const std::string &service) {
   // The same ranking as for the service's homes, so that a home mostly holds
   // its own claims.
-  View view;
-  view.Intent = std::make_shared<Document>();
-  for (const Member &it : generation.Members) {
-    view.Instances.push_back({.Id = it.Id, .Domain = it.Domain});
-  }
-  ServiceSpec spec;
-  spec.Name = service;
+  auto ranked =
+      homes::rankForService(homes::listAll(generation.Members), service);
+  ranked.resize(std::min<std::size_t>(ranked.size(), HoldersPerService));
   std::vector<Member> holders;
-  for (const Instance &it :
-       placeService(view, spec, HoldersPerService).Ranked) {
-    holders.push_back(*findMember(generation, it.Id));
+  holders.reserve(ranked.size());
+  for (const Member *it : ranked) {
+    holders.push_back(*it);
   }
   return holders;
 }
--- a/src/homes/Homes.cpp
+++ b/src/homes/Homes.cpp
@@ -1,68 +1,39 @@
 #include "zinniarail/homes/Homes.h"
 
 #include <algorithm>
-#include <set>
 
-#include "zinniarail/core/Hash.h"
+#include "homes/Ranking.h"
 
 namespace zinniarail {
 
 namespace {
 
-constexpr std::uint64_t PlacementSeed = 1;
 constexpr std::uint64_t ShareSeed = 2;
 constexpr std::uint64_t ClaimSeed = 3;
 
-std::vector<Instance> rankFor(std::vector<Instance> instances,
-                              const std::string &name, std::uint64_t seed) {
-  const std::uint64_t key = hashBytes(name, seed);
-  const auto weigh = [&](const Instance &it) {
-    return hashCombine(key, hashBytes(it.Id, seed));
-  };
-  std::sort(instances.begin(), instances.end(),
-            [&](const Instance &a, const Instance &b) {
-              return std::pair{weigh(a), a.Id} > std::pair{weigh(b), b.Id};
-            });
-  return instances;
-}
+using homes::listAll;
+using homes::rankFor;
+using homes::Ranking;
 
-// Keeps the rank, but puts the best of each domain before the second bests.
-std::vector<Instance> spreadOverDomains(const std::vector<Instance> &ranked) {
-  std::vector<Instance> spread;
-  std::vector<Instance> rest = ranked;
-  while (!rest.empty()) {
-    std::set<std::string> seen;
-    std::vector<Instance> later;
-    for (Instance &it : rest) {
-      if (seen.insert(it.Domain).second) {
-        spread.push_back(std::move(it));
-      } else {
-        later.push_back(std::move(it));
-      }
-    }
-    rest = std::move(later);
-  }
-  return spread;
+template <typename Wanted>
+Ranking<Instance> select(const View &view, Wanted wanted) {
+  Ranking<Instance> kept = listAll(view.Instances);
+  std::erase_if(kept, [&](const Instance *it) { return !wanted(*it); });
+  return kept;
 }
 
-std::vector<Instance> eligible(const View &view) {
-  const auto keep = [&](auto wanted) {
-    std::vector<Instance> kept;
-    std::copy_if(view.Instances.begin(), view.Instances.end(),
-                 std::back_inserter(kept), wanted);
-    return kept;
-  };
+Ranking<Instance> eligible(const View &view) {
   const auto served = [&](const Instance &it) {
     return !it.Leaving && isInService(*view.Intent, it.Domain);
   };
   const auto staying = [](const Instance &it) { return !it.Leaving; };
-  if (auto it = keep(served); !it.empty()) {
+  if (auto it = select(view, served); !it.empty()) {
     return it;
   }
-  if (auto it = keep(staying); !it.empty()) {
+  if (auto it = select(view, staying); !it.empty()) {
     return it;
   }
-  return view.Instances;
+  return listAll(view.Instances);
 }
 
 unsigned divideFairly(unsigned total, unsigned parts, unsigned index) {
@@ -73,25 +44,26 @@
 
 Homes placeService(const View &view, const ServiceSpec &service,
                    unsigned count) {
-  Homes homes;
-  homes.Ranked =
-      spreadOverDomains(rankFor(eligible(view), service.Name, PlacementSeed));
-  if (homes.Ranked.size() > count) {
-    homes.Ranked.resize(count);
+  Homes placed;
+  const auto ranked = homes::rankForService(eligible(view), service.Name);
+  const std::size_t kept = std::min<std::size_t>(ranked.size(), count);
+  placed.Ranked.reserve(kept);
+  for (std::size_t n = 0; n < kept; ++n) {
+    placed.Ranked.push_back(*ranked[n]);
   }
-  homes.Digest = hashBytes(service.Name, PlacementSeed);
-  for (const Instance &it : homes.Ranked) {
-    homes.Digest = hashCombine(homes.Digest, hashBytes(it.Id));
+  placed.Digest = hashBytes(service.Name, homes::PlacementSeed);
+  for (const Instance &it : placed.Ranked) {
+    placed.Digest = hashCombine(placed.Digest, hashBytes(it.Id));
   }
-  return homes;
+  return placed;
 }
 
 UpstreamShare shareUpstream(const Homes &homes, const UpstreamSpec &upstream,
                             const std::string &self) {
-  const auto ranked = rankFor(homes.Ranked, upstream.Id, ShareSeed);
+  const auto ranked = rankFor(listAll(homes.Ranked), upstream.Id, ShareSeed);
   const auto it =
       std::find_if(ranked.begin(), ranked.end(),
-                   [&](const Instance &home) { return home.Id == self; });
+                   [&](const Instance *home) { return home->Id == self; });
   if (it == ranked.end()) {
     return {};
   }
@@ -102,7 +74,10 @@
 }
 
 std::vector<Instance> claimHolders(const Homes &homes, const std::string &key) {
-  auto holders = rankFor(homes.Ranked, key, ClaimSeed);
+  std::vector<Instance> holders;
+  for (const Instance *it : rankFor(listAll(homes.Ranked), key, ClaimSeed)) {
+    holders.push_back(*it);
+  }
   if (holders.size() > 1) {
     std::stable_partition(holders.begin() + 1, holders.end(),
                           [&](const Instance &it) {
--- a/tests/claims/ClaimNet.cpp
+++ b/tests/claims/ClaimNet.cpp
@@ -169,11 +169,11 @@
             const ClaimPeer evidence{it.State.Self,
                                      currentNumber(it.State.Known), sent, true,
                                      it.Leaving};
-            const Roster known = it.State.Known;
+            const auto known = std::make_shared<const Roster>(it.State.Known);
             return [=, this] {
               Nodes[node]->Heard[evidence.Who.Id] = Now;
               tell(node, PeerAnswered{evidence});
-              tell(node, RosterLearned{known});
+              tell(node, RosterLearned{*known});
             };
           },
           [] {});
