The loser of a race learns what differs, and whose change it is

Cause: `--expect` with a stale version said only which version is current. A race lost in the write listed what others had changed, but not what the loser had wanted. The platform keeps no older versions, so the content behind `--expect 7` is not to be had from it.

Change: the differences are taken among three documents, the one that the change was based on, the one stored and the one wanted. Every lost race and every unknown outcome lists up to 40 of them, with the number left out, in text and in `--json` (`differences`, which takes the place of `changes`). Without a base the list has stored and wanted alone. Another order of the same members is a difference now; it was shown as none, though the order of classes matters.

The test of `compareDocuments` checks the same paths and values in its new form.

--- a/include/zinniarail/intent/Changes.h
+++ b/include/zinniarail/intent/Changes.h
@@ -14,18 +14,28 @@
 namespace zinniarail {
 
 /// One difference. Members of lists are named by their name or id, as in
-/// /services/credencial/upstreams/u1/leaving.
+/// /services/credencial/upstreams/u1/leaving. Values are JSON text; empty when
+/// there is nothing.
 struct Difference {
   std::string Path;
-  std::string From; ///< JSON text; empty when it was not there.
-  std::string To;   ///< JSON text; empty when it is gone.
+  std::string Base;   ///< What the loser's change was based on.
+  std::string Stored; ///< What the platform has.
+  std::string Wanted; ///< What the loser wanted to be there.
 
   bool operator==(const Difference &) const = default;
 };
 
-/// Lists what differs, change ids left out.
-std::vector<Difference> compareDocuments(const Document &from,
-                                         const Document &to);
+/// Lists what differs among the document that a change was based on, the one
+/// stored and the one wanted, change ids left out.
+/// \param base null when it is not known: \p stored takes its place.
+std::vector<Difference> compareDocuments(const Document *base,
+                                         const Document &stored,
+                                         const Document &wanted);
+
+/// Who moved a value away from the base.
+enum class ChangedBy : std::uint8_t { Others, Loser, Both };
+
+ChangedBy changedBy(const Difference &difference);
 
 /// Takes a failure domain out of service, or back.
 /// \returns false when the document has no such domain.
--- a/programs/zinniactl/Change.cpp
+++ b/programs/zinniactl/Change.cpp
@@ -1,5 +1,6 @@
 #include "Change.h"
 
+#include <algorithm>
 #include <random>
 
 #include <boost/json.hpp>
@@ -14,23 +15,42 @@
 constexpr Duration PauseBetweenTries = std::chrono::milliseconds{200};
 constexpr unsigned MaxReads = 10; // to settle one write
 
-// Appends what differs between the version seen and the one found.
-void reportDifferences(Report &report, const std::string &before,
-                       const std::string &after) {
-  const auto from = parseDocument(before.empty() ? "{}" : before);
-  const auto to = parseDocument(after.empty() ? "{}" : after);
-  if (!from.has_value() || !to.has_value()) {
-    report.Lines.emplace_back("  (one of them is no valid document)");
-    return;
+constexpr std::size_t MaxListed = 40; // differences in a report
+constexpr std::size_t MaxShown = 80;  // bytes of a value in a line
+
+std::string show(const std::string &value) {
+  if (value.empty()) {
+    return "(none)";
+  }
+  return value.size() <= MaxShown ? value : value.substr(0, MaxShown) + "...";
+}
+
+const char *nameOf(ChangedBy who) {
+  switch (who) {
+  case ChangedBy::Others:
+    return "others";
+  case ChangedBy::Loser:
+    return "you";
+  case ChangedBy::Both:
+    break;
+  }
+  return "both";
+}
+
+std::string lineOf(const Difference &it, bool baseKnown) {
+  if (!baseKnown) {
+    return "  " + it.Path + ": stored " + show(it.Stored) + ", you wanted " +
+           show(it.Wanted);
+  }
+  std::string line = "  " + it.Path + ": was " + show(it.Base);
+  const ChangedBy who = changedBy(it);
+  if (who != ChangedBy::Loser) {
+    line += ", others made it " + show(it.Stored);
   }
-  json::array changes;
-  for (const Difference &it : compareDocuments(from.value(), to.value())) {
-    report.Lines.push_back("  " + it.Path + ": " +
-                           (it.From.empty() ? "(none)" : it.From) + " -> " +
-                           (it.To.empty() ? "(none)" : it.To));
-    changes.push_back({{"path", it.Path}, {"from", it.From}, {"to", it.To}});
+  if (who != ChangedBy::Others) {
+    line += ", you wanted " + show(it.Wanted);
   }
-  report.Data["changes"] = std::move(changes);
+  return line;
 }
 
 Report reportAccepted(const std::string &environment, const Stored &seen,
@@ -50,7 +70,7 @@
 }
 
 Report reportRace(ExitCode code, const std::string &text, const Stored &seen,
-                  const Stored &found) {
+                  const Stored &found, const Document &wanted) {
   Report report = fail(code, text);
   report.Data["seenVersion"] = seen.Version;
   report.Data["currentVersion"] = found.Version;
@@ -58,7 +78,9 @@
     report.Lines.push_back("changed since version " +
                            std::to_string(seen.Version) + ", now version " +
                            std::to_string(found.Version) + ":");
-    reportDifferences(report, seen.Whole, found.Whole);
+    const auto base = parseDocument(seen.Whole.empty() ? "{}" : seen.Whole);
+    reportDifferences(report, base.has_value() ? &base.value() : nullptr,
+                      found.Whole, wanted);
   }
   return report;
 }
@@ -89,6 +111,38 @@
   return report;
 }
 
+void reportDifferences(Report &report, const Document *base,
+                       const std::string &stored, const Document &wanted) {
+  const auto current = parseDocument(stored.empty() ? "{}" : stored);
+  if (!current.has_value()) {
+    report.Lines.emplace_back("  (what is stored is no valid document)");
+    return;
+  }
+  const auto all = compareDocuments(base, current.value(), wanted);
+  const std::size_t listed = std::min(all.size(), MaxListed);
+  json::array list;
+  for (std::size_t n = 0; n < listed; ++n) {
+    const Difference &it = all[n];
+    report.Lines.push_back(lineOf(it, base != nullptr));
+    json::object each{
+        {"path", it.Path}, {"stored", it.Stored}, {"wanted", it.Wanted}};
+    if (base != nullptr) {
+      each["base"] = it.Base;
+      each["changedBy"] = nameOf(changedBy(it));
+    }
+    list.push_back(std::move(each));
+  }
+  const std::size_t leftOut = all.size() - listed;
+  if (leftOut > 0) {
+    report.Lines.push_back("  and " + std::to_string(leftOut) + " more");
+  }
+  if (all.empty()) {
+    report.Lines.emplace_back("  nothing: what you wanted is there");
+  }
+  report.Data["differences"] = std::move(list);
+  report.Data["differencesLeftOut"] = leftOut;
+}
+
 std::string drawChangeId() {
   std::random_device draw;
   std::string id = "change";
@@ -132,15 +186,15 @@
 }
 
 Report writeStored(Session &session, const std::string &environment,
-                   const Stored &seen, const std::string &bytes) {
+                   const Stored &seen, const Wanted &wanted) {
   const std::string key = documentKey(environment);
-  ChangeWrite write{.Base = seen.Version, .Bytes = bytes};
+  ChangeWrite write{.Base = seen.Version, .Bytes = wanted.Bytes};
   ChangeStep step = ChangeStep::Put;
   platform::Reply last;
   unsigned reads = 0;
   while (step == ChangeStep::Put || step == ChangeStep::Read) {
     if (step == ChangeStep::Put) {
-      step = afterPut(write, session.put(key, bytes, write.Base));
+      step = afterPut(write, session.put(key, wanted.Bytes, write.Base));
       continue;
     }
     if (write.AnswerLost) {
@@ -160,7 +214,7 @@
   case ChangeStep::LostRace:
     return reportRace(ExitCode::LostRace,
                       "lost a race: nothing was written to " + environment,
-                      seen, readStored(session, environment));
+                      seen, readStored(session, environment), wanted.Content);
   case ChangeStep::NotWritten:
     return fail(ExitCode::Unreachable,
                 "the platform took no change: nothing was written");
@@ -168,7 +222,7 @@
     return reportRace(ExitCode::Unknown,
                       "unknown whether the change was written to " +
                           environment,
-                      seen, readStored(session, environment));
+                      seen, readStored(session, environment), wanted.Content);
   }
 }
 
--- a/programs/zinniactl/Change.h
+++ b/programs/zinniactl/Change.h
@@ -27,9 +27,20 @@
 /// \returns whether all are there.
 bool writeParts(Session &session, const Parts &parts);
 
-/// Writes bytes in place of what was seen, and settles lost answers.
+/// A document to be written.
+struct Wanted {
+  const Document &Content;
+  const std::string &Bytes; ///< Whole, or a root whose parts are there.
+};
+
+/// Writes in place of what was seen, and settles lost answers.
 Report writeStored(Session &session, const std::string &environment,
-                   const Stored &seen, const std::string &bytes);
+                   const Stored &seen, const Wanted &wanted);
+
+/// Appends to the report of a lost race what differs, bounded in length.
+/// \param base what the change was based on; null when that is not known.
+void reportDifferences(Report &report, const Document *base,
+                       const std::string &stored, const Document &wanted);
 
 /// A report of failure with one line.
 Report fail(ExitCode code, const std::string &line);
--- a/programs/zinniactl/DocumentCommands.cpp
+++ b/programs/zinniactl/DocumentCommands.cpp
@@ -1,4 +1,5 @@
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 #include <boost/json.hpp>
@@ -32,18 +33,55 @@
                   platform::nameOf(stored.How) + "); nothing was written");
 }
 
-// Whether an operator who saw another version must look again.
-bool isStale(const Options &options, const Stored &stored) {
-  return options.Expected && *options.Expected != stored.Version;
+// Reads the file of --base, when there is one.
+Result<std::optional<Document>, Report> readBase(const Options &options) {
+  if (options.Base.empty()) {
+    return std::optional<Document>();
+  }
+  const auto bytes = readFile(options.Base);
+  if (!bytes.has_value()) {
+    return bytes.error();
+  }
+  auto parsed = parseDocument(bytes.value());
+  if (!parsed.has_value()) {
+    return reportFaults(options.Base, parsed.error());
+  }
+  return std::optional<Document>(std::move(parsed.value()));
+}
+
+bool isSameContent(Document a, const Document &b) {
+  a.ChangeId = b.ChangeId;
+  return a == b;
+}
+
+// Whether an operator who saw another document must look again.
+bool isStale(const Options &options, const std::optional<Document> &base,
+             const Stored &stored) {
+  if (options.Expected && *options.Expected != stored.Version) {
+    return true;
+  }
+  if (!base) {
+    return false;
+  }
+  const auto current =
+      parseDocument(stored.Whole.empty() ? "{}" : stored.Whole);
+  return !current.has_value() || !isSameContent(current.value(), *base);
 }
 
-Report failStale(const Options &options, const Stored &stored) {
+Report failStale(const Options &options, const std::optional<Document> &base,
+                 const Stored &stored, const Document &wanted) {
+  const std::string seen = options.Expected
+                               ? "not " + std::to_string(*options.Expected)
+                               : "not what --base has";
   Report report =
       fail(ExitCode::LostRace,
            "lost a race: version " + std::to_string(stored.Version) +
-               " is current, not " + std::to_string(*options.Expected) +
-               "; nothing was written");
+               " is current, " + seen + "; nothing was written; what differs:");
   report.Data["currentVersion"] = stored.Version;
+  if (options.Expected) {
+    report.Data["seenVersion"] = *options.Expected;
+  }
+  reportDifferences(report, base ? &*base : nullptr, stored.Whole, wanted);
   return report;
 }
 
@@ -68,7 +106,8 @@
     return fail(ExitCode::Unreachable,
                 "a part couldn't be written; the document is unchanged");
   }
-  return writeStored(session, options.Environment, seen, split.Root);
+  return writeStored(session, options.Environment, seen,
+                     {document, split.Root});
 }
 
 // Reads the document, applies a small edit and writes it on condition that
@@ -84,14 +123,15 @@
   if (!isReached(seen)) {
     return failUnreachable(seen);
   }
-  if (isStale(options, seen)) {
-    return failStale(options, seen);
-  }
   auto parsed = parseDocument(seen.Whole);
   if (!parsed.has_value()) {
     return reportFaults("the stored document", parsed.error());
   }
-  if (!edit(parsed.value())) {
+  const bool found = edit(parsed.value());
+  if (isStale(options, std::nullopt, seen)) {
+    return failStale(options, std::nullopt, seen, parsed.value());
+  }
+  if (!found) {
     return fail(ExitCode::Failed, missing);
   }
   return writeDocument(session, options, seen, std::move(parsed.value()));
@@ -128,7 +168,8 @@
 
 Report apply(const Options &options) {
   if (options.Words.size() != 2) {
-    return fail(ExitCode::Usage, usage("zinniactl apply FILE"));
+    return fail(ExitCode::Usage,
+                usage("zinniactl apply FILE [--expect N] [--base FILE]"));
   }
   const auto bytes = readFile(options.Words[1]);
   if (!bytes.has_value()) {
@@ -138,13 +179,17 @@
   if (!parsed.has_value()) {
     return reportFaults(options.Words[1], parsed.error());
   }
+  const auto base = readBase(options);
+  if (!base.has_value()) {
+    return base.error();
+  }
   Session session(options.PlatformAddress, options.Timeout);
   const Stored seen = readStored(session, options.Environment);
   if (!isReached(seen)) {
     return failUnreachable(seen);
   }
-  if (isStale(options, seen)) {
-    return failStale(options, seen);
+  if (isStale(options, base.value(), seen)) {
+    return failStale(options, base.value(), seen, parsed.value());
   }
   return writeDocument(session, options, seen, std::move(parsed.value()));
 }
@@ -182,13 +227,13 @@
   if (!isReached(source) || !isReached(target)) {
     return failUnreachable(isReached(source) ? target : source);
   }
-  if (isStale(options, target)) {
-    return failStale(options, target);
-  }
   const auto parsed = parseDocument(source.Whole);
   if (!parsed.has_value()) {
     return reportFaults(options.From, parsed.error());
   }
+  if (isStale(options, std::nullopt, target)) {
+    return failStale(options, std::nullopt, target, parsed.value());
+  }
   if (!fits(parsed.value(), options.To)) {
     return failPinned(parsed.value(), options.To);
   }
@@ -203,7 +248,8 @@
                    {"sha256", digestOf(source.Bytes)}};
     return report;
   }
-  return writeStored(session, options.To, target, source.Bytes);
+  return writeStored(session, options.To, target,
+                     {parsed.value(), source.Bytes});
 }
 
 Report changeDomain(const Options &options) {
--- a/programs/zinniactl/Options.cpp
+++ b/programs/zinniactl/Options.cpp
@@ -27,6 +27,9 @@
       "IP:PORT of an instance, for drain and dump without the platform")(
       "expect", po::value<std::uint64_t>(),
       "version that you saw; a change onto another one is refused")(
+      "base", po::value(&it.Base),
+      "FILE that you edited, as show printed it; apply refuses another one and "
+      "tells whose change is whose")(
       "timeout-ms", po::value<std::int64_t>()->default_value(2000),
       "bound on each call, 1 to 60000")(
       "wait-ms", po::value<std::int64_t>()->default_value(0),
--- a/programs/zinniactl/Options.h
+++ b/programs/zinniactl/Options.h
@@ -36,6 +36,7 @@
   std::string OperatorAddress; ///< Of drain and dump, past the platform.
   /// The version that the operator saw; none: the one found at the start.
   std::optional<std::uint64_t> Expected;
+  std::string Base; ///< Of apply: the file that the operator edited.
   Duration Timeout = std::chrono::seconds{2}; ///< Of each call.
   Duration Wait{};                            ///< Of status.
   bool Json = false;
--- a/src/intent/Changes.cpp
+++ b/src/intent/Changes.cpp
@@ -1,6 +1,7 @@
 #include "zinniarail/intent/Changes.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 
 #include <boost/json.hpp>
@@ -43,29 +44,55 @@
   return members;
 }
 
-void compare(const json::value *from, const json::value *to,
-             const std::string &path, std::vector<Difference> &out) {
-  if (from != nullptr && to != nullptr && *from == *to) {
+constexpr std::size_t Sides = 3; // base, stored, wanted
+using Values = std::array<const json::value *, Sides>;
+
+bool isSame(const json::value *a, const json::value *b) {
+  return a == b || (a != nullptr && b != nullptr && *a == *b);
+}
+
+bool isNested(const Values &values) {
+  return std::all_of(values.begin(), values.end(), [&](const auto *it) {
+    return it != nullptr && it->is_structured() &&
+           it->kind() == values[0]->kind();
+  });
+}
+
+Difference differenceOf(const Values &values, const std::string &path) {
+  const auto textOf = [](const json::value *it) {
+    return it != nullptr ? json::serialize(*it) : std::string();
+  };
+  return {path, textOf(values[0]), textOf(values[1]), textOf(values[2])};
+}
+
+void compare(const Values &values, const std::string &path,
+             std::vector<Difference> &out) {
+  if (isSame(values[0], values[1]) && isSame(values[1], values[2])) {
     return;
   }
-  const bool bothNested = from != nullptr && to != nullptr &&
-                          from->kind() == to->kind() && from->is_structured();
-  if (!bothNested) {
-    out.push_back({path, from != nullptr ? json::serialize(*from) : "",
-                   to != nullptr ? json::serialize(*to) : ""});
+  if (!isNested(values)) {
+    out.push_back(differenceOf(values, path));
     return;
   }
-  const Members before = membersOf(*from);
-  const Members after = membersOf(*to);
-  Members all = before;
-  all.insert(after.begin(), after.end());
-  for (const auto &[key, it] : all) {
-    const auto a = before.find(key);
-    const auto b = after.find(key);
+  std::array<Members, Sides> sides;
+  Members all;
+  for (std::size_t n = 0; n < Sides; ++n) {
+    sides.at(n) = membersOf(*values.at(n));
+    all.insert(sides.at(n).begin(), sides.at(n).end());
+  }
+  const std::size_t found = out.size();
+  for (const auto &[key, unused] : all) {
+    Values each{};
+    for (std::size_t n = 0; n < Sides; ++n) {
+      const auto it = sides.at(n).find(key);
+      each.at(n) = it != sides.at(n).end() ? it->second : nullptr;
+    }
     std::string place = path;
     place.append("/").append(key);
-    compare(a != before.end() ? a->second : nullptr,
-            b != after.end() ? b->second : nullptr, place, out);
+    compare(each, place, out);
+  }
+  if (out.size() == found) { // the same members in another order
+    out.push_back(differenceOf(values, path));
   }
 }
 
@@ -76,15 +103,25 @@
 
 } // namespace
 
-std::vector<Difference> compareDocuments(const Document &from,
-                                         const Document &to) {
+std::vector<Difference> compareDocuments(const Document *base,
+                                         const Document &stored,
+                                         const Document &wanted) {
   std::vector<Difference> out;
-  const json::value before = toValue(from);
-  const json::value after = toValue(to);
-  compare(&before, &after, "", out);
+  const json::value before = toValue(base != nullptr ? *base : stored);
+  const json::value current = toValue(stored);
+  const json::value after = toValue(wanted);
+  compare({&before, &current, &after}, "", out);
   return out;
 }
 
+ChangedBy changedBy(const Difference &difference) {
+  if (difference.Wanted == difference.Base) {
+    return ChangedBy::Others;
+  }
+  return difference.Stored == difference.Base ? ChangedBy::Loser
+                                              : ChangedBy::Both;
+}
+
 bool setDomainInService(Document &document, const std::string &domain,
                         bool inService) {
   const auto it =
--- a/tests/control/Standin.h
+++ b/tests/control/Standin.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <curl/curl.h>
+#include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -24,8 +25,10 @@
 }
 
 /// Starts a program of the build.
+/// \param output the file that takes its standard output; empty: ours.
 inline pid_t startProgram(const std::string &program,
-                          std::vector<std::string> words) {
+                          std::vector<std::string> words,
+                          const std::string &output = "") {
   words.insert(words.begin(), std::string(ZINNIARAIL_BINARY_DIR) + program);
   std::vector<char *> arguments;
   arguments.reserve(words.size() + 1);
@@ -33,9 +36,17 @@
     arguments.push_back(it.data());
   }
   arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  if (!output.empty()) {
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
+                                     O_WRONLY | O_CREAT | O_TRUNC, 0600);
+  }
   pid_t pid = 0;
-  BOOST_REQUIRE(posix_spawn(&pid, words.front().c_str(), nullptr, nullptr,
-                            arguments.data(), environ) == 0);
+  const int ec = posix_spawn(&pid, words.front().c_str(), &actions, nullptr,
+                             arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  BOOST_REQUIRE(ec == 0);
   return pid;
 }
 
--- a/tests/control/ZinniactlTest.cpp
+++ b/tests/control/ZinniactlTest.cpp
@@ -1,6 +1,7 @@
 #include <filesystem>
 #include <fstream>
 
+#include <boost/json.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -34,8 +35,9 @@
   Fixture(const Fixture &) = delete;
   Fixture &operator=(const Fixture &) = delete;
 
-  std::string file(const std::string &bytes) const {
-    std::string name = Folder / "document.json";
+  std::string file(const std::string &bytes,
+                   const std::string &as = "document.json") const {
+    std::string name = Folder / as;
     std::ofstream(name) << bytes;
     return name;
   }
@@ -48,6 +50,17 @@
   int run(const std::vector<std::string> &words) const {
     return awaitExit(start(words));
   }
+  // Runs a command with --json.
+  std::pair<int, boost::json::object>
+  report(std::vector<std::string> words) const {
+    const std::string name = Folder / "output.json";
+    words.insert(words.end(), {"--json", "--platform-address", Platform.Address,
+                               "--environment", "trial"});
+    const int code =
+        awaitExit(startProgram("/programs/zinniactl", words, name));
+    std::ifstream in(name);
+    return {code, boost::json::parse(in).as_object()};
+  }
   std::string stored(const std::string &environment = "trial") const {
     std::string bytes;
     Platform.call("GET", "/objects/environments/" + environment + "/document",
@@ -133,6 +146,55 @@
   BOOST_TEST(isInService(after, "b") == (second != Done));
 }
 
+// What a loser is told: paths, and whose change each is.
+const std::vector<std::pair<std::vector<std::string>, std::string>> Losers{
+    {{"apply", "WANTED", "--expect", "1"},
+     R"([["/domains/a/inService",null],["/domains/b/inService",null]])"},
+    {{"apply", "WANTED", "--expect", "1", "--base", "BASE"},
+     R"([["/domains/a/inService","others"],["/domains/b/inService","you"]])"},
+    {{"apply", "WANTED", "--base", "BASE"},
+     R"([["/domains/a/inService","others"],["/domains/b/inService","you"]])"},
+    {{"domain", "out", "b", "--expect", "1"},
+     R"([["/domains/b/inService",null]])"},
+};
+
+BOOST_DATA_TEST_CASE(aLoserLearnsWhatDiffers,
+                     boost::unit_test::data::xrange(Losers.size()), n) {
+  auto [words, expected] = Losers[n];
+  Fixture it("51.7:7000");
+  Document wanted = Base;
+  setDomainInService(wanted, "b", false);
+  const std::string base = it.file(serialiseDocument(Base), "base.json");
+  BOOST_REQUIRE(it.run({"apply", base}) == Done);
+  BOOST_REQUIRE(it.run({"domain", "out", "a"}) == Done);
+  const std::string before = it.stored();
+  for (std::string &word : words) {
+    word = word == "WANTED" ? it.file(serialiseDocument(wanted))
+           : word == "BASE" ? base
+                            : word;
+  }
+  auto [code, data] = it.report(words);
+  BOOST_TEST(code == LostRace);
+  BOOST_TEST(data.at("currentVersion") == 2);
+  boost::json::array told;
+  for (const auto &each : data.at("differences").as_array()) {
+    const boost::json::object &one = each.as_object();
+    const auto *by = one.if_contains("changedBy");
+    told.push_back({one.at("path"), by != nullptr ? *by : nullptr});
+  }
+  BOOST_TEST(boost::json::serialize(told) == expected);
+  BOOST_TEST(it.stored() == before);
+}
+
+BOOST_AUTO_TEST_CASE(aBaseThatIsStillStoredLosesNothing) {
+  Fixture it("51.8:7000");
+  const std::string base = it.file(serialiseDocument(Base), "base.json");
+  BOOST_REQUIRE(it.run({"apply", base}) == Done);
+  BOOST_TEST(it.run({"apply", base, "--base", base}) == Done);
+  const std::string broken = it.file("{", "broken.json");
+  BOOST_TEST(it.run({"apply", base, "--base", broken}) == Invalid);
+}
+
 BOOST_AUTO_TEST_CASE(promotionCarriesTheSameBytes) {
   Fixture it("51.3:7000");
   BOOST_REQUIRE(it.run({"apply", it.file(serialiseDocument(Base))}) == Done);
--- a/tests/intent/ChangesTest.cpp
+++ b/tests/intent/ChangesTest.cpp
@@ -135,9 +135,43 @@
   BOOST_TEST(setDomainInService(after, "serra-b", false));
   BOOST_TEST(setUpstreamLeaving(after, "credencial", "u1", true));
   const std::vector<Difference> expected{
-      {"/domains/serra-b/inService", "true", "false"},
-      {"/services/credencial/upstreams/u1/leaving", "false", "true"}};
-  BOOST_TEST((compareDocuments(before, after) == expected));
+      {"/domains/serra-b/inService", "true", "true", "false"},
+      {"/services/credencial/upstreams/u1/leaving", "false", "false", "true"}};
+  BOOST_TEST((compareDocuments(nullptr, before, after) == expected));
+}
+
+BOOST_AUTO_TEST_CASE(differencesTellWhoseChangeItIs) {
+  const Document base = makeDocument();
+  Document stored = base;
+  Document wanted = base;
+  BOOST_TEST(setDomainInService(stored, "serra-a", false));
+  BOOST_TEST(setDomainInService(wanted, "serra-b", false));
+  stored.Services[0].QueueLimit = 128;
+  wanted.Services[0].QueueLimit = 32;
+  wanted.Services[0].Upstreams.clear();
+  stored.Services.push_back({.Name = "situacao"});
+  const auto found = compareDocuments(&base, stored, wanted);
+  const std::vector<std::pair<std::string, ChangedBy>> expected{
+      {"/domains/serra-a/inService", ChangedBy::Others},
+      {"/domains/serra-b/inService", ChangedBy::Loser},
+      {"/services/credencial/queueLimit", ChangedBy::Both},
+      {"/services/credencial/upstreams/u1", ChangedBy::Loser},
+      {"/services/situacao", ChangedBy::Others}};
+  BOOST_REQUIRE(found.size() == expected.size());
+  for (std::size_t n = 0; n < found.size(); ++n) {
+    BOOST_TEST(found[n].Path == expected[n].first);
+    BOOST_TEST((changedBy(found[n]) == expected[n].second), found[n].Path);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(anotherOrderIsADifference) {
+  Document before = makeDocument();
+  before.Services[0].Classes = {{.Name = "read"}, {.Name = "write"}};
+  Document after = before;
+  std::swap(after.Services[0].Classes[0], after.Services[0].Classes[1]);
+  const auto found = compareDocuments(nullptr, before, after);
+  BOOST_REQUIRE(found.size() == 1u);
+  BOOST_TEST(found[0].Path == "/services/credencial/classes");
 }
 
 BOOST_AUTO_TEST_CASE(anEditOfWhatIsNotThereIsRefused) {
