A key or a flag given twice is an error

Change: `parseNewDocument` reads the text a second time by its events (basic_parser) and notes every key that its object already has, with its path, together with the other faults. `parseDocument`, which loads what the platform and the peers have, is as it was: what was accepted before still loads. A flag of zinniaraild that is given more than once is named among the other errors; zinniactl refused it already.

--- a/include/zinniarail/intent/Format.h
+++ b/include/zinniarail/intent/Format.h
@@ -27,10 +27,15 @@
 };
 using Faults = std::vector<Fault>;
 
-/// Parses and validates a document.
+/// Parses and validates a document. Of a key that is there twice the last
+/// value counts.
 /// \returns the document, or every fault found in it.
 Result<Document, Faults> parseDocument(std::string_view bytes);
 
+/// The same for a document that is to be accepted: a key that is there twice
+/// is a fault.
+Result<Document, Faults> parseNewDocument(std::string_view bytes);
+
 /// Writes a document in its one canonical form: every key, in a fixed order.
 /// parseDocument gives the same document back.
 std::string serialiseDocument(const Document &document);
--- a/programs/zinniactl/DocumentCommands.cpp
+++ b/programs/zinniactl/DocumentCommands.cpp
@@ -42,7 +42,7 @@
   if (!bytes.has_value()) {
     return bytes.error();
   }
-  auto parsed = parseDocument(bytes.value());
+  auto parsed = parseNewDocument(bytes.value());
   if (!parsed.has_value()) {
     return reportFaults(options.Base, parsed.error());
   }
@@ -148,7 +148,7 @@
   if (!bytes.has_value()) {
     return bytes.error();
   }
-  const auto parsed = parseDocument(bytes.value());
+  const auto parsed = parseNewDocument(bytes.value());
   if (!parsed.has_value()) {
     return reportFaults(name, parsed.error());
   }
@@ -175,7 +175,7 @@
   if (!bytes.has_value()) {
     return bytes.error();
   }
-  auto parsed = parseDocument(bytes.value());
+  auto parsed = parseNewDocument(bytes.value());
   if (!parsed.has_value()) {
     return reportFaults(options.Words[1], parsed.error());
   }
--- a/src/intent/Format.cpp
+++ b/src/intent/Format.cpp
@@ -9,6 +9,7 @@
 #include <boost/json.hpp>
 #include <openssl/evp.h>
 
+#include "intent/DuplicateKeys.h"
 #include "intent/JsonReader.h"
 
 namespace zinniarail {
@@ -243,16 +244,8 @@
           {"upstreams", toArray(it.Upstreams)}};
 }
 
-} // namespace
-
-bool isName(std::string_view text) {
-  return !text.empty() && text.size() <= MaxNameBytes && text.front() != '.' &&
-         std::all_of(text.begin(), text.end(), [](unsigned char it) {
-           return std::isalnum(it) != 0 || it == '.' || it == '_' || it == '-';
-         });
-}
-
-Result<Document, Faults> parseDocument(std::string_view bytes) {
+template <typename Check>
+Result<Document, Faults> parseWith(std::string_view bytes, Check check) {
   if (bytes.size() > MaxDocumentBytes) {
     return Faults{
         {"", "is larger than " + std::to_string(MaxDocumentBytes) + " bytes"}};
@@ -263,6 +256,7 @@
     return Faults{{"", "is not JSON: " + ec.message()}};
   }
   Faults faults;
+  check(bytes, faults);
   Document document = readDocument(value, faults);
   if (!faults.empty()) {
     return faults;
@@ -270,6 +264,23 @@
   return document;
 }
 
+} // namespace
+
+bool isName(std::string_view text) {
+  return !text.empty() && text.size() <= MaxNameBytes && text.front() != '.' &&
+         std::all_of(text.begin(), text.end(), [](unsigned char it) {
+           return std::isalnum(it) != 0 || it == '.' || it == '_' || it == '-';
+         });
+}
+
+Result<Document, Faults> parseDocument(std::string_view bytes) {
+  return parseWith(bytes, [](std::string_view, Faults &) {});
+}
+
+Result<Document, Faults> parseNewDocument(std::string_view bytes) {
+  return parseWith(bytes, findDuplicateKeys);
+}
+
 std::string serialiseDocument(const Document &document) {
   json::object out;
   if (!document.Environment.empty()) {
--- a/src/intent/JsonReader.cpp
+++ b/src/intent/JsonReader.cpp
@@ -10,10 +10,6 @@
 
 constexpr std::size_t MaxQuoted = 64; // bytes of input repeated in a fault
 
-std::string clip(std::string_view text) {
-  return std::string(text.substr(0, MaxQuoted));
-}
-
 std::string range(Bounds bounds) {
   return "must be a whole number from " + std::to_string(bounds.Least) +
          " to " + std::to_string(bounds.Most);
@@ -21,6 +17,10 @@
 
 } // namespace
 
+std::string clip(std::string_view text) {
+  return std::string(text.substr(0, MaxQuoted));
+}
+
 void addFault(Faults &faults, std::string path, std::string message) {
   if (faults.size() < MaxFaults) {
     faults.push_back({std::move(path), std::move(message)});
--- a/src/intent/JsonReader.h
+++ b/src/intent/JsonReader.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include <boost/json.hpp>
 
@@ -18,6 +19,9 @@
 /// Notes a fault; beyond MaxFaults only counts it.
 void addFault(Faults &faults, std::string path, std::string message);
 
+/// The beginning of a key or value of the input, for a fault.
+std::string clip(std::string_view text);
+
 /// Whole numbers that a key may hold.
 struct Bounds {
   std::int64_t Least;
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -117,6 +117,21 @@
   po::store(po::parsed_options(parsed.description), values); // the defaults
 }
 
+// Of a flag given twice the first would be taken silently.
+void refuseRepeated(const std::vector<po::option> &given,
+                    SettingErrors &errors) {
+  std::map<std::string, unsigned> counts;
+  for (const po::option &it : given) {
+    ++counts[it.string_key];
+  }
+  for (const auto &[flag, count] : counts) {
+    if (count > 1) {
+      errors.push_back("--" + flag + ": is given " + std::to_string(count) +
+                       " times");
+    }
+  }
+}
+
 void readFlags(const std::vector<std::string> &arguments,
                const po::options_description &all, po::variables_map &values,
                SettingErrors &errors) {
@@ -137,6 +152,7 @@
     std::erase_if(parsed.options, [](const po::option &it) {
       return it.unregistered || it.position_key != -1;
     });
+    refuseRepeated(parsed.options, errors);
     storeEach(parsed, values, errors);
   } catch (const po::error &e) {
     errors.push_back(e.what());
--- a/tests/control/ZinniactlTest.cpp
+++ b/tests/control/ZinniactlTest.cpp
@@ -233,5 +233,8 @@
   Fixture it("51.5:7000");
   BOOST_TEST(it.run({"validate", it.file("{\"services\":[{}]}")}) == Invalid);
   BOOST_TEST(it.run({"apply", it.file("{\"services\":[{}]}")}) == Invalid);
+  const std::string twice = it.file(R"({"domains":[],"domains":[]})");
+  BOOST_TEST(it.run({"validate", twice}) == Invalid);
+  BOOST_TEST(it.run({"apply", twice}) == Invalid);
   BOOST_TEST(it.stored() == "no such object\n");
 }
--- a/tests/intent/FormatTest.cpp
+++ b/tests/intent/FormatTest.cpp
@@ -94,6 +94,53 @@
   BOOST_TEST(parsed.error().size() == 3u);
 }
 
+namespace {
+
+const std::vector<Bad> KeysGivenTwice{
+    {"\"port\":80", "\"port\":80,\"port\":81", "/services/0/upstreams/0/port"},
+    {"\"port\":80", "\"port\":80,\"p\\u006frt\":80",
+     "/services/0/upstreams/0/port"},
+    {"\"name\":\"serra-b\"", "\"name\":\"x\",\"name\":\"serra-b\"",
+     "/domains/1/name"},
+    {"\"changeId\"", "\"services\":[{\"a\":[[],{},1]}],\"changeId\"",
+     "/services"},
+    {"\"homes\":3", "\"homes\":3,\"classes\":[]", "/services/0/classes"},
+};
+
+} // namespace
+
+// Whoever puts a document into the platform is told; what is there already
+// was accepted with the last value and goes on so.
+BOOST_DATA_TEST_CASE(aKeyGivenTwiceIsAFaultOfANewDocument, KeysGivenTwice, it) {
+  const std::string text = with(Whole, it.From, it.To);
+  const auto parsed = parseNewDocument(text);
+  BOOST_REQUIRE(!parsed.has_value());
+  BOOST_REQUIRE(parsed.error().size() == 1u);
+  BOOST_TEST(parsed.error().front().Path == it.Path);
+  BOOST_TEST(parseDocument(text).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(keysGivenTwiceAreReportedWithTheOtherFaults) {
+  std::string text = Whole;
+  text = with(text, "\"slots\":4", "\"slots\":4,\"slots\":4,\"slots\":5");
+  text = with(text, "127.0.0.1", "upstream.example");
+  const auto parsed = parseNewDocument(text);
+  BOOST_REQUIRE(!parsed.has_value());
+  std::vector<std::string> paths;
+  for (const Fault &it : parsed.error()) {
+    paths.push_back(it.Path);
+  }
+  const std::vector<std::string> expected{"/services/0/upstreams/0/slots",
+                                          "/services/0/upstreams/0/slots",
+                                          "/services/0/upstreams/0/address"};
+  BOOST_TEST(paths == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(aNewDocumentWithoutFaultsIsTheSame) {
+  BOOST_TEST((parseNewDocument(Whole).value() == parseDocument(Whole).value()));
+  BOOST_TEST(!parseNewDocument("{").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(faultsAreBounded) {
   std::string text = R"({"services":[)";
   for (int n = 0; n < 2000; ++n) {
--- a/tests/settings/SettingsTest.cpp
+++ b/tests/settings/SettingsTest.cpp
@@ -49,6 +49,9 @@
      {"--nonsense", "--view-lifetime-ms", "--stop-timeout-ms"}},
     {{"--peer-interval-ms=1000"}, {"--peer-interval-ms"}},
     {{"stray"}, {"stray"}},
+    {{"--seed=1", "--seed=2"}, {"--seed"}},
+    {{"--seed=1", "--seed=x", "--nonsense", "--instance-id=i2"},
+     {"--nonsense", "--instance-id", "--seed"}},
 };
 
 } // namespace
