--- a/include/zinniarail/settings/Settings.h
+++ b/include/zinniarail/settings/Settings.h
@@ -67,6 +67,17 @@
 readSettings(const std::vector<std::string> &arguments,
              const ReadVariable &variable);
 
+/// One setting, as the program takes it.
+struct SettingKind {
+  std::string Flag;     ///< "--failure-domain"
+  std::string Variable; ///< "ZINNIARAIL_FAILURE_DOMAIN"
+  std::string Default;  ///< Empty: it must be given.
+  std::string Meaning;
+};
+
+/// Every setting, in the order of --help.
+std::vector<SettingKind> settingKinds();
+
 /// The text of --help: each setting with its variable and default.
 std::string describeSettings();
 
--- a/programs/zinniactl/Options.cpp
+++ b/programs/zinniactl/Options.cpp
@@ -14,7 +14,10 @@
 constexpr std::int64_t MaxTimeoutMs = 60000;
 
 po::options_description describeOptions(Options &it) {
-  po::options_description flags("Flags (variable ZINNIARAIL_NAME likewise)");
+  po::options_description flags("Flags (variables for three of them: "
+                                "ZINNIARAIL_PLATFORM_ADDRESS,\n"
+                                "ZINNIARAIL_ENVIRONMENT, "
+                                "ZINNIARAIL_TIMEOUT_MS; the flag wins)");
   flags.add_options()("help", po::bool_switch(&it.Help), "this text")(
       "version", po::bool_switch(&it.Version), "the version")(
       "json", po::bool_switch(&it.Json), "one JSON object on standard output")(
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -100,6 +100,14 @@
   return name;
 }
 
+// The default as Boost.Program_options shows it: "NAME (=DEFAULT)".
+std::string defaultOf(const po::option_description &option) {
+  const std::string text = option.format_parameter();
+  const std::size_t at = text.find("(=");
+  return at == std::string::npos ? ""
+                                 : text.substr(at + 2, text.size() - at - 3);
+}
+
 // Stores one source of values; each wrong value is reported by itself, so that
 // one does not hide the next.
 void storeEach(const po::basic_parsed_options<char> &parsed,
@@ -289,6 +297,17 @@
                     finish(std::move(raw))};
 }
 
+std::vector<SettingKind> settingKinds() {
+  RawSettings raw;
+  std::vector<SettingKind> kinds;
+  const po::options_description options = describeOptions(raw);
+  for (const auto &it : options.options()) {
+    kinds.push_back({"--" + it->long_name(), variableOf(it->long_name()),
+                     defaultOf(*it), it->description()});
+  }
+  return kinds;
+}
+
 std::string describeSettings() {
   RawSettings raw;
   std::ostringstream out;
--- a/tests/control/ZinniactlTest.cpp
+++ b/tests/control/ZinniactlTest.cpp
@@ -1,5 +1,8 @@
 #include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <regex>
+#include <set>
 
 #include <boost/json.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -229,6 +232,43 @@
              Invalid);
 }
 
+// The flags and variables that the page and the program tell, as "--flag" or
+// "--flag=default".
+std::set<std::string> flagsOf(const std::string &text, const std::string &row) {
+  std::set<std::string> flags;
+  const std::regex each(row);
+  for (std::sregex_iterator it(text.begin(), text.end(), each), end; it != end;
+       ++it) {
+    const std::string value = (*it)[2].str();
+    flags.insert((*it)[1].str() + (value.empty() ? "" : "=" + value));
+  }
+  return flags;
+}
+
+std::string textOf(const std::string &name) {
+  std::ifstream in(name);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+BOOST_AUTO_TEST_CASE(thePageListsTheFlagsOfHelpAndNoOther) {
+  Fixture it("51.9:7000");
+  const std::string help = it.Folder / "help.txt";
+  BOOST_REQUIRE(
+      awaitExit(startProgram("/programs/zinniactl", {"--help"}, help)) == Done);
+  const std::string page = textOf(ZINNIARAIL_SOURCE_DIR "/docs/OPERATING.md");
+  const std::size_t at = page.find("## Flags of zinniactl");
+  BOOST_REQUIRE(at != std::string::npos);
+  const std::string part = page.substr(at);
+  const auto told =
+      flagsOf(textOf(help), "\n  (--[a-z-]+)(?: arg)?(?: \\(=([^)]*)\\))? ");
+  BOOST_TEST(told.size() > 5u);
+  BOOST_TEST(told == flagsOf(part, "\n\\| `(--[a-z-]+)` \\| [^|]*\\| ([^ |]*)"),
+             boost::test_tools::per_element());
+  BOOST_TEST(flagsOf(textOf(help), "(ZINNIARAIL_[A-Z_]+)()") ==
+                 flagsOf(part, "\\| `(ZINNIARAIL_[A-Z_]+)` ()"),
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(aDocumentWithFaultsIsNotWritten) {
   Fixture it("51.5:7000");
   BOOST_TEST(it.run({"validate", it.file("{\"services\":[{}]}")}) == Invalid);
--- a/tests/settings/SettingsTest.cpp
+++ b/tests/settings/SettingsTest.cpp
@@ -1,4 +1,8 @@
+#include <algorithm>
+#include <fstream>
 #include <map>
+#include <regex>
+#include <sstream>
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -99,3 +103,84 @@
                      text) {
   BOOST_TEST(parseAddress(text).Host.empty());
 }
+
+namespace {
+
+std::string rowOf(const SettingKind &it) {
+  const std::string value = it.Default.empty() ? "(must be given)" : it.Default;
+  return "| `" + it.Flag + "` | `" + it.Variable + "` | " + value + " | " +
+         it.Meaning + " |";
+}
+
+// The rows of the daemon's table, which is the first one of flags.
+std::vector<std::string> settingRows() {
+  std::ifstream file(ZINNIARAIL_SOURCE_DIR "/docs/OPERATING.md");
+  std::vector<std::string> rows;
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with("| `--")) {
+      rows.push_back(line);
+    } else if (!rows.empty()) {
+      break;
+    }
+  }
+  return rows;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(thePageListsEachSettingAndNoOther) {
+  std::vector<std::string> rows;
+  for (const SettingKind &it : settingKinds()) {
+    rows.push_back(rowOf(it));
+  }
+  BOOST_TEST(rows == settingRows(), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(theHelpListsEachSettingAndNoOther) {
+  const std::string help = describeSettings();
+  const std::string part = help.substr(help.find("Settings:"));
+  const std::regex line("\n  (--[a-z-]+) [A-Z:]+( \\(=([^)]*)\\))? ");
+  std::vector<std::string> listed;
+  for (std::sregex_iterator it(part.begin(), part.end(), line), end; it != end;
+       ++it) {
+    listed.push_back((*it)[1].str() + "=" + (*it)[3].str());
+  }
+  std::vector<std::string> kinds;
+  for (const SettingKind &it : settingKinds()) {
+    kinds.push_back(it.Flag + "=" + it.Default);
+  }
+  BOOST_TEST(listed == kinds, boost::test_tools::per_element());
+}
+
+// Both the flag and the variable are read: a value that is wrong for any of
+// them is refused by its name. The default, given, is the same as none.
+BOOST_AUTO_TEST_CASE(eachSettingIsReadByItsFlagItsVariableAndItsDefault) {
+  for (const SettingKind &it : settingKinds()) {
+    std::vector<std::string> arguments = Complete;
+    std::erase_if(arguments, [&](const std::string &each) {
+      return each.starts_with(it.Flag + "=");
+    });
+    const auto readWith = [&](const std::string &value, bool asFlag) {
+      std::vector<std::string> given = arguments;
+      if (asFlag) {
+        given.push_back(it.Flag + "=" + value);
+      }
+      return readSettings(given, [&](const char *name) {
+        return !asFlag && name == it.Variable ? value.c_str() : nullptr;
+      });
+    };
+    for (const bool asFlag : {true, false}) {
+      const auto wrong = readWith("?", asFlag);
+      BOOST_REQUIRE_MESSAGE(!wrong, it.Flag);
+      BOOST_TEST(wrong.error().front().find(it.Flag.substr(2)) !=
+                     std::string::npos,
+                 wrong.error().front());
+      BOOST_TEST(it.Default.empty() == !readWith(it.Default, asFlag), it.Flag);
+    }
+    BOOST_TEST(
+        it.Default.empty() ==
+            !readSettings(arguments,
+                          [](const char *) -> const char * { return nullptr; }),
+        it.Flag);
+  }
+}
