--- a/programs/zinniactl/Options.cpp
+++ b/programs/zinniactl/Options.cpp
@@ -14,7 +14,10 @@
 constexpr std::int64_t MaxTimeoutMs = 60000;
 
 po::options_description describeOptions(Options &it) {
-  po::options_description flags("Flags (variable ZINNIARAIL_NAME likewise)");
+  po::options_description flags("Flags (variables for three of them: "
+                                "ZINNIARAIL_PLATFORM_ADDRESS,\n"
+                                "ZINNIARAIL_ENVIRONMENT, "
+                                "ZINNIARAIL_TIMEOUT_MS; the flag wins)");
   flags.add_options()("help", po::bool_switch(&it.Help), "this text")(
       "version", po::bool_switch(&it.Version), "the version")(
       "json", po::bool_switch(&it.Json), "one JSON object on standard output")(
@@ -27,6 +30,9 @@
       "IP:PORT of an instance, for drain and dump without the platform")(
       "expect", po::value<std::uint64_t>(),
       "version that you saw; a change onto another one is refused")(
+      "base", po::value(&it.Base),
+      "FILE that you edited, as show printed it; apply refuses another one and "
+      "tells whose change is whose")(
       "timeout-ms", po::value<std::int64_t>()->default_value(2000),
       "bound on each call, 1 to 60000")(
       "wait-ms", po::value<std::int64_t>()->default_value(0),
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -100,6 +100,14 @@
   return name;
 }
 
+// The default as Boost.Program_options shows it: "NAME (=DEFAULT)".
+std::string defaultOf(const po::option_description &option) {
+  const std::string text = option.format_parameter();
+  const std::size_t at = text.find("(=");
+  return at == std::string::npos ? ""
+                                 : text.substr(at + 2, text.size() - at - 3);
+}
+
 // Stores one source of values; each wrong value is reported by itself, so that
 // one does not hide the next.
 void storeEach(const po::basic_parsed_options<char> &parsed,
@@ -117,6 +125,21 @@
   po::store(po::parsed_options(parsed.description), values); // the defaults
 }
 
+// Of a flag given twice the first would be taken silently.
+void refuseRepeated(const std::vector<po::option> &given,
+                    SettingErrors &errors) {
+  std::map<std::string, unsigned> counts;
+  for (const po::option &it : given) {
+    ++counts[it.string_key];
+  }
+  for (const auto &[flag, count] : counts) {
+    if (count > 1) {
+      errors.push_back("--" + flag + ": is given " + std::to_string(count) +
+                       " times");
+    }
+  }
+}
+
 void readFlags(const std::vector<std::string> &arguments,
                const po::options_description &all, po::variables_map &values,
                SettingErrors &errors) {
@@ -137,6 +160,7 @@
     std::erase_if(parsed.options, [](const po::option &it) {
       return it.unregistered || it.position_key != -1;
     });
+    refuseRepeated(parsed.options, errors);
     storeEach(parsed, values, errors);
   } catch (const po::error &e) {
     errors.push_back(e.what());
@@ -273,6 +297,17 @@
                     finish(std::move(raw))};
 }
 
+std::vector<SettingKind> settingKinds() {
+  RawSettings raw;
+  std::vector<SettingKind> kinds;
+  const po::options_description options = describeOptions(raw);
+  for (const auto &it : options.options()) {
+    kinds.push_back({"--" + it->long_name(), variableOf(it->long_name()),
+                     defaultOf(*it), it->description()});
+  }
+  return kinds;
+}
+
 std::string describeSettings() {
   RawSettings raw;
   std::ostringstream out;
