--- a/tests/dispatch/Checker.cpp
+++ b/tests/dispatch/Checker.cpp
@@ -68,8 +68,9 @@
   } else if (const auto *it = std::get_if<ClaimDecided>(&event)) {
     Requests.at(it->Request).Granted = it->Verdict == ClaimVerdict::Granted;
   } else if (const auto *it = std::get_if<PeerWord>(&event)) {
-    Upstreams.at(it->Upstream).MayTakeUp |=
-        it->What == PeerWord::Kind::UpstreamWarm;
+    if (it->What == PeerWord::Kind::UpstreamWarm) {
+      Upstreams.at(it->Upstream).MayTakeUp = true;
+    }
   } else if (const auto *it = std::get_if<ProbeEnded>(&event)) {
     Upstreams.at(it->Upstream).MayTakeUp |= it->Reached && !it->Report.Cold;
   }
@@ -77,7 +78,12 @@
 
 void Checker::see(const RequestArrived &event, Instant) {
   SeenRequest &it = Requests[event.Request];
-  it.Idempotent = event.Class != "write";
+  it.Idempotent = event.IdempotentMethod;
+  for (const RequestClass &type : Plan.Spec.Classes) {
+    if (type.Name == event.Class) {
+      it.Idempotent = type.Idempotent;
+    }
+  }
   it.Deadline = event.Deadline;
 }
 
