--- a/include/zinniarail/gateway/Messages.h
+++ b/include/zinniarail/gateway/Messages.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -39,9 +40,16 @@
 struct DumpWanted {
   std::function<void(boost::json::object)> Answer;
 };
+/// Give the trace of a service, none when it isn't recorded; the callback runs
+/// on the gateway's thread.
+struct TraceWanted {
+  std::string Service;
+  std::function<void(std::optional<std::string>)> Answer;
+};
 
-using Message = std::variant<ViewChanged, ClaimAnswer, WordArrived,
-                             ClaimsHandedOver, StopWanted, DumpWanted>;
+using Message =
+    std::variant<ViewChanged, ClaimAnswer, WordArrived, ClaimsHandedOver,
+                 StopWanted, DumpWanted, TraceWanted>;
 using Inbox = Mailbox<Message>;
 
 } // namespace zinniarail::gateway
--- a/include/zinniarail/operator/OperatorTask.h
+++ b/include/zinniarail/operator/OperatorTask.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,9 @@
 /// Takes a task's description, on any thread.
 using TakeDump = std::function<void(boost::json::object)>;
 
+/// Takes a service's trace, on any thread; none when it isn't recorded.
+using TakeTrace = std::function<void(std::optional<std::string>)>;
+
 /// One task that can be asked for its state.
 struct DumpSource {
   std::string Name;
@@ -36,6 +40,7 @@
   std::function<bool()> Stopping;
   std::function<void()> Drain; ///< Begins a graceful stop.
   std::vector<DumpSource> Dumps;
+  std::function<void(const std::string &service, TakeTrace)> Trace;
   prometheus::Registry *Metrics = nullptr;
 };
 
--- a/include/zinniarail/settings/Settings.h
+++ b/include/zinniarail/settings/Settings.h
@@ -34,6 +34,8 @@
   /// How long a graceful stop may take at most.
   Duration StopTimeout = std::chrono::seconds{30};
   std::uint64_t Seed = 0; ///< 0: drawn at the start.
+  /// Memory for the trace of each service; 0: nothing is recorded.
+  std::size_t TraceBytes = 0;
 };
 
 /// The exit codes of the daemon.
--- a/programs/zinniactl/Commands.h
+++ b/programs/zinniactl/Commands.h
@@ -28,5 +28,6 @@
 Report drain(const Options &options);
 Report status(const Options &options);
 Report dump(const Options &options);
+Report trace(const Options &options);
 
 } // namespace zinniarail::ctl
--- a/programs/zinniactl/InstanceCommands.cpp
+++ b/programs/zinniactl/InstanceCommands.cpp
@@ -46,10 +46,11 @@
 
 // Calls one instance's operator port.
 Report callInstance(const Options &options, const char *method,
-                    const char *path) {
-  if (options.Words.size() != 2) {
-    return fail(ExitCode::Usage,
-                "usage: zinniactl " + options.Words.at(0) + " INSTANCE");
+                    const std::string &path) {
+  const bool traces = options.Words.at(0) == "trace";
+  if (options.Words.size() != (traces ? 3 : 2)) {
+    return fail(ExitCode::Usage, "usage: zinniactl " + options.Words.at(0) +
+                                     " INSTANCE" + (traces ? " SERVICE" : ""));
   }
   Session session(options.PlatformAddress, options.Timeout);
   const auto address = findOperatorAddress(session, options, options.Words[1]);
@@ -186,6 +187,19 @@
   return callInstance(options, "GET", "/dump");
 }
 
+Report trace(const Options &options) {
+  const bool named = options.Words.size() == 3 && isName(options.Words[2]);
+  Report report = callInstance(options, "GET",
+                               "/trace?service=" +
+                                   (named ? options.Words[2] : std::string()));
+  if (report.Code == ExitCode::Done) {
+    std::string &text = report.Lines.front();
+    report.Data["answer"] = text;
+    text.erase(text.find_last_not_of('\n') + 1); // main ends the last line
+  }
+  return report;
+}
+
 Report status(const Options &options) {
   Session session(options.PlatformAddress, options.Timeout);
   const Instant until = readClock() + options.Wait;
--- a/programs/zinniactl/Options.cpp
+++ b/programs/zinniactl/Options.cpp
@@ -24,7 +24,7 @@
       "from", po::value(&it.From), "environment that promote reads")(
       "to", po::value(&it.To), "environment that promote writes")(
       "operator-address", po::value(&it.OperatorAddress),
-      "IP:PORT of an instance, for drain and dump without the platform")(
+      "IP:PORT of an instance, for drain, dump and trace without the platform")(
       "expect", po::value<std::uint64_t>(),
       "version that you saw; a change onto another one is refused")(
       "timeout-ms", po::value<std::int64_t>()->default_value(2000),
@@ -77,7 +77,8 @@
          "  upstream leave|return SERVICE ID\n"
          "  drain INSTANCE              begin a graceful stop\n"
          "  status                      accepted, and in force on whom\n"
-         "  dump INSTANCE               an instance's state\n\n"
+         "  dump INSTANCE               an instance's state\n"
+         "  trace INSTANCE SERVICE      a service's recorded trace\n\n"
       << describeOptions(unused)
       << "\nExit codes: 0 done, 1 failed, 2 usage, 3 faults in the document,\n"
          "4 lost a race (nothing written), 5 unreachable (nothing written),\n"
--- a/programs/zinniactl/main.cpp
+++ b/programs/zinniactl/main.cpp
@@ -28,6 +28,7 @@
     {"upstream", {changeUpstream, true, true}},
     {"drain", {drain, false, false}},
     {"dump", {dump, false, false}},
+    {"trace", {trace, false, false}},
     {"status", {status, true, true}},
 };
 
@@ -37,7 +38,8 @@
     return fail(ExitCode::Usage, "no such command: " + options.Words.front());
   }
   const bool direct = !options.OperatorAddress.empty();
-  const bool locates = it->first == "drain" || it->first == "dump";
+  const bool locates =
+      it->first == "drain" || it->first == "dump" || it->first == "trace";
   if (options.PlatformAddress.empty() &&
       (it->second.NeedsPlatform || (locates && !direct))) {
     return fail(ExitCode::Usage, "--platform-address is missing");
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -67,6 +67,10 @@
       {"control", [&tasks](TakeDump it) {
          tasks.Control.inbox().post(control::DumpWanted{std::move(it)});
        }}};
+  sources.Trace = [&tasks](const std::string &service, TakeTrace answer) {
+    tasks.Gateway.inbox().post(
+        gateway::TraceWanted{service, std::move(answer)});
+  };
   sources.Metrics = &registry;
   return sources;
 }
--- a/src/gateway/Dispatcher.cpp
+++ b/src/gateway/Dispatcher.cpp
@@ -170,7 +170,7 @@
       .Fingerprint = fingerprintOf(content),
       .Deadline = deadline,
       .IdempotentMethod = isSafeMethod(content.Method)};
-  engineOf(Table, entry);
+  engineOf(Table, entry, now);
   post(entry, std::move(event));
   drain();
 }
@@ -255,7 +255,7 @@
 void Dispatcher::onWord(const std::string &service, const PeerWord &word) {
   ServiceEntry *entry = findEntry(Table, service);
   if (entry != nullptr && entry->AtHome) {
-    engineOf(Table, *entry);
+    engineOf(Table, *entry, readClock());
     post(*entry, word);
     drain();
   }
--- a/src/gateway/Dispatcher.h
+++ b/src/gateway/Dispatcher.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -69,6 +70,9 @@
   /// The state for a dump.
   boost::json::object describe(Instant now) const;
 
+  /// The trace of a service; none when it isn't recorded.
+  std::optional<std::string> traceOf(const std::string &service) const;
+
   /// Brings the gauges up to date.
   void measure(Instant now);
 
--- a/src/gateway/DispatcherEngine.cpp
+++ b/src/gateway/DispatcherEngine.cpp
@@ -50,6 +50,9 @@
     const Instant now = readClock();
     actions.clear();
     handle(*entry->Engine, event, now, actions);
+    if (entry->Recording) {
+      entry->Recording->note(now, std::move(event), actions);
+    }
     for (Action &it : actions) {
       perform(*entry, it);
     }
@@ -232,6 +235,15 @@
   drain();
 }
 
+std::optional<std::string>
+Dispatcher::traceOf(const std::string &service) const {
+  const auto it = Table.Entries.find(service);
+  if (it == Table.Entries.end() || !it->second->Recording) {
+    return std::nullopt;
+  }
+  return it->second->Recording->text();
+}
+
 void Dispatcher::endAttempt(std::uint64_t id, Call &call, CallEnd end) {
   ServiceMetrics &metrics = Metrics.of(call.Entry->Name);
   if (end.End == AttemptEnd::Broken) {
--- a/src/gateway/GatewayTask.cpp
+++ b/src/gateway/GatewayTask.cpp
@@ -55,6 +55,7 @@
   void take(ClaimsHandedOver &message);
   void take(StopWanted &message);
   void take(DumpWanted &message);
+  void take(TraceWanted &message);
   void logView(const View &next);
   void beginStop();
   void checkStop();
@@ -107,7 +108,8 @@
                       Core.onCallEnded(id, std::move(end));
                     }}),
       Core({settings.InstanceId, settings.Policy,
-            settings.Seed == 0 ? drawSeed() : settings.Seed},
+            settings.Seed == 0 ? drawSeed() : settings.Seed,
+            settings.TraceBytes},
            Metrics, outlets()) {
   ev_async_init(&Wake, (&on<&Running::takeMessages, ev_async>));
   ev_prepare_init(&BeforeWait, (&on<&Running::settle, ev_prepare>));
@@ -211,6 +213,10 @@
   message.Answer(std::move(dump));
 }
 
+void GatewayTask::Running::take(TraceWanted &message) {
+  message.Answer(Core.traceOf(message.Service));
+}
+
 void GatewayTask::Running::beginStop() {
   if (Stop) {
     return;
--- a/src/gateway/Services.cpp
+++ b/src/gateway/Services.cpp
@@ -40,6 +40,21 @@
   }
 }
 
+void confirm(ServiceEntry &entry, Instant validUntil, Instant now) {
+  confirmView(*entry.Engine, validUntil);
+  if (entry.Recording) {
+    entry.Recording->note(now, trace::ViewConfirmed{validUntil}, {});
+  }
+}
+
+void changePlan(ServiceEntry &entry, const ServicePlan &plan, Instant now,
+                Actions &out) {
+  replan(*entry.Engine, plan, now, out);
+  if (entry.Recording) {
+    entry.Recording->note(now, trace::Replanned{plan}, out);
+  }
+}
+
 } // namespace
 
 std::vector<EngineChange>
@@ -65,16 +80,16 @@
     if (!entry->Engine) {
       continue;
     }
-    confirmView(*entry->Engine, table.Current->ValidUntil);
+    confirm(*entry, table.Current->ValidUntil, now);
     if (!entry->Known) {
       entry->Spec.Upstreams.clear(); // what runs there ends, nothing begins
     }
     if (!same) {
       changes.push_back({entry.get(), {}});
-      replan(*entry->Engine,
-             planService(*table.Current, entry->Spec, table.Context.Self,
-                         table.Context.Policy),
-             now, changes.back().Wanted);
+      changePlan(*entry,
+                 planService(*table.Current, entry->Spec, table.Context.Self,
+                             table.Context.Policy),
+                 now, changes.back().Wanted);
     }
   }
   return changes;
@@ -86,19 +101,28 @@
                                                          : it->second.get();
 }
 
-ServiceState &engineOf(ServiceTable &table, ServiceEntry &entry) {
+ServiceState &engineOf(ServiceTable &table, ServiceEntry &entry, Instant now) {
   if (!entry.Engine) {
     if (entry.Upstreams.empty()) {
       for (const UpstreamSpec &it : entry.Spec.Upstreams) {
         entry.Upstreams.emplace(it.Id, it);
       }
     }
-    const std::uint64_t stream = hashBytes(entry.Name, table.Context.Seed);
-    entry.Engine = makeService(
-        planService(*table.Current, entry.Spec, table.Context.Self,
-                    table.Context.Policy),
-        table.Current->ValidUntil, Random(table.Context.Seed, stream),
-        (entry.Index << AttemptBits) + 1);
+    const trace::Header start{
+        .Plan = planService(*table.Current, entry.Spec, table.Context.Self,
+                            table.Context.Policy),
+        .At = now,
+        .ValidUntil = table.Current->ValidUntil,
+        .Seed = table.Context.Seed,
+        .Stream = hashBytes(entry.Name, table.Context.Seed),
+        .FirstAttempt = (entry.Index << AttemptBits) + 1};
+    entry.Engine =
+        makeService(start.Plan, start.ValidUntil,
+                    Random(start.Seed, start.Stream), start.FirstAttempt);
+    if (table.Context.TraceBytes != 0) {
+      entry.Recording =
+          std::make_unique<trace::Recorder>(start, table.Context.TraceBytes);
+    }
   }
   return *entry.Engine;
 }
--- a/src/gateway/Services.h
+++ b/src/gateway/Services.h
@@ -13,6 +13,7 @@
 #include "zinniarail/dispatch/Engine.h"
 #include "zinniarail/homes/Homes.h"
 #include "zinniarail/membership/View.h"
+#include "zinniarail/trace/Recorder.h"
 
 namespace zinniarail::gateway {
 
@@ -25,6 +26,7 @@
   ServiceSpec Spec;
   Homes Places;
   ServiceStatePtr Engine; ///< Null until a request needs it.
+  std::unique_ptr<trace::Recorder> Recording; ///< Null when it is off.
   std::unordered_map<std::string, UpstreamSpec> Upstreams;
   /// This instance's share of each upstream's connections.
   std::unordered_map<std::string, unsigned> Connections;
@@ -36,6 +38,7 @@
   std::string Self;
   RoutingPolicy Policy = RoutingPolicy::Homes;
   std::uint64_t Seed = 0;
+  std::size_t TraceBytes = 0; ///< For each service; 0: no recording.
 };
 
 /// All services of this process.
@@ -61,7 +64,7 @@
 ServiceEntry *findEntry(ServiceTable &table, std::string_view name);
 
 /// The engine of a service, made on first use.
-ServiceState &engineOf(ServiceTable &table, ServiceEntry &entry);
+ServiceState &engineOf(ServiceTable &table, ServiceEntry &entry, Instant now);
 
 /// The class of a request: the first that matches.
 /// \param path of the request, with the service's name.
--- a/src/operator/OperatorTask.cpp
+++ b/src/operator/OperatorTask.cpp
@@ -83,6 +83,24 @@
   return {200, "application/json", json::serialize(out)};
 }
 
+Reply showTrace(const OperatorSources &sources, const char *service) {
+  if (service == nullptr) {
+    return makeError(400, "service-missing");
+  }
+  const auto promise =
+      std::make_shared<std::promise<std::optional<std::string>>>();
+  auto answer = promise->get_future();
+  sources.Trace(service, [promise](std::optional<std::string> it) {
+    promise->set_value(std::move(it));
+  });
+  if (answer.wait_for(DumpTimeout) != std::future_status::ready) {
+    return makeError(503, "no-answer");
+  }
+  auto trace = answer.get();
+  return trace ? Reply{200, "application/jsonl", std::move(*trace)}
+               : makeError(404, "not-recorded");
+}
+
 Reply showMetrics(const OperatorSources &sources) {
   const prometheus::TextSerializer serializer;
   return {200, "text/plain; version=0.0.4; charset=utf-8",
@@ -107,9 +125,13 @@
                          {"GET", "/version-in-force", &showVersion},
                          {"POST", "/drain", &beginDrain}};
 
+// The one call that takes an argument stands beside the table.
 Reply route(const OperatorSources &sources, std::string_view method,
-            std::string_view path) {
-  bool known = false;
+            std::string_view path, const char *service) {
+  bool known = path == "/trace";
+  if (known && method == "GET") {
+    return showTrace(sources, service);
+  }
   for (const Route &it : Routes) {
     known = known || it.Path == path;
     if (it.Path == path && it.Method == method) {
@@ -143,7 +165,9 @@
     return MHD_YES;
   }
   return send(connection,
-              route(*static_cast<OperatorSources *>(self), method, url));
+              route(*static_cast<OperatorSources *>(self), method, url,
+                    MHD_lookup_connection_value(
+                        connection, MHD_GET_ARGUMENT_KIND, "service")));
 }
 
 } // namespace
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -32,8 +32,11 @@
   std::int64_t PeerTimeoutMs = 0;
   std::int64_t PeerIntervalMs = 0;
   std::int64_t StopTimeoutMs = 0;
+  std::int64_t TraceBytes = 0;
 };
 
+constexpr std::int64_t MostTraceBytes = std::int64_t{16} << 20;
+
 std::int64_t toMs(Duration it) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
 }
@@ -80,7 +83,10 @@
       "stop-timeout-ms", milliseconds(raw.StopTimeoutMs, defaults.StopTimeout),
       "how long a graceful stop may take at most")(
       "seed", po::value(&it.Seed)->default_value(0)->value_name("N"),
-      "of random draws; 0: drawn at the start");
+      "of random draws; 0: drawn at the start")(
+      "trace-bytes",
+      po::value(&raw.TraceBytes)->default_value(0)->value_name("N"),
+      "memory for the trace of each service; 0: none");
   return options;
 }
 
@@ -202,13 +208,14 @@
 void checkNumbers(const RawSettings &raw, SettingErrors &errors) {
   struct Range {
     const char *Flag;
-    std::int64_t Value, Least, Most; // milliseconds
+    std::int64_t Value, Least, Most; // in the unit that the flag names
   };
   const std::vector<Range> ranges{
       {"view-lifetime-ms", raw.ViewLifetimeMs, 100, 60'000},
       {"peer-timeout-ms", raw.PeerTimeoutMs, 50, 60'000},
       {"peer-interval-ms", raw.PeerIntervalMs, 10, 10'000},
-      {"stop-timeout-ms", raw.StopTimeoutMs, 100, 600'000}};
+      {"stop-timeout-ms", raw.StopTimeoutMs, 100, 600'000},
+      {"trace-bytes", raw.TraceBytes, 0, MostTraceBytes}};
   for (const Range &it : ranges) {
     if (it.Value < it.Least || it.Value > it.Most) {
       errors.push_back("--" + std::string(it.Flag) + ": " +
@@ -240,6 +247,7 @@
   raw.Values.PeerTimeout = milliseconds{raw.PeerTimeoutMs};
   raw.Values.PeerInterval = milliseconds{raw.PeerIntervalMs};
   raw.Values.StopTimeout = milliseconds{raw.StopTimeoutMs};
+  raw.Values.TraceBytes = static_cast<std::size_t>(raw.TraceBytes);
   return std::move(raw.Values);
 }
 
--- a/tests/cluster/System.h
+++ b/tests/cluster/System.h
@@ -35,6 +35,7 @@
   unsigned Number; ///< Of its cluster, in its addresses.
   std::vector<std::string> UpstreamFlags;
   std::vector<std::string> CallerFlags;
+  std::vector<std::string> InstanceFlags = {};
 };
 
 inline const Firm Cierzo{"cierzo.json",
@@ -61,6 +62,9 @@
   settings.Instances = 6;
   settings.UpstreamFlags = firm.UpstreamFlags;
   settings.InstanceFlags = {"--log-level", "error"};
+  settings.InstanceFlags.insert(settings.InstanceFlags.end(),
+                                firm.InstanceFlags.begin(),
+                                firm.InstanceFlags.end());
   return settings;
 }
 
--- a/tests/settings/SettingsTest.cpp
+++ b/tests/settings/SettingsTest.cpp
@@ -43,6 +43,8 @@
 const std::vector<Wrong> WrongSettings{
     {{"--seed=x"}, {"seed"}},
     {{"--seed=x", "--stop-timeout-ms=y"}, {"seed", "stop-timeout-ms"}},
+    {{"--trace-bytes=-1"}, {"--trace-bytes"}},
+    {{"--trace-bytes=16777217"}, {"--trace-bytes"}},
     {{"--policy=best"}, {"--policy"}},
     {{"--log-level=loud"}, {"--log-level"}},
     {{"--view-lifetime-ms=1", "--stop-timeout-ms=0", "--nonsense"},
