--- a/src/gateway/CallerServer.h
+++ b/src/gateway/CallerServer.h
@@ -12,6 +12,7 @@
 #include <ev.h>
 #include <microhttpd.h>
 
+#include "gateway/CallerDoor.h"
 #include "gateway/Http.h"
 
 namespace zinniarail::gateway {
@@ -52,11 +53,15 @@
   std::size_t openRequests() const { return Requests; }
 
   /// Open connections, idle ones included.
-  std::size_t connections() const { return Connections; }
+  std::size_t connections() const { return Connections + Door.waiting(); }
+
+  /// Bytes of answers' bodies that callers have not taken yet.
+  std::size_t answerBytes() const { return AnswerBytes; }
 
 private:
   struct Connection;
   struct Exchange;
+  struct Body;
 
   static MHD_Result onRequest(void *self, MHD_Connection *, const char *url,
                               const char *method, const char *version,
@@ -67,17 +72,21 @@
   static void onConnection(void *self, MHD_Connection *, void **connection,
                            MHD_ConnectionNotificationCode);
 
+  void admit(int fd);
   MHD_Result takeHead(Exchange &exchange, const char *method,
                       const char *version);
   MHD_Result takeBody(Exchange &exchange, const char *data, size_t *size);
   MHD_Result takeEnd(Exchange &exchange);
+  MHD_Result refuseEarly(Exchange &exchange, const Answer &content);
   MHD_Result reply(Exchange &exchange);
+  MHD_Response *makeResponse(Answer &content, bool head);
   void watchGone();
   void lookAtClose(Connection &connection);
   void arm();
 
   struct ev_loop *Loop;
   CallerHandlers Handlers;
+  CallerDoor Door;
   MHD_Daemon *Daemon = nullptr;
   int GoneWatch = -1; ///< An epoll set that hears only of callers that close.
   ev_io DaemonReady{};
@@ -87,6 +96,7 @@
   bool Closing = false;
   std::size_t Requests = 0;
   std::size_t Connections = 0;
+  std::size_t AnswerBytes = 0;
   std::uint64_t LastId = 0;
   std::unordered_map<std::uint64_t, Exchange *> Waiting;
 };
