Service while domains leave and return is measured beside the same without

Each is given as ratios to the calm row of the same seed. The caller stand-in counts requests by windows of their arrival for it (--windows-ms).

Ruled out: resetting the upstreams' counters in the middle of a row. It also forgets which keys ran, so that orders served before looked as if they had not run.

--- /dev/null
+++ b/bench/service_changes.cpp
@@ -0,0 +1,519 @@
+// Service while domains and instances leave and return, on real processes at
+// both firms' sizes of today, against the same seeds without the change.
+
+#include <algorithm>
+#include <cctype>
+#include <csignal>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <thread>
+
+#include <boost/program_options.hpp>
+
+#include "Harness.h"
+
+namespace {
+
+namespace json = boost::json;
+namespace options = boost::program_options;
+using namespace zinniarail;
+using namespace zinniarail::bench;
+using standins::ClusterInstance;
+using Ms = std::chrono::milliseconds;
+
+constexpr std::chrono::seconds Grace{60};
+constexpr std::chrono::seconds Patience{30};
+constexpr double SlotsEach = 4;
+constexpr Ms Settling{3000};   // callers run before anything changes
+constexpr Ms OutFor{5000};     // a domain is out so long
+constexpr Ms ReturnFor{5000};  // and its return is watched for
+constexpr Ms Briefly{700};     // out and in within a second
+constexpr Ms PlatformLag{100}; // from an accepted change to the outage
+constexpr unsigned RunSeconds = 13;
+
+struct Service {
+  const char *Name;
+  unsigned Upstreams;
+};
+
+struct Firm {
+  const char *Name;
+  unsigned Number;
+  Service Services[2];
+  const char *Domains[2]; ///< Those that go out.
+};
+
+const Firm Firms[] = {
+    {"serrano",
+     1,
+     {{"credencial", 14}, {"situacao", 10}},
+     {"serra-a", "serra-b"}},
+    {"cierzo", 2, {{"pedidos", 15}, {"carta", 9}}, {"bilbao", "zaragoza"}},
+};
+
+struct Plan {
+  std::string Build;
+  std::string Only;
+  std::string Firm;
+  unsigned Runs = 0;
+  unsigned Seed = 0;
+  double Load = 0;
+  double MeanMs = 0;
+};
+
+/// What one run of a scenario shows beside the callers' reports.
+struct Notes {
+  std::map<std::string, double> Values;
+  std::string Said;
+};
+
+/// One firm's processes.
+struct Side {
+  const Firm *Owner;
+  Cluster Processes;
+  CallerRun Callers[2];
+  Instant Began{};
+};
+
+std::int64_t unixMs() {
+  return std::chrono::duration_cast<Ms>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+/// The upstreams' ids in some domains.
+json::array upstreamsIn(const Side &side, const std::set<std::string> &names) {
+  json::array out;
+  const auto document = json::parse(side.Processes.document());
+  for (const auto &service : document.at("services").as_array()) {
+    for (const auto &it : service.at("upstreams").as_array()) {
+      if (names.contains(it.at("domain").as_string().c_str())) {
+        out.push_back(it.at("id"));
+      }
+    }
+  }
+  return out;
+}
+
+std::set<std::string> firstDomains(const Side &side, unsigned count) {
+  return {side.Owner->Domains, side.Owner->Domains + count};
+}
+
+bool putOut(Side &side, const std::set<std::string> &names) {
+  auto document = json::parse(side.Processes.document());
+  for (auto &it : document.at("domains").as_array()) {
+    it.as_object()["inService"] =
+        !names.contains(it.at("name").as_string().c_str());
+  }
+  return side.Processes.putDocument(json::serialize(document));
+}
+
+void waitUntil(const Side &side, Duration at) {
+  std::this_thread::sleep_until(side.Began + at);
+}
+
+bool change(Side &side, const json::array &upstreams, const char *faults) {
+  auto body = json::parse(faults).as_object();
+  body["upstreams"] = upstreams;
+  return side.Processes.setUpstreamFaults(body);
+}
+
+/// The domain's upstreams begin anew while it is out.
+void turnCold(Side &side, const json::array &upstreams, Notes &notes) {
+  notes.Values["turned"] = static_cast<double>(upstreams.size());
+  change(side, upstreams, R"({"turnCold":true})");
+}
+
+/// A counter of each upstream.
+std::vector<double> countersOf(const Side &side, const json::array &upstreams,
+                               const char *name) {
+  const auto counters = side.Processes.upstreamCounters();
+  std::vector<double> out;
+  for (const auto &it : upstreams) {
+    out.push_back(
+        numberIn(counters, "upstreams", it.as_string().c_str(), name));
+  }
+  return out;
+}
+
+/// Notes when the domain got its last new work, once it is out.
+void noteLastWork(const Side &side, const json::array &upstreams,
+                  std::int64_t accepted, Notes &notes) {
+  const auto times = countersOf(side, upstreams, "newWorkAtMs");
+  notes.Values["last work"] =
+      std::max(0.0, *std::max_element(times.begin(), times.end()) -
+                        static_cast<double>(accepted));
+}
+
+/// \param before coldOverloads as they were before the return.
+void noteFallen(const Side &side, const json::array &upstreams,
+                const std::vector<double> &before, Notes &notes) {
+  const auto after = countersOf(side, upstreams, "coldOverloads");
+  double fallen = 0;
+  for (std::size_t n = 0; n < after.size(); ++n) {
+    fallen += after[n] > before[n] ? 1 : 0;
+  }
+  notes.Values["fallen"] = fallen;
+}
+
+void leaveAndReturn(Side &side, unsigned domains, Notes &notes,
+                    bool platformOut) {
+  const auto names = firstDomains(side, domains);
+  const auto upstreams = upstreamsIn(side, names);
+  waitUntil(side, Settling);
+  notes.Values["failed steps"] += putOut(side, names) ? 0 : 1;
+  const auto accepted = unixMs();
+  if (platformOut) {
+    waitUntil(side, Settling + PlatformLag);
+    side.Processes.setPlatformFaults({{"outage", "hang"}});
+  }
+  waitUntil(side, Settling + OutFor - Ms{100});
+  noteLastWork(side, upstreams, accepted, notes);
+  const auto overloads = countersOf(side, upstreams, "coldOverloads");
+  turnCold(side, upstreams, notes);
+  if (platformOut) {
+    side.Processes.setPlatformFaults({{"outage", "none"}});
+  }
+  waitUntil(side, Settling + OutFor);
+  notes.Values["failed steps"] += putOut(side, {}) ? 0 : 1;
+  waitUntil(side, Settling + OutFor + ReturnFor);
+  noteFallen(side, upstreams, overloads, notes);
+}
+
+void outAndInAtOnce(Side &side, Notes &notes) {
+  waitUntil(side, Settling);
+  notes.Values["failed steps"] += putOut(side, firstDomains(side, 2)) ? 0 : 1;
+  waitUntil(side, Settling + Briefly);
+  notes.Values["failed steps"] += putOut(side, {}) ? 0 : 1;
+}
+
+/// A change that the platform can't take must say so at once.
+void changeDuringOutage(Side &side, Notes &notes) {
+  waitUntil(side, Settling);
+  side.Processes.setPlatformFaults({{"outage", "503"}});
+  const auto before = readClock();
+  notes.Values["failed steps"] += putOut(side, firstDomains(side, 1)) ? 1 : 0;
+  notes.Values["said ms"] =
+      std::chrono::duration<double, std::milli>(readClock() - before).count();
+  waitUntil(side, Settling + OutFor);
+  side.Processes.setPlatformFaults({{"outage", "none"}});
+}
+
+void restartAll(Side &side, Notes &notes) {
+  waitUntil(side, Settling);
+  for (auto &it : side.Processes.instances()) {
+    it.Running.signal(SIGTERM);
+    const bool again =
+        it.Running.wait(Patience) == 0 && side.Processes.startInstance(it) &&
+        standins::awaitStatus("http://" + it.OperatorAddress + "/health", 200,
+                              Patience);
+    notes.Values["failed steps"] += again ? 0 : 1;
+  }
+  notes.Values["took s"] =
+      std::chrono::duration<double>(readClock() - side.Began - Settling)
+          .count();
+}
+
+/// A domain's upstreams and instances are killed, and come back.
+void failDomain(Side &side, Notes &notes) {
+  const auto names = firstDomains(side, 1);
+  const auto upstreams = upstreamsIn(side, names);
+  std::vector<ClusterInstance *> lost;
+  for (auto &it : side.Processes.instances()) {
+    if (names.contains(it.Domain)) {
+      lost.push_back(&it);
+    }
+  }
+  waitUntil(side, Settling);
+  change(side, upstreams, R"({"crash":true,"refuse":true})");
+  for (auto *it : lost) {
+    it->Running.signal(SIGKILL);
+  }
+  for (auto *it : lost) {
+    it->Running.wait(Patience);
+  }
+  waitUntil(side, Settling + OutFor - Ms{100});
+  const auto overloads = countersOf(side, upstreams, "coldOverloads");
+  turnCold(side, upstreams, notes);
+  waitUntil(side, Settling + OutFor);
+  change(side, upstreams, R"({"refuse":false})");
+  for (auto *it : lost) {
+    notes.Values["failed steps"] += side.Processes.startInstance(*it) ? 0 : 1;
+  }
+  waitUntil(side, Settling + OutFor + ReturnFor);
+  noteFallen(side, upstreams, overloads, notes);
+}
+
+struct Scenario {
+  const char *Name;
+  std::function<void(Side &, Notes &)> Happens;
+  unsigned Seconds = RunSeconds;
+};
+
+const Scenario Scenarios[] = {
+    {"nothing changes", [](Side &, Notes &) {}},
+    {"one domain out and back",
+     [](Side &it, Notes &notes) { leaveAndReturn(it, 1, notes, false); }},
+    {"two domains out and back",
+     [](Side &it, Notes &notes) { leaveAndReturn(it, 2, notes, false); }},
+    {"two domains out and in within 1 s", outAndInAtOnce},
+    {"one domain out, the platform hangs 0.1 s later",
+     [](Side &it, Notes &notes) { leaveAndReturn(it, 1, notes, true); }},
+    {"a change while the platform is out", changeDuringOutage},
+    {"rolling restart of all instances", restartAll},
+    {"one domain fails and comes back", failDomain},
+};
+
+const char *const WindowNames[] = {"out", "back"};
+
+/// Figures by scenario, window and name; one value for each run.
+using Figures = std::map<std::string, std::vector<double>>;
+using Results = std::map<std::string, Figures>;
+
+/// What windows of both services' reports show together.
+void addWindow(const json::array &reports, std::size_t index, Figures &out) {
+  double sent = 0;
+  std::map<std::string, double> others;
+  for (const char *kind : {"readLatencyMs", "orderLatencyMs"}) {
+    for (const char *it : {"p50", "p99", "p999"}) {
+      double most = 0;
+      for (const auto &report : reports) {
+        const auto &window = report.at("windows").at(index);
+        most = std::max(most, numberIn(window, kind, it));
+      }
+      out[std::string(kind) + it].push_back(most);
+    }
+  }
+  for (const auto &report : reports) {
+    const auto &window = report.at("windows").at(index);
+    sent += numberIn(window, "sent");
+    for (const auto &it : window.at("others").as_object()) {
+      others[it.key()] += it.value().to_number<double>();
+    }
+  }
+  double unserved = 0;
+  for (const auto &[name, n] : others) {
+    unserved += n;
+    out["end " + name].push_back(100 * n / sent);
+  }
+  out["unserved"].push_back(100 * unserved / sent);
+}
+
+json::array finishCallers(Side &side, const Scenario &scenario) {
+  json::array out;
+  for (auto &it : side.Callers) {
+    out.push_back(it.finish(std::chrono::seconds{scenario.Seconds} + Grace));
+  }
+  return out;
+}
+
+/// \param key differs between runs: it counts for the claim window.
+void startCallers(Side &side, const Plan &plan, unsigned seconds, unsigned seed,
+                  const std::string &key, const std::string &directory) {
+  for (int n = 0; n < 2; ++n) {
+    const auto &service = side.Owner->Services[n];
+    const double rate =
+        plan.Load * service.Upstreams * SlotsEach * 1000 / plan.MeanMs;
+    auto command = side.Processes.callerCommand(service.Name);
+    command.insert(command.end(),
+                   {"--key-prefix", key + service.Name, "--rate",
+                    std::to_string(rate), "--seconds", std::to_string(seconds),
+                    "--seed", std::to_string(seed), "--orders-share", "0.1",
+                    "--refusal-retries", "0", "--windows-ms",
+                    "3000,8000,13000"});
+    side.Callers[n].start(command, directory + "/" + service.Name + ".json");
+  }
+  side.Began = readClock();
+}
+
+void runScenario(Side &side, const Plan &plan, const Scenario &scenario,
+                 unsigned seed, const std::string &directory,
+                 Results &results) {
+  side.Processes.resetUpstreamCounters();
+  std::string key = std::to_string(seed) + scenario.Name;
+  std::erase_if(key, [](unsigned char it) { return std::isalnum(it) == 0; });
+  startCallers(side, plan, scenario.Seconds, seed, key, directory);
+  Notes notes;
+  notes.Values["failed steps"] = 0;
+  scenario.Happens(side, notes);
+  const auto reports = finishCallers(side, scenario);
+  double unsound = 0;
+  for (const auto &report : reports) {
+    for (const char *fault :
+         {"lost", "wrong", "doubled", "servedNotRun", "falseRefusals"}) {
+      unsound += numberIn(report, fault);
+      notes.Values[fault] += numberIn(report, fault);
+    }
+    unsound += report.as_object().empty() ? 1 : 0;
+  }
+  notes.Values["unsound"] = unsound;
+  for (const auto &[name, it] : notes.Values) {
+    results[scenario.Name][name].push_back(it);
+  }
+  for (std::size_t n = 0; n < std::size(WindowNames); ++n) {
+    if (!reports[0].as_object().empty() && !reports[1].as_object().empty()) {
+      addWindow(reports, n,
+                results[std::string(scenario.Name) + "/" + WindowNames[n]]);
+    }
+  }
+}
+
+bool runFirm(const Plan &plan, const Firm &firm, Results &results) {
+  const WorkDirectory work;
+  for (unsigned n = 0; n < plan.Runs; ++n) {
+    const unsigned seed = plan.Seed + n;
+    ClusterSettings settings;
+    settings.BinaryDirectory = plan.Build;
+    settings.Document = std::string("examples/") + firm.Name + ".json";
+    settings.Net = benchNet();
+    settings.Number = firm.Number;
+    settings.InstanceFlags = {"--log-level", "error"};
+    settings.UpstreamFlags = {"--mean-ms", std::to_string(plan.MeanMs),
+                              "--seed", std::to_string(1000 * seed)};
+    Side side{&firm, Cluster(settings), {}};
+    if (!side.Processes.start()) {
+      std::cerr << "bench_service_changes: " << side.Processes.error() << '\n';
+      return false;
+    }
+    Results unused;
+    runScenario(side, plan, {"warming", [](Side &, Notes &) {}, 3}, seed,
+                work.Path, unused);
+    for (const auto &it : Scenarios) {
+      if (&it == Scenarios ||
+          std::string(it.Name).find(plan.Only) != std::string::npos) {
+        runScenario(side, plan, it, seed, work.Path, results);
+        std::cerr << firm.Name << ", seed " << seed << ": " << it.Name
+                  << " done, load " << machineLoad() << '\n';
+      }
+    }
+    side.Processes.stop();
+  }
+  return true;
+}
+
+std::string ratio(Figures &it, Figures &calm, const std::string &name) {
+  std::vector<double> ratios;
+  for (std::size_t n = 0; n < it[name].size() && n < calm[name].size(); ++n) {
+    ratios.push_back(calm[name][n] > 0 ? it[name][n] / calm[name][n] : 0);
+  }
+  return format(spreadOf(ratios), 2);
+}
+
+std::string endsOf(Figures &it) {
+  std::string out;
+  for (const auto &[name, values] : it) {
+    if (name.starts_with("end ")) {
+      out += (out.empty() ? "" : ", ") + name.substr(4) + " " +
+             format(spreadOf(values), 2);
+    }
+  }
+  return out;
+}
+
+void printWindows(Results &results) {
+  printHeader({"what, window", "reads p50 ms", "p99", "p99.9", "orders p50 ms",
+               "p99", "p99.9", "reads p99, of calm", "p99.9", "orders p99",
+               "p99.9", "not served %", "of these"});
+  for (const auto &scenario : Scenarios) {
+    for (const char *window : WindowNames) {
+      const auto at = results.find(std::string(scenario.Name) + "/" + window);
+      if (at == results.end()) {
+        continue;
+      }
+      auto &it = at->second;
+      auto &calm = results[std::string(Scenarios[0].Name) + "/" + window];
+      std::vector<std::string> cells{std::string(scenario.Name) + ", " +
+                                     window};
+      for (const char *name :
+           {"readLatencyMsp50", "readLatencyMsp99", "readLatencyMsp999",
+            "orderLatencyMsp50", "orderLatencyMsp99", "orderLatencyMsp999"}) {
+        cells.push_back(format(spreadOf(it[name]).Median, 0));
+      }
+      for (const char *name : {"readLatencyMsp99", "readLatencyMsp999",
+                               "orderLatencyMsp99", "orderLatencyMsp999"}) {
+        cells.push_back(ratio(it, calm, name));
+      }
+      cells.push_back(format(spreadOf(it["unserved"]), 2));
+      cells.push_back(endsOf(it));
+      printRow(cells);
+    }
+  }
+}
+
+void printNotes(Results &results) {
+  std::cout << '\n';
+  printHeader({"what", "last new work, ms after accepted", "fallen over",
+               "of upstreams", "lost", "wrong", "doubled", "served, not run",
+               "refused, but ran", "failed steps", "took s",
+               "said no after ms"});
+  for (const auto &scenario : Scenarios) {
+    const auto at = results.find(scenario.Name);
+    if (at == results.end()) {
+      continue;
+    }
+    std::vector<std::string> cells{scenario.Name};
+    for (const char *name : {"last work", "fallen", "turned", "lost", "wrong",
+                             "doubled", "servedNotRun", "falseRefusals",
+                             "failed steps", "took s", "said ms"}) {
+      const auto &values = at->second[name];
+      cells.push_back(values.empty() ? "" : format(spreadOf(values), 0));
+    }
+    printRow(cells);
+  }
+}
+
+int run(const Plan &plan) {
+  std::cout << "Load " << plan.Load << ", service time " << plan.MeanMs
+            << " ms (exponential), " << plan.Runs
+            << " runs; median (least to most); the worse of both services.\n"
+            << "Load of the machine before: " << machineLoad() << '\n';
+  Results results[std::size(Firms)];
+  bool ran[std::size(Firms)] = {};
+  std::vector<std::thread> threads;
+  for (std::size_t n = 0; n < std::size(Firms); ++n) {
+    if (std::string(Firms[n].Name).find(plan.Firm) != std::string::npos) {
+      threads.emplace_back(
+          [&, n] { ran[n] = runFirm(plan, Firms[n], results[n]); });
+    }
+  }
+  for (auto &it : threads) {
+    it.join();
+  }
+  bool all = true;
+  for (std::size_t n = 0; n < std::size(Firms); ++n) {
+    if (std::string(Firms[n].Name).find(plan.Firm) != std::string::npos) {
+      std::cout << "\n### " << Firms[n].Name << "\n\n";
+      printWindows(results[n]);
+      printNotes(results[n]);
+      all = all && ran[n];
+    }
+  }
+  std::cout << "\nLoad of the machine after: " << machineLoad() << '\n';
+  return all ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  Plan plan;
+  options::options_description flags(
+      "bench_service_changes: service while domains and instances leave and "
+      "return. Run it at the root of the source tree");
+  auto add = flags.add_options();
+  add("build", options::value(&plan.Build)->default_value("build/release"),
+      "directory of the build");
+  add("runs", options::value(&plan.Runs)->default_value(2), "with other seeds");
+  add("seed", options::value(&plan.Seed)->default_value(1), "of the first run");
+  add("load", options::value(&plan.Load)->default_value(0.6),
+      "of the capacity while all domains serve");
+  add("mean-ms", options::value(&plan.MeanMs)->default_value(40),
+      "mean service time");
+  add("scenario", options::value(&plan.Only)->default_value(""),
+      "only those whose name contains this, beside the calm one");
+  add("firm", options::value(&plan.Firm)->default_value(""), "likewise");
+  return standins::runProgram(
+      argc, argv, flags,
+      [&](const options::variables_map &) { return run(plan); });
+}
--- a/standins/caller-standin/Callers.cpp
+++ b/standins/caller-standin/Callers.cpp
@@ -90,6 +90,9 @@
 }
 
 void Callers::start() {
+  if (Settings.WindowEdges.size() > 1) {
+    Counts.Windows.resize(Settings.WindowEdges.size() - 1);
+  }
   Begin = readClock();
   if (!Addresses.empty()) {
     beginArrivals();
@@ -311,6 +314,16 @@
   return true;
 }
 
+/// \returns nothing when it arrived outside of all windows.
+Window *Callers::windowOf(const Request &request) {
+  const auto &edges = Settings.WindowEdges;
+  const auto past =
+      std::upper_bound(edges.begin(), edges.end(), request.Born - Begin);
+  return request.Marked || past == edges.begin() || past == edges.end()
+             ? nullptr
+             : &Counts.Windows[past - edges.begin() - 1];
+}
+
 void Callers::end(const RequestPtr &request, const std::string &how,
                   OrderEnd order) {
   --Open;
@@ -327,6 +340,14 @@
   } else {
     ++Counts.Refused[how];
   }
+  if (auto *it = windowOf(*request); it != nullptr) {
+    ++it->Sent;
+    ++(how == "served" ? it->Served : it->Others[how]);
+    if (how == "served") {
+      record(request->Order ? it->Orders : it->Reads,
+             readClock() - request->Born);
+    }
+  }
   if (request->Order) {
     Counts.OrderEnds[request->Key] = order;
   }
--- a/standins/caller-standin/Callers.h
+++ b/standins/caller-standin/Callers.h
@@ -28,6 +28,9 @@
   Duration ShiftPeriod = std::chrono::seconds{1}; ///< ... each such period.
   Duration Length = std::chrono::seconds{10};
   Duration WarmUp{0}; ///< Latencies of requests born in it don't count.
+  /// Requests are counted by window too, by when they arrived: from each of
+  /// these times to the next. Empty: no windows.
+  std::vector<Duration> WindowEdges;
   Duration Timeout = std::chrono::seconds{5}; ///< Of one send.
   Duration Deadline{0};        ///< Sent as X-Deadline-Ms; 0: not sent.
   unsigned RefusalRetries = 3; ///< After "did not run".
@@ -69,6 +72,7 @@
   void notServed(const RequestPtr &request, const Reply &reply);
   bool sendAgain(const RequestPtr &request, unsigned &used, unsigned limit,
                  Duration after);
+  Window *windowOf(const Request &request);
   void end(const RequestPtr &request, const std::string &how, OrderEnd order);
   void finishIfDone();
   void fetchKeys(std::size_t index);
--- a/standins/caller-standin/Tally.cpp
+++ b/standins/caller-standin/Tally.cpp
@@ -40,6 +40,18 @@
   return out;
 }
 
+json::array windowsJson(std::vector<Window> &windows) {
+  json::array out;
+  for (auto &it : windows) {
+    out.push_back(json::object{{"sent", it.Sent},
+                               {"served", it.Served},
+                               {"others", countsJson(it.Others)},
+                               {"readLatencyMs", latenciesJson(it.Reads)},
+                               {"orderLatencyMs", latenciesJson(it.Orders)}});
+  }
+  return out;
+}
+
 std::uint64_t sum(const std::map<std::string, std::uint64_t> &counts) {
   return std::accumulate(
       counts.begin(), counts.end(), std::uint64_t{0},
@@ -98,7 +110,8 @@
                    {"orders", tally.OrderEnds.size()},
                    {"latencyMs", latenciesJson(all)},
                    {"readLatencyMs", latenciesJson(tally.Reads)},
-                   {"orderLatencyMs", latenciesJson(tally.Orders)}};
+                   {"orderLatencyMs", latenciesJson(tally.Orders)},
+                   {"windows", windowsJson(tally.Windows)}};
   if (tally.Verified) {
     out["doubled"] = tally.Doubled;
     out["servedNotRun"] = tally.ServedNotRun;
--- a/standins/caller-standin/Tally.h
+++ b/standins/caller-standin/Tally.h
@@ -28,6 +28,15 @@
 /// \returns zero when there are none.
 Duration quantile(Latencies &latencies, double share);
 
+/// Requests that arrived in one part of the run, and how they ended.
+struct Window {
+  std::uint64_t Sent = 0;
+  std::uint64_t Served = 0;
+  std::map<std::string, std::uint64_t> Others; ///< Other ends, by name.
+  Latencies Reads;
+  Latencies Orders;
+};
+
 struct Tally {
   std::uint64_t Sent = 0;    ///< Requests, not sends.
   std::uint64_t Skipped = 0; ///< Arrivals beyond the bound on open requests.
@@ -40,6 +49,7 @@
   std::map<std::string, std::uint64_t> Marked; ///< Ends of marked requests.
   Latencies Reads;
   Latencies Orders;
+  std::vector<Window> Windows;
   std::unordered_map<std::string, OrderEnd> OrderEnds; ///< By key.
   std::uint64_t Doubled = 0;       ///< Orders that ran more than once.
   std::uint64_t ServedNotRun = 0;  ///< Served, and no upstream ran them.
--- a/standins/caller-standin/main.cpp
+++ b/standins/caller-standin/main.cpp
@@ -30,6 +30,14 @@
   return std::chrono::milliseconds{given[name].as<unsigned>()};
 }
 
+std::vector<zinniarail::Duration> readEdges(const std::string &text) {
+  std::vector<zinniarail::Duration> out;
+  for (const auto &it : splitList(text)) {
+    out.emplace_back(std::chrono::milliseconds{std::stoul(it)});
+  }
+  return out;
+}
+
 CallerSettings readSettings(const options::variables_map &given) {
   CallerSettings out;
   out.Instances = splitList(given["instances"].as<std::string>());
@@ -44,6 +52,7 @@
   out.ShiftPeriod = readMs(given, "shift-ms");
   out.Length = std::chrono::seconds{given["seconds"].as<unsigned>()};
   out.WarmUp = readMs(given, "warm-up-ms");
+  out.WindowEdges = readEdges(given["windows-ms"].as<std::string>());
   out.Timeout = readMs(given, "timeout-ms");
   out.Deadline = readMs(given, "deadline-ms");
   out.RefusalRetries = given["refusal-retries"].as<unsigned>();
@@ -108,6 +117,9 @@
       "share by which the rate swings up and down");
   add("shift-ms", number(1000), "length of a swing");
   add("warm-up-ms", number(0), "latencies of its requests don't count");
+  add("windows-ms", text(""),
+      "ms,ms,...: rising times that begin and end windows of the run, which "
+      "the report counts one by one");
   add("timeout-ms", number(5000), "of one send");
   add("deadline-ms", number(0), "sent as X-Deadline-Ms; 0: not sent");
   add("refusal-retries", number(3), "comebacks after 'did not run'");
