Reads go on to the next home when the homes of a service change

Cause: a domain out or back changes the homes of services. What waits at an instance that is a home no more was refused with no-upstream, and so was what an instance with an older view handed to it; the sender passed that refusal on though other homes could take the request.

Change: the dispatcher hands reads that the engine refuses for want of an upstream to the new homes, and sends a read that a home can't take (no-upstream, stopping, view-expired; it did not run) to the next home it knows. Orders are refused as before: their key is released on another way and may still be taken at the next home.

Before and after: aReadThatAHomeNoLongerTakesGoesToTheNext and aReadThatWaitsAtAHomeThatChangesGoesToTheNext failed first, pass now; test_gateway passes (46 cases).

--- a/src/gateway/Dispatcher.h
+++ b/src/gateway/Dispatcher.h
@@ -121,6 +121,7 @@
 
   // Forwards.
   void forward(std::uint64_t id);
+  bool passOn(ServiceEntry &entry, const Refuse &refusal);
   void endForward(std::uint64_t id, const Call &call, CallEnd end);
   void noteUnreachable(const std::string &instance, const std::string &error,
                        Instant now);
--- a/src/gateway/DispatcherEngine.cpp
+++ b/src/gateway/DispatcherEngine.cpp
@@ -86,7 +86,10 @@
           },
           [&](const Deliver &it) { deliver(it); },
           [&](const Refuse &it) {
-            refuse(numberOf(it.Request), it.Reason, it.Outcome, it.RetryAfter);
+            if (!passOn(entry, it)) {
+              refuse(numberOf(it.Request), it.Reason, it.Outcome,
+                     it.RetryAfter);
+            }
           },
           [&](const ReleaseClaim &it) {
             Outlets.ReleaseClaim(entry.Name, it.Request);
--- a/src/gateway/DispatcherForward.cpp
+++ b/src/gateway/DispatcherForward.cpp
@@ -14,6 +14,17 @@
 constexpr Duration UnreachableFor = std::chrono::seconds{1};
 constexpr Duration HomeRetryAfter = std::chrono::milliseconds{250};
 
+// Whether an answer is a home's word that it can't take the request, while
+// another may: views change on one instance after the other.
+bool isOtherHomesTurn(const Answer &answer) {
+  const std::string *outcome =
+      findHeader(answer.Fields, "X-Zinniarail-Outcome");
+  const std::string *reason = findHeader(answer.Fields, "X-Zinniarail-Reason");
+  return outcome != nullptr && reason != nullptr && *outcome == "did-not-run" &&
+         (*reason == "no-upstream" || *reason == "stopping" ||
+          *reason == "view-expired");
+}
+
 } // namespace
 
 // Takes the next home: the key's primary holder where there is a key, else in
@@ -68,6 +79,24 @@
       now);
 }
 
+// What waited here while this instance ceased to be a home is for the new ones.
+bool Dispatcher::passOn(ServiceEntry &entry, const Refuse &refusal) {
+  const auto it = Open.find(static_cast<std::uint64_t>(refusal.Request));
+  if (refusal.Reason != RefusalReason::NoUpstream || entry.AtHome ||
+      entry.Places.Ranked.empty() || it == Open.end()) {
+    return false;
+  }
+  OpenRequest &request = it->second;
+  if (!request.Idempotent || !request.ForwardEcho.empty()) {
+    return false; // Its key may not be free yet, or its sender goes on.
+  }
+  request.Homes = entry.Places.Ranked;
+  request.MayHaveRun = refusal.Outcome != Truth::DidNotRun;
+  Metrics.of(entry.Name).Forwards->Increment();
+  forward(it->first);
+  return true;
+}
+
 void Dispatcher::endForward(std::uint64_t id, const Call &call, CallEnd end) {
   const auto it = Open.find(id);
   if (it == Open.end()) {
@@ -76,6 +105,11 @@
   OpenRequest &request = it->second;
   const Instant now = readClock();
   if (end.End == AttemptEnd::Answered || end.End == AttemptEnd::RefusedUnrun) {
+    // An order's key may not be free again yet.
+    if (request.Idempotent && !request.Homes.empty() &&
+        request.Deadline > now && isOtherHomesTurn(end.Content)) {
+      return forward(id);
+    }
     if (findHeader(end.Content.Fields, "X-Zinniarail-Outcome") == nullptr) {
       Metrics.of(request.Entry->Name).Delivered->Increment();
     }
--- a/tests/gateway/GatewayTaskTest.cpp
+++ b/tests/gateway/GatewayTaskTest.cpp
@@ -312,6 +312,61 @@
   BOOST_TEST(home.requests() == 1);
 }
 
+// The views of instances change one after the other.
+BOOST_AUTO_TEST_CASE(aReadThatAHomeNoLongerTakesGoesToTheNext) {
+  FakeUpstream upstream(testAddress(1), &echoWhole);
+  Instanced one(10);
+  Instanced former(11);
+  Instanced home(12);
+  Instance self = one.self();
+  self.Domain = "out";
+  one.Task.inbox().post(
+      ViewChanged{makeView({self, former.self(), home.self()}, {}, 2)});
+  former.Task.inbox().post(
+      ViewChanged{makeViewFrom(former.self(), home.self())});
+  home.Task.inbox().post(
+      ViewChanged{makeView({home.self()}, {upstream.address()})});
+  for (int n = 0; n < 4; ++n) {
+    const std::string answer = one.ask(get("/s/x"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer);
+  }
+  BOOST_TEST(upstream.requests() == 4);
+}
+
+BOOST_AUTO_TEST_CASE(aReadThatWaitsAtAHomeThatChangesGoesToTheNext) {
+  std::atomic<bool> go{false};
+  FakeUpstream busy(testAddress(1), [&](const std::string &it, int n) {
+    while (!go) {
+      std::this_thread::yield();
+    }
+    return echoWhole(it, n);
+  });
+  FakeUpstream upstream(testAddress(2), &echoWhole);
+  Instanced one(10);
+  Instanced two(11);
+  auto view = makeView({one.self()}, {busy.address()});
+  one.Task.inbox().post(ViewChanged{view});
+  two.Task.inbox().post(
+      ViewChanged{makeView({two.self()}, {upstream.address()})});
+  const int running = one.connect();
+  sendAll(running, get("/s/x"));
+  while (busy.requests() == 0) { // One at a time, as it starts cold.
+    std::this_thread::yield();
+  }
+  const int waiting = one.connect();
+  sendAll(waiting, get("/s/x"));
+  while (one.dump().at("openRequests").to_number<int>() != 2) {
+    std::this_thread::yield();
+  }
+  one.Task.inbox().post(ViewChanged{makeViewFrom(one.self(), two.self())});
+  const std::string answer = receiveMessage(waiting);
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer);
+  go = true;
+  BOOST_TEST(receiveMessage(running).starts_with("HTTP/1.1 200"));
+  close(waiting);
+  close(running);
+}
+
 BOOST_AUTO_TEST_CASE(aChunkedRequestArrivesWhole) {
   const std::string body(1U << 20U, 'b');
   std::size_t seen = 0;
