Homes have equal parts of a service's slots, whichever domain is out

Cause: the slot of an upstream that doesn't divide by the homes went to a home drawn by hash, upstream by upstream. Requests spread over homes evenly, their parts of the slots did not: with one of three domains out (0.9 of what is left) a home with a lesser part refused as overloaded while others idled.

Change: the homes take what is over in turn, along the upstreams of each failure domain, each domain beginning at another home. shareUpstream becomes shareUpstreams, for all upstreams of a service at once; the test sharesAddUpToTheUpstream checks the same of the new function.

Before and after: homesHaveEqualPartsAlsoWithADomainOut failed first with the old division (322 failures in test_homes), passes now; the parts differ by two slots at most. test_homes, test_gateway's build and test_dispatch pass.

--- a/include/zinniarail/homes/Homes.h
+++ b/include/zinniarail/homes/Homes.h
@@ -35,12 +35,16 @@
   bool Ramps = false;       ///< This home warms the upstream when it is cold.
 };
 
-/// Divides an upstream's slots and connections among the homes. Over all homes
-/// of one digest the shares add up to the upstream's own numbers exactly, and
-/// one home ramps.
-/// \param self the id of the instance that asks; a zero share when no home.
-UpstreamShare shareUpstream(const Homes &homes, const UpstreamSpec &upstream,
-                            const std::string &self);
+/// Divides the slots and connections of a service's upstreams among its homes.
+/// Over all homes of one digest the shares add up to each upstream's own
+/// numbers exactly, and one home ramps it. In each failure domain the homes'
+/// parts of the slots differ by little, for requests spread over the homes
+/// evenly, whichever domains are out.
+/// \param self the id of the instance that asks; zero shares when no home.
+/// \returns one share for each of the service's upstreams, in their order.
+std::vector<UpstreamShare> shareUpstreams(const Homes &homes,
+                                          const ServiceSpec &service,
+                                          const std::string &self);
 
 /// The order in which homes vouch for an idempotency key, first the primary,
 /// then the shadows, those of other failure domains before those of the same.
--- a/src/dispatch/Plan.cpp
+++ b/src/dispatch/Plan.cpp
@@ -18,12 +18,12 @@
   plan.Policy = policy;
   const Homes homes = placeService(view, service, service.Homes);
   plan.HomesDigest = homes.Digest;
-  for (const UpstreamSpec &it : service.Upstreams) {
+  const auto shares = shareUpstreams(homes, service, self);
+  for (std::size_t n = 0; n < shares.size(); ++n) {
+    const UpstreamSpec &it = service.Upstreams[n];
     Target target;
     target.Spec = it;
-    target.Share = policy == RoutingPolicy::Homes
-                       ? shareUpstream(homes, it, self)
-                       : wholeOf(it);
+    target.Share = policy == RoutingPolicy::Homes ? shares[n] : wholeOf(it);
     target.InService = !it.Leaving && isInService(*view.Intent, it.Domain);
     plan.Targets.push_back(std::move(target));
   }
--- a/src/gateway/Services.cpp
+++ b/src/gateway/Services.cpp
@@ -31,12 +31,13 @@
   }
   entry.Upstreams.clear();
   entry.Connections.clear();
-  for (const UpstreamSpec &it : spec.Upstreams) {
-    const UpstreamShare share = shareUpstream(entry.Places, it, self);
+  const bool homes = table.Context.Policy == RoutingPolicy::Homes;
+  const auto shares = shareUpstreams(entry.Places, spec, self);
+  for (std::size_t n = 0; n < shares.size(); ++n) {
+    const UpstreamSpec &it = spec.Upstreams[n];
     entry.Upstreams.emplace(it.Id, it);
-    entry.Connections.emplace(
-        it.Id, table.Context.Policy == RoutingPolicy::Homes ? share.Connections
-                                                            : it.Connections);
+    entry.Connections.emplace(it.Id,
+                              homes ? shares[n].Connections : it.Connections);
   }
 }
 
--- a/src/homes/Homes.cpp
+++ b/src/homes/Homes.cpp
@@ -1,6 +1,7 @@
 #include "zinniarail/homes/Homes.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 #include "zinniarail/core/Hash.h"
@@ -10,7 +11,6 @@
 namespace {
 
 constexpr std::uint64_t PlacementSeed = 1;
-constexpr std::uint64_t ShareSeed = 2;
 constexpr std::uint64_t ClaimSeed = 3;
 
 std::vector<Instance> rankFor(std::vector<Instance> instances,
@@ -86,19 +86,33 @@
   return homes;
 }
 
-UpstreamShare shareUpstream(const Homes &homes, const UpstreamSpec &upstream,
-                            const std::string &self) {
-  const auto ranked = rankFor(homes.Ranked, upstream.Id, ShareSeed);
+std::vector<UpstreamShare> shareUpstreams(const Homes &homes,
+                                          const ServiceSpec &service,
+                                          const std::string &self) {
+  std::vector<UpstreamShare> shares(service.Upstreams.size());
+  const auto &ranked = homes.Ranked;
   const auto it =
       std::find_if(ranked.begin(), ranked.end(),
                    [&](const Instance &home) { return home.Id == self; });
   if (it == ranked.end()) {
-    return {};
+    return shares;
   }
-  const auto index = static_cast<unsigned>(it - ranked.begin());
+  const auto place = static_cast<unsigned>(it - ranked.begin());
   const auto parts = static_cast<unsigned>(ranked.size());
-  return {divideFairly(upstream.Slots, parts, index),
-          divideFairly(upstream.Connections, parts, index), index == 0};
+  // Which home comes first at the next upstream of a domain: the one after
+  // those that got a slot more of the last. Each domain begins at another.
+  std::map<std::string, unsigned> firsts;
+  for (std::size_t n = 0; n < shares.size(); ++n) {
+    const UpstreamSpec &upstream = service.Upstreams[n];
+    unsigned &first = firsts.try_emplace(upstream.Domain, firsts.size() % parts)
+                          .first->second;
+    const unsigned index = (place + parts - first) % parts;
+    shares[n] = {divideFairly(upstream.Slots, parts, index),
+                 divideFairly(upstream.Connections, parts, index), index == 0};
+    const unsigned more = upstream.Slots % parts;
+    first = (first + std::max(more, 1U)) % parts;
+  }
+  return shares;
 }
 
 std::vector<Instance> claimHolders(const Homes &homes, const std::string &key) {
