Who ramps an upstream stays when its domain's upstreams change

Cause: since the homes take the slot that is over in turn, the home that ramps was the one whose turn it is; an upstream that goes or comes moved the ramps of those after it in its domain. A ramp that moves starts anew, and until both homes have the new view each may send its one request to a cold upstream. Found in the review of the change.

Change: the ramping home is drawn by hash again, among the homes that have a slot.

Before and after: rampsStayWhenAnUpstreamOfTheDomainGoes failed (8 checks), passes; onlyAHomeWithASlotRamps passes before and after.

--- a/src/homes/Homes.cpp
+++ b/src/homes/Homes.cpp
@@ -59,6 +59,24 @@
   return placed;
 }
 
+namespace {
+
+// The home that ramps an upstream: by hash, so that it stays when the list of
+// upstreams changes, among those that have a slot of it.
+template <typename HasSlot>
+const Instance *rampingHome(const Homes &homes, const UpstreamSpec &upstream,
+                            HasSlot hasSlot) {
+  for (const Instance *it :
+       rankFor(listAll(homes.Ranked), upstream.Id, RampSeed)) {
+    if (hasSlot(*it)) {
+      return it;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace
+
 std::vector<UpstreamShare> shareUpstreams(const Homes &homes,
                                           const ServiceSpec &service,
                                           const std::string &self) {
@@ -79,9 +97,18 @@
     const UpstreamSpec &upstream = service.Upstreams[n];
     unsigned &first = firsts.try_emplace(upstream.Domain, firsts.size() % parts)
                           .first->second;
+    const auto slotsAt = [&](std::size_t home) {
+      return divideFairly(upstream.Slots, parts,
+                          (home + parts - first) % parts);
+    };
+    const Instance *ramping =
+        rampingHome(homes, upstream, [&](const Instance &home) {
+          return slotsAt(&home - ranked.data()) > 0;
+        });
     const unsigned index = (place + parts - first) % parts;
-    shares[n] = {divideFairly(upstream.Slots, parts, index),
-                 divideFairly(upstream.Connections, parts, index), index == 0};
+    shares[n] = {slotsAt(place),
+                 divideFairly(upstream.Connections, parts, index),
+                 ramping == &*it};
     const unsigned more = upstream.Slots % parts;
     first = (first + std::max(more, 1U)) % parts;
   }
--- a/tests/homes/HomesTest.cpp
+++ b/tests/homes/HomesTest.cpp
@@ -166,3 +166,36 @@
     BOOST_TEST(it.Id != before.Ranked.front().Id);
   }
 }
+
+// A ramp that moves starts anew, and for a moment two homes may believe that
+// it is theirs.
+BOOST_AUTO_TEST_CASE(rampsStayWhenAnUpstreamOfTheDomainGoes) {
+  const View view = makeView(13, 3);
+  const ServiceSpec service = makeService({5, 5, 5}, 4);
+  ServiceSpec fewer = service;
+  fewer.Upstreams.erase(fewer.Upstreams.begin());
+  const Homes homes = placeService(view, service, 3);
+  for (const Instance &home : homes.Ranked) {
+    const auto before = shareUpstreams(homes, service, home.Id);
+    const auto after = shareUpstreams(homes, fewer, home.Id);
+    for (std::size_t u = 0; u < after.size(); ++u) {
+      BOOST_TEST(after[u].Ramps == before[u + 1].Ramps);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(onlyAHomeWithASlotRamps) {
+  const View view = makeView(13, 3);
+  const ServiceSpec service = makeService({7, 1, 5}, 1);
+  const Homes homes = placeService(view, service, 3);
+  std::vector<unsigned> ramps(service.Upstreams.size());
+  for (const Instance &home : homes.Ranked) {
+    const auto shares = shareUpstreams(homes, service, home.Id);
+    for (std::size_t u = 0; u < shares.size(); ++u) {
+      BOOST_TEST((!shares[u].Ramps || shares[u].Slots > 0));
+      ramps[u] += shares[u].Ramps ? 1 : 0;
+    }
+  }
+  BOOST_TEST(std::count(ramps.begin(), ramps.end(), 1U) ==
+             static_cast<std::ptrdiff_t>(ramps.size()));
+}
