Numbered events for what changes in control, each told once

Cause: of control the log had only views in force, expired and valid again. Which change came into force, which failure domain went out or came back, that the platform was lost, and who reads it, were in dumps alone.

`takeNotices` compares the control state with what the log was told last, so that a state that lasts is one line. The platform counts as lost after two failed reads in a row, and as back after the first answer.

Not tested: readers changing in a fleet beyond 16.

--- a/src/control/ControlTask.cpp
+++ b/src/control/ControlTask.cpp
@@ -5,6 +5,7 @@
 
 #include <ev.h>
 
+#include "control/Notices.h"
 #include "control/PartReader.h"
 #include "control/Roster.h"
 #include "control/State.h"
@@ -66,6 +67,7 @@
   Random Draws;
   std::string DocumentKey;
   State Known;
+  Told Logged;
   Parts DocumentParts; ///< Of the root read last.
   std::shared_ptr<const View> Posted = std::make_shared<View>();
   Instant PostedAt{};
@@ -170,6 +172,9 @@
                           now >= next.ConfirmedAsOf + Known.Intent.Lifetime / 2;
   readDocument(reader, lacksProof, now);
   readInstances(reader, now);
+  for (const Notice &it : takeNotices(Logged, Known, reader)) {
+    logEvent(it.Id, it.Text);
+  }
   if (const auto wanted = chooseFetch(Known.Intent, now)) {
     Out.Peers(peers::FetchDocument{wanted->Instance, wanted->Version});
   }
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -37,6 +37,26 @@
      "pause of the process it mends by itself."},
     {EventId::ViewValidAgain, "view-valid-again", EventLevel::Info,
      "The view was confirmed after it had expired."},
+    {EventId::DocumentInForce, "document-in-force", EventLevel::Info,
+     "Another document is in force here; its version, the one before and "
+     "its change id."},
+    {EventId::DocumentRefused, "document-refused", EventLevel::Warn,
+     "The platform has a version that is no valid document here; the one "
+     "in force stays. Apply a valid document."},
+    {EventId::DomainOut, "domain-out", EventLevel::Info,
+     "A failure domain is out of service, in force here."},
+    {EventId::DomainIn, "domain-in", EventLevel::Info,
+     "A failure domain is back in service, in force here."},
+    {EventId::PlatformLost, "platform-lost", EventLevel::Warn,
+     "Two reads in a row had no answer of the platform. The instance goes "
+     "on with what peers confirm; see \"When the platform is down\" in "
+     "OPERATING.md."},
+    {EventId::PlatformBack, "platform-back", EventLevel::Info,
+     "The platform answers again."},
+    {EventId::ReadingBegan, "reading-began", EventLevel::Info,
+     "The instance reads documents from the platform."},
+    {EventId::ReadingEnded, "reading-ended", EventLevel::Info,
+     "The instance hears of documents from peers; others read them."},
     {EventId::AttemptBroken, "attempt-broken", EventLevel::Debug,
      "An attempt that was sent came to no whole answer of its own."},
     {EventId::HomeUnreachable, "home-unreachable", EventLevel::Warn,
--- a/tests/control/ControlTaskTest.cpp
+++ b/tests/control/ControlTaskTest.cpp
@@ -1,4 +1,6 @@
 #include <future>
+#include <iostream>
+#include <sstream>
 
 #include <boost/json.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -6,6 +8,7 @@
 
 #include "Standin.h"
 #include "zinniarail/control/ControlTask.h"
+#include "zinniarail/events/Events.h"
 #include "zinniarail/intent/Parts.h"
 
 using namespace zinniarail;
@@ -132,6 +135,61 @@
   goThroughOutage(outage);
 }
 
+namespace {
+
+// Takes what is written to the log; read it when nobody writes any more.
+struct LogCapture {
+  LogCapture() : Before(std::cerr.rdbuf(Lines.rdbuf())) { openLog("info"); }
+  ~LogCapture() { std::cerr.rdbuf(Before); }
+  LogCapture(const LogCapture &) = delete;
+  LogCapture &operator=(const LogCapture &) = delete;
+
+  std::vector<EventId> events() const {
+    std::vector<EventId> out;
+    std::istringstream lines(Lines.str());
+    std::string time;
+    std::string level;
+    unsigned number = 0;
+    for (std::string rest; lines >> time >> level >> number;) {
+      std::getline(lines, rest);
+      out.push_back(static_cast<EventId>(number));
+    }
+    return out;
+  }
+
+  std::ostringstream Lines;
+  std::streambuf *Before;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(theLogTellsEachChangeOnce) {
+  LogCapture log;
+  Fixture it("50.9:7000");
+  it.Platform.putDocument(documentOf("c1"));
+  it.awaitChange("c1");
+  it.Platform.putDocument(serialiseDocument(
+      {.ChangeId = "c2", .Domains = {{"a", "", true}, {"b", "", false}}}));
+  it.awaitChange("c2");
+  it.Platform.setFaults(R"({"outage":"503"})");
+  BOOST_TEST(waitFor([&] { return !it.Seen.isValid(); }));
+  it.Platform.setFaults(R"({"outage":"none"})");
+  BOOST_TEST(waitFor([&] { return it.Seen.isValid(); }));
+  it.Platform.putDocument("{\"services\":7}");
+  BOOST_TEST(waitFor(
+      [&] { return it.dump().at("refusedVersion").to_number<int>() == 3; }));
+  it.Platform.putDocument(documentOf("c4"));
+  it.awaitChange("c4");
+  it.Task.stop();
+  const std::vector<EventId> expected{
+      EventId::ReadingBegan,    EventId::DocumentInForce,
+      EventId::DocumentInForce, EventId::DomainOut,
+      EventId::PlatformLost,    EventId::PlatformBack,
+      EventId::DocumentRefused, EventId::DocumentInForce,
+      EventId::DomainIn};
+  BOOST_TEST((log.events() == expected), log.Lines.str());
+}
+
 BOOST_AUTO_TEST_CASE(aSlowPlatformKeepsTheViewValid) {
   Fixture it("50.2:7000");
   it.Platform.setFaults(R"({"delayMs":400})");
