Broken answers are told from crashes before a request is condemned

Cause: a lost connection and a short or crossed answer look like a crash, and each was taken for one. A request that met two in a row was quarantined for five minutes though no upstream had crashed.

Ruled out: an answer whose attempt ran already at the break as proof (it may have lain in a buffer); the incarnation known at the break instead of at the attempt's start (a crash noticed late would be refuted); a probe that fails as proof of a crash; held requests in the queue; a word of freedom to other homes (it may be lost).

Change: - A break is a presumed crash until a report that was asked for after it refutes it (same incarnation) or makes it certain (another one). - A request whose crashes may yet be refuted is held for a second at most: refused as held, 503, did-not-run. Its upstreams are probed within the probe budget. Then it is free or condemned. - Other homes hear Held, which ends by itself, and Suspect with the incarnation, so that each refutes by what it sees. - After a refuted break an attempt from before it that breaks is looked at anew; it was taken for a victim. - Schedules break with and without crashes, with 50 fingerprints in place of 200 so that one meets two; the checker has a promise more, "innocent". The matrix's quarantine word counts as doubt there.

Conclusion: an innocent request is refused for a second at most, as long as its upstreams can be asked and name their incarnation.

--- a/include/zinniarail/dispatch/Messages.h
+++ b/include/zinniarail/dispatch/Messages.h
@@ -44,6 +44,7 @@
   Quarantined,      ///< Its like crashed upstreams.
   UpstreamFailed,   ///< Every permitted try failed.
   Stopping,         ///< This instance is about to go.
+  Held,             ///< Its like may have crashed upstreams; a verdict is near.
 };
 
 /// What the claim task found out about an idempotency key.
@@ -100,10 +101,12 @@
     UpstreamWarm,
     Quarantine, ///< The fingerprint is condemned.
     Suspect,    ///< The fingerprint was in flight when the upstream crashed.
+    /// Likewise, and it is to be refused until a verdict: Quarantine, or none.
+    Held,
   };
   Kind What;
   std::string Upstream;
-  std::uint64_t Incarnation = 0;
+  std::uint64_t Incarnation = 0; ///< Before the crash, where it is of one.
   std::uint64_t Fingerprint = 0;
   std::uint64_t HomesDigest = 0; ///< Of the sender's homes.
 };
--- a/src/dispatch/Attempts.cpp
+++ b/src/dispatch/Attempts.cpp
@@ -27,6 +27,7 @@
   attempt.Fingerprint = request.Fingerprint;
   attempt.Key = request.Claimed ? request.Key : std::string{};
   attempt.ColdStarts = upstream.Warm.ColdStarts;
+  attempt.Life = upstream.Warm.Incarnation;
   attempt.Hedge = isHedge;
   state.Attempts.emplace(numberOf(id), std::move(attempt));
   upstream.Running.push_back(id);
@@ -177,9 +178,9 @@
   while (it != state.Queue.end()) {
     RequestState &request = state.Requests.at(it->Request);
     const Handling handling = judge(state, request, step.Now);
-    if (handling == Handling::Refuse) {
+    if (const auto danger = dangerOf(handling)) {
       ++it;
-      refuse(step, request, RefusalReason::Quarantined);
+      refuse(step, request, *danger);
       continue;
     }
     const Choice choice = chooseUpstream(state, request, step.Now);
--- a/src/dispatch/Crashes.cpp
+++ b/src/dispatch/Crashes.cpp
@@ -8,16 +8,34 @@
 
 constexpr QuarantineLimits Limits;
 
-void tell(Step step, PeerWord::Kind what, const UpstreamState &upstream,
+void tell(Step step, PeerWord::Kind what, const Crash &crash,
           std::uint64_t fingerprint) {
   PeerWord word;
   word.What = what;
-  word.Upstream = upstream.Plan.Spec.Id;
+  word.Upstream = crash.Upstream;
+  word.Incarnation = crash.Life;
   word.Fingerprint = fingerprint;
   word.HomesDigest = step.State.Plan.HomesDigest;
   emit(step, TellHomes{std::move(word)});
 }
 
+void tellCondemned(Step step, const Crash &crash,
+                   const std::vector<std::uint64_t> &fingerprints) {
+  for (const std::uint64_t it : fingerprints) {
+    ++step.State.Counters.Condemned;
+    tell(step, PeerWord::Kind::Quarantine, crash, it);
+  }
+}
+
+void suspectByWord(Step step, const PeerWord &word) {
+  noteSuspected(step.State.Dangerous, Limits, word.Fingerprint,
+                {word.Upstream, word.Incarnation}, step.Now);
+  const auto it = step.State.Upstreams.find(word.Upstream);
+  if (it != step.State.Upstreams.end()) {
+    it->second.UnprovenSince = step.Now;
+  }
+}
+
 // A request without a fingerprint is like no other.
 std::vector<std::uint64_t> fingerprintsOn(const ServiceState &state,
                                           const UpstreamState &upstream) {
@@ -35,31 +53,67 @@
 
 void noteBroken(Step step, UpstreamState &upstream,
                 const AttemptState &attempt) {
-  if (attempt.Started <= upstream.CrashedAt) {
-    return; // Another victim of a crash that is noted.
-  }
   ServiceState &state = step.State;
+  upstream.UnprovenSince = step.Now;
+  if (attempt.Started <= upstream.CrashedAt) { // By a crash that is noted.
+    return noteVictim(state.Dangerous, upstream.Plan.Spec.Id, step.Now);
+  }
   upstream.CrashedAt = step.Now;
+  upstream.CrashedLife = attempt.Life;
   ++state.Counters.Crashes;
+  const Crash crash{upstream.Plan.Spec.Id, attempt.Life};
   const auto prints = fingerprintsOn(state, upstream);
   for (const std::uint64_t it : prints) {
     if (!state.Dangerous.Suspects.contains(it)) {
-      tell(step, PeerWord::Kind::Suspect, upstream, it);
+      tell(step, PeerWord::Kind::Suspect, crash, it);
     }
   }
-  const auto condemned = noteCrash(state.Dangerous, Limits,
-                                   upstream.Plan.Spec.Id, prints, step.Now);
-  for (const std::uint64_t it : condemned) {
-    ++state.Counters.Condemned;
-    tell(step, PeerWord::Kind::Quarantine, upstream, it);
+  const auto verdicts =
+      noteCrash(state.Dangerous, Limits, crash, prints, step.Now);
+  tellCondemned(step, crash, verdicts.Condemned);
+  for (const std::uint64_t it : verdicts.Held) {
+    ++state.Counters.Held;
+    tell(step, PeerWord::Kind::Held, crash, it);
   }
 }
 
+void learnLife(Step step, UpstreamState &upstream, const LoadReport &report,
+               Instant asked) {
+  if (asked <= upstream.UnprovenSince || report.Incarnation == 0) {
+    return;
+  }
+  upstream.UnprovenSince = Instant::max();
+  if (report.Incarnation == upstream.CrashedLife) {
+    upstream.CrashedAt = Instant{}; // Nothing is a victim of no crash.
+  }
+  const Crash crash{upstream.Plan.Spec.Id, report.Incarnation};
+  tellCondemned(step, crash,
+                noteLife(step.State.Dangerous, Limits, crash.Upstream,
+                         crash.Life, asked, step.Now));
+}
+
+void condemnDue(Step step) {
+  tellCondemned(step, {}, condemnHeld(step.State.Dangerous, Limits, step.Now));
+}
+
 Handling judge(const ServiceState &state, const RequestState &request,
                Instant now) {
   return judge(state.Dangerous, request.Fingerprint, now);
 }
 
+std::optional<RefusalReason> dangerOf(Handling handling) {
+  switch (handling) {
+  case Handling::Normal:
+  case Handling::Isolate:
+    break;
+  case Handling::Hold:
+    return RefusalReason::Held;
+  case Handling::Refuse:
+    return RefusalReason::Quarantined;
+  }
+  return std::nullopt;
+}
+
 bool mustKeepApart(const ServiceState &state, const UpstreamState &upstream,
                    Instant now) {
   const auto prints = fingerprintsOn(state, upstream);
@@ -70,10 +124,17 @@
 
 void onDangerWord(Step step, const PeerWord &word) {
   Quarantine &dangerous = step.State.Dangerous;
-  if (word.What == PeerWord::Kind::Quarantine) {
-    noteCondemned(dangerous, Limits, word.Fingerprint, step.Now);
-  } else {
-    noteSuspected(dangerous, Limits, word.Fingerprint, word.Upstream, step.Now);
+  switch (word.What) {
+  case PeerWord::Kind::Quarantine:
+    return noteCondemned(dangerous, Limits, word.Fingerprint, step.Now);
+  case PeerWord::Kind::Held:
+    noteHeld(dangerous, Limits, word.Fingerprint, step.Now);
+    [[fallthrough]];
+  case PeerWord::Kind::Suspect:
+    return suspectByWord(step, word);
+  case PeerWord::Kind::UpstreamCold:
+  case PeerWord::Kind::UpstreamWarm:
+    return;
   }
 }
 
--- a/src/dispatch/Describe.cpp
+++ b/src/dispatch/Describe.cpp
@@ -19,6 +19,7 @@
           {"retries", counters.Retries},
           {"keysReleased", counters.KeysReleased},
           {"crashes", counters.Crashes},
+          {"held", counters.Held},
           {"condemned", counters.Condemned},
           {"ejections", counters.Ejections},
           {"coldStarts", counters.ColdStarts}};
--- a/src/dispatch/Life.h
+++ b/src/dispatch/Life.h
@@ -3,6 +3,7 @@
 /// of actions to append to.
 #pragma once
 
+#include <optional>
 #include <utility>
 
 #include "dispatch/ServiceState.h"
@@ -103,6 +104,9 @@
 Handling judge(const ServiceState &state, const RequestState &request,
                Instant now);
 
+/// Why a request is refused for what its likes did, if it is.
+std::optional<RefusalReason> dangerOf(Handling handling);
+
 /// Tells whether a request must not join what runs on an upstream.
 bool mustKeepApart(const ServiceState &state, const UpstreamState &upstream,
                    Instant now);
@@ -110,6 +114,14 @@
 /// Takes another home's word on a fingerprint.
 void onDangerWord(Step step, const PeerWord &word);
 
+/// Judges by an upstream's report whether it crashed.
+/// \param asked when the request or the probe that brought it was started.
+void learnLife(Step step, UpstreamState &upstream, const LoadReport &report,
+               Instant asked);
+
+/// Condemns the held requests whose time is over.
+void condemnDue(Step step);
+
 // Upstreams.cpp
 
 /// Learns from an attempt's end what it says of its upstream.
--- a/src/dispatch/Names.cpp
+++ b/src/dispatch/Names.cpp
@@ -20,6 +20,8 @@
     return "key-in-use";
   case RefusalReason::ClaimUnavailable:
     return "claim-unavailable";
+  case RefusalReason::Held:
+    return "held";
   case RefusalReason::Quarantined:
     return "quarantined";
   case RefusalReason::UpstreamFailed:
--- a/src/dispatch/Requests.cpp
+++ b/src/dispatch/Requests.cpp
@@ -57,8 +57,8 @@
   if (now >= request.Deadline) {
     return RefusalReason::DeadlinePassed;
   }
-  if (judge(state, request, now) == Handling::Refuse) {
-    return RefusalReason::Quarantined;
+  if (const auto danger = dangerOf(judge(state, request, now))) {
+    return danger;
   }
   if (!anyInService(state)) {
     return RefusalReason::NoUpstream;
@@ -93,6 +93,7 @@
   case RefusalReason::KeyMissing: // Coming back as it is never helps.
   case RefusalReason::UnknownService:
     return Duration{0};
+  case RefusalReason::Held:
   case RefusalReason::Quarantined:
     return refusedFor(state.Dangerous, request.Fingerprint, now);
   case RefusalReason::KeyInUse:
--- a/src/dispatch/ServiceState.h
+++ b/src/dispatch/ServiceState.h
@@ -27,6 +27,10 @@
   Warmth Warm;
   ReportedLoad Load;
   Instant CrashedAt{}; ///< Attempts from before it broke with that crash.
+  std::uint64_t CrashedLife = 0; ///< Its incarnation before that crash.
+  /// The last time that something broke there, by any home's word, while no
+  /// later report has told whether it was a crash; otherwise Instant::max().
+  Instant UnprovenSince = Instant::max();
   Instant ProbedAt{};
   bool ProbeOut = false;
   unsigned WordsLeft = 0; ///< Times to repeat that it is warm.
@@ -64,6 +68,7 @@
   std::uint64_t Fingerprint = 0;
   std::string Key;         ///< The granted key that it carries, if any.
   unsigned ColdStarts = 0; ///< The upstream's, as it started.
+  std::uint64_t Life = 0;  ///< Likewise its incarnation; 0 when unknown.
   bool Sent = false;
   bool Hedge = false;
   bool Cancelled = false;
@@ -79,6 +84,7 @@
   std::uint64_t Retries = 0;
   std::uint64_t KeysReleased = 0;
   std::uint64_t Crashes = 0;
+  std::uint64_t Held = 0;
   std::uint64_t Condemned = 0;
   std::uint64_t Ejections = 0;
   std::uint64_t ColdStarts = 0;
--- a/src/dispatch/Upstreams.cpp
+++ b/src/dispatch/Upstreams.cpp
@@ -75,7 +75,9 @@
   applyChange(step, upstream, WarmthChange::TurnedCold);
 }
 
-void takeReport(Step step, UpstreamState &upstream, const LoadReport &report) {
+void takeReport(Step step, UpstreamState &upstream, const LoadReport &report,
+                Instant asked) {
+  learnLife(step, upstream, report, asked);
   upstream.Load.Report = report;
   upstream.Load.Own = static_cast<unsigned>(upstream.Running.size());
   upstream.Load.At = step.Now;
@@ -160,18 +162,28 @@
   observeFailure(step, upstream, true);
 }
 
-bool wantsProbe(const UpstreamState &it) {
-  return takesWork(it) && it.Warm.Phase == WarmthPhase::Waiting;
-}
-
-Instant probeDue(const UpstreamState &it) {
-  return it.ProbedAt + (it.ProbeOut ? ProbeTimeout : ProbePause);
+// When to probe an upstream: it warms elsewhere, or holds a request up.
+// \param toAsk as upstreamsToAsk gives it.
+Instant probeDue(const UpstreamState &it,
+                 const std::map<std::string, Instant> &toAsk) {
+  if (!takesWork(it)) {
+    return Instant::max();
+  }
+  const Instant due = it.ProbedAt + (it.ProbeOut ? ProbeTimeout : ProbePause);
+  if (it.Warm.Phase == WarmthPhase::Waiting) {
+    return due;
+  }
+  const auto broke = toAsk.find(it.Plan.Spec.Id);
+  return broke == toAsk.end()
+             ? Instant::max()
+             : std::max(due, broke->second + Duration{1}); // Surely later.
 }
 
 UpstreamState *nextToProbe(ServiceState &state, Instant now) {
+  const auto toAsk = upstreamsToAsk(state.Dangerous);
   UpstreamState *next = nullptr;
   for (auto &[id, it] : state.Upstreams) {
-    if (wantsProbe(it) && probeDue(it) <= now &&
+    if (probeDue(it, toAsk) <= now &&
         (next == nullptr || it.ProbedAt < next->ProbedAt)) {
       next = &it;
     }
@@ -223,7 +235,7 @@
     return;
   }
   if (event.HasReport) {
-    takeReport(step, upstream, event.Report);
+    takeReport(step, upstream, event.Report, attempt.Started);
     const auto change =
         noteReport(upstream.Warm, event.Report, ramps(upstream), step.Now);
     applyChange(step, upstream, change);
@@ -247,13 +259,13 @@
   if (!event.Reached || step.State.Plan.Policy != RoutingPolicy::Homes) {
     return;
   }
-  takeReport(step, it, event.Report);
+  takeReport(step, it, event.Report, it.ProbedAt);
   applyChange(step, it, noteProbe(it.Warm, event.Report, ramps(it), step.Now));
 }
 
 void onWord(Step step, const PeerWord &event) {
-  if (event.What == PeerWord::Kind::Quarantine ||
-      event.What == PeerWord::Kind::Suspect) {
+  if (event.What != PeerWord::Kind::UpstreamCold &&
+      event.What != PeerWord::Kind::UpstreamWarm) {
     return onDangerWord(step, event);
   }
   const auto at = step.State.Upstreams.find(event.Upstream);
@@ -272,6 +284,7 @@
                        noteWarmWord(it.Warm, event.Incarnation, step.Now));
   case PeerWord::Kind::Quarantine:
   case PeerWord::Kind::Suspect:
+  case PeerWord::Kind::Held:
     return;
   }
 }
@@ -318,20 +331,20 @@
     }
     it.NextWord = it.WordsLeft > 0 ? step.Now + pause : Instant::max();
   }
+  condemnDue(step);
   sendProbes(step);
 }
 
 Instant nextTending(const ServiceState &state) {
-  Instant next = Instant::max();
+  Instant next = state.Dangerous.NextVerdict;
   Instant probe = Instant::max();
+  const auto toAsk = upstreamsToAsk(state.Dangerous);
   for (const auto &[id, it] : state.Upstreams) {
     next = std::min(next, it.NextWord);
     if (!state.Queue.empty() && takesWork(it)) {
       next = std::min(next, takeUpDue(it.Warm));
     }
-    if (wantsProbe(it)) {
-      probe = std::min(probe, probeDue(it));
-    }
+    probe = std::min(probe, probeDue(it, toAsk));
     if (!state.Queue.empty() && it.Health.Backoff != Duration{0}) {
       const bool over = it.Health.EjectedUntil <= state.LastEvent;
       next = over ? next : std::min(next, it.Health.EjectedUntil);
--- a/src/gateway/Answers.cpp
+++ b/src/gateway/Answers.cpp
@@ -33,6 +33,8 @@
     return "its Idempotency-Key could not be claimed";
   case RefusalReason::Quarantined:
     return "requests like it crashed upstreams";
+  case RefusalReason::Held:
+    return "requests like it may have crashed upstreams; this is found out";
   case RefusalReason::UpstreamFailed:
     return "no try came to a whole answer";
   case RefusalReason::Stopping:
@@ -83,6 +85,7 @@
   case RefusalReason::Overloaded:
   case RefusalReason::ViewExpired:
   case RefusalReason::ClaimUnavailable:
+  case RefusalReason::Held:
   case RefusalReason::Stopping:
     return 503;
   }
--- a/src/peers/Wire.cpp
+++ b/src/peers/Wire.cpp
@@ -201,7 +201,7 @@
 }
 
 std::optional<PeerWord> read(wire::Word::Reader in) {
-  if (in.getKind() > static_cast<std::uint8_t>(PeerWord::Kind::Suspect) ||
+  if (in.getKind() > static_cast<std::uint8_t>(PeerWord::Kind::Held) ||
       in.getUpstream().size() > TextLimit) {
     return std::nullopt;
   }
--- a/tests/dispatch/Checker.cpp
+++ b/tests/dispatch/Checker.cpp
@@ -14,6 +14,9 @@
 // Good answers before a cold upstream may have a second request in flight.
 constexpr unsigned AnswersBeforeGrowth = 4;
 
+// How long a request may be held for breaks that are refuted.
+constexpr Duration Hold = 1s;
+
 } // namespace
 
 Checker::Checker(const ServicePlan &plan, Instant validUntil)
@@ -57,6 +60,7 @@
 }
 
 void Checker::onEvent(const Event &event, Instant now) {
+  noteDoubts(now);
   if (const auto *it = std::get_if<RequestArrived>(&event)) {
     see(*it, now);
   } else if (const auto *it = std::get_if<AttemptEnded>(&event)) {
@@ -68,11 +72,23 @@
   } else if (const auto *it = std::get_if<ClaimDecided>(&event)) {
     Requests.at(it->Request).Granted = it->Verdict == ClaimVerdict::Granted;
   } else if (const auto *it = std::get_if<PeerWord>(&event)) {
-    if (it->What == PeerWord::Kind::UpstreamWarm) {
-      Upstreams.at(it->Upstream).MayTakeUp = true;
-    }
+    see(*it);
   } else if (const auto *it = std::get_if<ProbeEnded>(&event)) {
-    Upstreams.at(it->Upstream).MayTakeUp |= it->Reached && !it->Report.Cold;
+    SeenUpstream &upstream = Upstreams.at(it->Upstream);
+    upstream.MayTakeUp |= it->Reached && !it->Report.Cold;
+    if (it->Reached) {
+      noteLife(upstream, it->Report.Incarnation, upstream.ProbedAt);
+    }
+  }
+}
+
+void Checker::see(const PeerWord &event) {
+  if (event.What == PeerWord::Kind::Quarantine) {
+    Fingerprints[event.Fingerprint].Doubtful = true;
+    return;
+  }
+  if (event.What == PeerWord::Kind::UpstreamWarm) {
+    Upstreams.at(event.Upstream).MayTakeUp = true;
   }
 }
 
@@ -85,10 +101,53 @@
     }
   }
   it.Deadline = event.Deadline;
+  it.Fingerprint = event.Fingerprint;
+}
+
+// A break speaks against all that runs on the upstream.
+void Checker::noteBreak(const SeenAttempt &attempt, Instant now) {
+  for (const auto &[id, it] : Attempts) {
+    if (it.Ended || it.Upstream != attempt.Upstream) {
+      continue;
+    }
+    auto &breaks = Fingerprints[Requests.at(it.Request).Fingerprint].Breaks;
+    const auto [at, isNew] = breaks.try_emplace(it.Upstream);
+    SeenBreak &seen = at->second;
+    seen.Life = isNew || seen.Life == attempt.Life ? attempt.Life : 0;
+    seen.Last = now;
+  }
 }
 
-void Checker::see(const AttemptEnded &event, Instant) {
+void Checker::noteLife(SeenUpstream &upstream, std::uint64_t life,
+                       Instant asked) {
+  upstream.Life = life;
+  for (auto &[fingerprint, it] : Fingerprints) {
+    const auto at = it.Breaks.find(upstream.Plan.Spec.Id);
+    if (at == it.Breaks.end() || asked <= at->second.Last) {
+      continue;
+    }
+    if (at->second.Life == life) {
+      it.Breaks.erase(at);
+    } else {
+      it.Doubtful = true;
+    }
+  }
+}
+
+void Checker::noteDoubts(Instant now) {
+  for (auto &[fingerprint, it] : Fingerprints) {
+    it.Doubtful |=
+        std::any_of(it.Breaks.begin(), it.Breaks.end(), [&](const auto &any) {
+          return any.second.Life == 0 || now >= any.second.Last + Hold;
+        });
+  }
+}
+
+void Checker::see(const AttemptEnded &event, Instant now) {
   SeenAttempt &it = Attempts.at(event.Attempt);
+  if (event.End == AttemptEnd::Broken) {
+    noteBreak(it, now);
+  }
   it.Ended = true;
   it.End = event.End;
   SeenUpstream &upstream = Upstreams.at(it.Upstream);
@@ -98,6 +157,7 @@
     upstream.GoodSinceCold += event.End == AttemptEnd::Answered ? 1 : 0;
   }
   if (event.HasReport) {
+    noteLife(upstream, event.Report.Incarnation, it.Started);
     const bool turned = event.Report.Cold && !upstream.SaysCold;
     upstream.SaysCold = event.Report.Cold;
     upstream.ColdReports += event.Report.Cold ? 1 : 0;
@@ -148,6 +208,8 @@
   SeenAttempt &attempt = Attempts[action.Attempt];
   attempt.Request = action.Request;
   attempt.Upstream = action.Upstream;
+  attempt.Started = now;
+  attempt.Life = Upstreams.at(action.Upstream).Life;
 }
 
 void Checker::finish(RequestId id) {
@@ -157,6 +219,14 @@
 }
 
 void Checker::see(const Refuse &action, Instant) {
+  const auto &seen = Fingerprints[Requests.at(action.Request).Fingerprint];
+  if (action.Reason == RefusalReason::Quarantined) {
+    require(seen.Doubtful, "innocent");
+  }
+  if (action.Reason == RefusalReason::Held) {
+    require(seen.Doubtful || seen.Breaks.size() > 1, "innocent");
+    require(action.RetryAfter <= Hold, "innocent");
+  }
   if (action.Outcome == Truth::DidNotRun) {
     require(!mayHaveRun(Requests.at(action.Request), true), "truth");
   }
@@ -177,7 +247,8 @@
   require(it.Answered || it.Gone, "release");
 }
 
-void Checker::see(const SendProbe &, Instant now) {
+void Checker::see(const SendProbe &action, Instant now) {
+  Upstreams.at(action.Upstream).ProbedAt = now;
   FirstProbe = Probes == 0 ? now : FirstProbe;
   Probes += 1;
   const auto seconds = std::chrono::duration<double>(now - FirstProbe).count();
--- a/tests/dispatch/Checker.h
+++ b/tests/dispatch/Checker.h
@@ -19,6 +19,8 @@
   bool Cancelled = false;
   bool Ended = false;
   AttemptEnd End = AttemptEnd::NotSent;
+  Instant Started{};
+  std::uint64_t Life = 0; ///< The upstream's, as reported before.
 };
 
 /// What the checker keeps of a request.
@@ -28,9 +30,22 @@
   bool Answered = false;
   bool Gone = false;
   Instant Deadline{};
+  std::uint64_t Fingerprint = 0;
   std::vector<AttemptId> Attempts;
 };
 
+/// What speaks against a fingerprint at one upstream.
+struct SeenBreak {
+  std::uint64_t Life = 0; ///< Before it; 0 when it can't be refuted.
+  Instant Last{};
+};
+
+/// What the checker keeps of a fingerprint.
+struct SeenFingerprint {
+  std::map<std::string, SeenBreak> Breaks; ///< By upstream.
+  bool Doubtful = false;                   ///< A break was not refuted in time.
+};
+
 /// What the checker keeps of an upstream.
 struct SeenUpstream {
   Target Plan;
@@ -42,6 +57,8 @@
   unsigned ColdReports = 0;
   bool MayTakeUp = false;  ///< A word or a probe said that it is warm.
   std::set<AttemptId> Old; ///< Started before it was cold.
+  std::uint64_t Life = 0;  ///< As reported last.
+  Instant ProbedAt{};
 };
 
 class Checker {
@@ -59,6 +76,7 @@
   std::map<AttemptId, SeenAttempt> Attempts;
   std::map<RequestId, SeenRequest> Requests;
   std::map<std::string, SeenUpstream> Upstreams;
+  std::map<std::uint64_t, SeenFingerprint> Fingerprints;
 
 private:
   void require(bool holds, const char *promise) {
@@ -71,7 +89,11 @@
   void checkTarget(const StartAttempt &start, Instant now);
   void checkBudgets(const StartAttempt &start, SeenRequest &request);
   void finish(RequestId id);
+  void noteBreak(const SeenAttempt &attempt, Instant now);
+  void noteLife(SeenUpstream &upstream, std::uint64_t life, Instant asked);
+  void noteDoubts(Instant now);
 
+  void see(const PeerWord &event);
   void see(const RequestArrived &event, Instant now);
   void see(const AttemptEnded &event, Instant now);
   void see(const StartAttempt &action, Instant now);
--- a/tests/dispatch/CrashTest.cpp
+++ b/tests/dispatch/CrashTest.cpp
@@ -1,3 +1,7 @@
+#include <algorithm>
+#include <utility>
+
+#include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -26,8 +30,143 @@
   service.tell(AttemptEnded{attempt.Attempt, AttemptEnd::Broken});
 }
 
+constexpr std::uint64_t OldLife = 1;
+constexpr std::uint64_t NewLife = 2;
+
+LoadReport inLife(std::uint64_t life) {
+  LoadReport report;
+  report.Incarnation = life;
+  return report;
+}
+
+void answer(Service &service, const StartAttempt &attempt, std::uint64_t life) {
+  service.Now += 5ms;
+  service.tell(AttemptEnded{attempt.Attempt, AttemptEnd::Answered, 200, true,
+                            inLife(life)});
+}
+
+/// A service that has heard from every upstream, and a request that broke two.
+struct Suspected {
+  Service Home = makeCrashing();
+  std::vector<PeerWord> Words; ///< To the other homes.
+
+  Suspected() {
+    for (std::uint64_t id = 1000; id < 1100; ++id) {
+      Home.arrive(id, "read");
+      answer(Home, Home.find<StartAttempt>().value(), OldLife);
+    }
+    Home.tell(alike(1, 77, Home));
+    for (int n = 0; n < 2; ++n) {
+      breakOff(Home, Home.find<StartAttempt>().value());
+      keepWords();
+    }
+  }
+
+  void keepWords() {
+    for (const Action &it : Home.Out) {
+      if (const auto *told = std::get_if<TellHomes>(&it)) {
+        Words.push_back(told->Word);
+      }
+    }
+  }
+
+  /// Lets a time pass in which probes end.
+  void pass(Duration time, bool reached, std::uint64_t life) {
+    const Instant until = Home.Now + time;
+    while (Home.Now < until) {
+      if (const auto probe = Home.find<SendProbe>()) {
+        Home.tell(ProbeEnded{probe->Upstream, reached, inLife(life)});
+        keepWords();
+        continue;
+      }
+      Home.Now = std::clamp(nextWake(*Home.State), Home.Now + 1us, until);
+      Home.tell(Woken{});
+      keepWords();
+    }
+  }
+};
+
+std::optional<Refuse> refusalOf(Service &service, std::uint64_t id) {
+  service.tell(alike(id, 77, service));
+  return service.find<Refuse>();
+}
+
+struct Proof {
+  const char *Name;
+  bool Reached;
+  std::uint64_t Life;
+  bool Condemned;
+};
+std::ostream &operator<<(std::ostream &out, const Proof &it) {
+  return out << it.Name;
+}
+const Proof Proofs[] = {
+    {"probes find both in the life from before", true, OldLife, false},
+    {"probes find both in another life", true, NewLife, true},
+    {"probes do not reach them", false, 0, true},
+    {"probes name no life", true, 0, true},
+};
+
 } // namespace
 
+BOOST_DATA_TEST_CASE(brokenAnswersAreToldFromCrashes,
+                     boost::unit_test::data::make(Proofs), proof) {
+  Suspected suspected;
+  const auto held = refusalOf(suspected.Home, 2);
+  BOOST_TEST_REQUIRE(held.has_value());
+  BOOST_TEST((held->Reason == RefusalReason::Held));
+  BOOST_TEST((held->Outcome == Truth::DidNotRun));
+  BOOST_TEST((held->RetryAfter <= 1s && held->RetryAfter > 0s));
+  suspected.pass(1s, proof.Reached, proof.Life);
+  const auto refusal = refusalOf(suspected.Home, 3);
+  BOOST_TEST(refusal.has_value() == proof.Condemned);
+  BOOST_TEST((!refusal || (refusal->Reason == RefusalReason::Quarantined &&
+                           refusal->RetryAfter > 1min)));
+}
+
+BOOST_DATA_TEST_CASE(otherHomesHoldAndJudgeAlike,
+                     boost::unit_test::data::make(Proofs), proof) {
+  Suspected suspected;
+  Service other = makeCrashing();
+  const auto hear = [&] {
+    other.Now = suspected.Home.Now;
+    for (const PeerWord &it : std::exchange(suspected.Words, {})) {
+      other.tell(it);
+    }
+  };
+  hear();
+  const auto held = refusalOf(other, 2);
+  BOOST_TEST_REQUIRE(held.has_value());
+  BOOST_TEST((held->RetryAfter <= 2s));
+  suspected.pass(1s, proof.Reached, proof.Life);
+  hear();
+  const auto then = refusalOf(other, 3);
+  BOOST_TEST((then && then->RetryAfter > 1min) == proof.Condemned);
+  other.Now += held->RetryAfter; // No word need come for it to end.
+  BOOST_TEST(refusalOf(other, 4).has_value() == proof.Condemned);
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerFromBeforeTheBreakProvesNothing) {
+  Service home = makeCrashing();
+  for (std::uint64_t id = 1000; id < 1400; ++id) {
+    home.arrive(id, "read");
+    answer(home, home.find<StartAttempt>().value(), OldLife);
+  }
+  std::vector<StartAttempt> early; // Two on each upstream.
+  for (std::uint64_t id = 2000; id < 2012; ++id) {
+    home.arrive(id, "read");
+    early.push_back(home.find<StartAttempt>().value());
+  }
+  home.tell(alike(1, 77, home));
+  for (int n = 0; n < 2; ++n) {
+    breakOff(home, home.find<StartAttempt>().value());
+  }
+  for (const StartAttempt &it : early) {
+    answer(home, it, OldLife);
+  }
+  BOOST_TEST(refusalOf(home, 2).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(aRequestThatCrashesTwoUpstreamsRunsNoMore) {
   Service service = makeCrashing();
   service.tell(alike(1, 77, service));
--- a/tests/dispatch/PropertyTest.cpp
+++ b/tests/dispatch/PropertyTest.cpp
@@ -163,6 +163,10 @@
     {"view-expired", delayed(40)},
     {"out-of-service",
      retarget([](const SeenUpstream &it) { return !it.Plan.InService; })},
+    {"innocent", onEach<Refuse>([](Refuse &it, Actions &, const Checker &) {
+       it.Reason = RefusalReason::Quarantined;
+       it.RetryAfter = 5min;
+     })},
     {"cold-ramp", doubleStarts(true)},
     {"cold-wait", retarget([](const SeenUpstream &it) {
        return it.Cold && !it.Plan.Share.Ramps && !it.MayTakeUp;
--- a/tests/dispatch/Schedule.cpp
+++ b/tests/dispatch/Schedule.cpp
@@ -27,11 +27,11 @@
   return taken;
 }
 
-LoadReport drawReport(std::uint32_t draw) {
+LoadReport drawReport(std::uint32_t draw, std::uint64_t life) {
   LoadReport report;
   report.InFlight = draw % 5;
   report.Queued = draw / 5 % 3;
-  report.Incarnation = 1;
+  report.Incarnation = 1 + life;
   report.Cold = draw / 15 % 16 == 0;
   report.Draining = draw / 240 % 32 == 0;
   return report;
@@ -70,7 +70,7 @@
   static const std::vector<std::string> Classes{"read", "write", "sheet"};
   const std::uint64_t id = NextRequest++;
   const std::string key = draw / 3 % 16 == 0 ? "" : "k" + std::to_string(id);
-  tell(RequestArrived{RequestId{id}, Classes[draw % 3], key, 1 + draw % 200,
+  tell(RequestArrived{RequestId{id}, Classes[draw % 3], key, 1 + draw % 50,
                       Engine.Now + Duration(draw / 48 % 200'000), true});
 }
 
@@ -100,25 +100,45 @@
     return;
   }
   const AttemptId attempt = takeAny(Live, draw / 512);
-  const bool sent = Watch.Attempts.at(attempt).Sent;
-  AttemptEnded event{attempt, AttemptEnd::NotSent};
-  if (sent) {
+  AttemptEnd how = AttemptEnd::NotSent;
+  if (Watch.Attempts.at(attempt).Sent) {
     const std::vector<AttemptEnd> ends{AttemptEnd::Broken,
                                        AttemptEnd::RefusedUnrun};
-    event.End = draw % 16 < 2 ? ends[draw % 16] : AttemptEnd::Answered;
+    how = draw % 16 < 2 ? ends[draw % 16] : AttemptEnd::Answered;
   }
-  if (event.End == AttemptEnd::Answered) {
+  endAs(attempt, how, draw);
+}
+
+void Schedule::endAs(AttemptId attempt, AttemptEnd end, std::uint32_t draw) {
+  AttemptEnded event{attempt, end};
+  if (end == AttemptEnd::Answered) {
     event.Status = draw / 16 % 16 == 0 ? 500 : 200;
     event.HasReport = draw / 256 % 2 == 0;
-    event.Report = drawReport(draw / 512);
+    event.Report =
+        drawReport(draw / 512, Lives[Watch.Attempts.at(attempt).Upstream]);
   }
   tell(event);
 }
 
+// An upstream goes down with all that it runs, and comes back with a new life.
+void Schedule::crash(std::uint32_t draw) {
+  const std::string upstream = "u" + std::to_string(draw % Upstreams);
+  ++Lives[upstream];
+  const auto before = Live;
+  for (const AttemptId it : before) {
+    const SeenAttempt &seen = Watch.Attempts.at(it);
+    if (seen.Upstream == upstream && !seen.Ended) {
+      std::erase(Live, it);
+      endAs(it, seen.Sent ? AttemptEnd::Broken : AttemptEnd::NotSent, draw);
+    }
+  }
+}
+
 void Schedule::endProbe(std::uint32_t draw) {
   if (!Probes.empty()) {
     const std::string upstream = takeAny(Probes, draw / 2);
-    tell(ProbeEnded{upstream, draw % 2 == 0, drawReport(draw / 64)});
+    tell(ProbeEnded{upstream, draw % 2 == 0,
+                    drawReport(draw / 64, Lives[upstream])});
   }
 }
 
@@ -135,7 +155,7 @@
   word.What = draw % 2 == 0 ? PeerWord::Kind::UpstreamCold
                             : PeerWord::Kind::UpstreamWarm;
   word.Upstream = "u" + std::to_string(draw / 2 % Upstreams);
-  word.Incarnation = 1;
+  word.Incarnation = 1 + Lives[word.Upstream];
   tell(word);
 }
 
@@ -177,6 +197,8 @@
     word(rest);
   } else if (kind < 57) {
     changePlan(rest);
+  } else if (kind < 58 && rest % 4 == 0) {
+    crash(rest / 4);
   } else if (kind < 59) {
     Watch.ValidUntil = std::max(Watch.ValidUntil, Engine.Now + 100ms);
     confirmView(*Engine.State, Engine.Now + 100ms);
--- a/tests/dispatch/Schedule.h
+++ b/tests/dispatch/Schedule.h
@@ -35,6 +35,8 @@
   void decideClaim(std::uint32_t draw);
   void send(std::uint32_t draw);
   void end(std::uint32_t draw);
+  void endAs(AttemptId attempt, AttemptEnd end, std::uint32_t draw);
+  void crash(std::uint32_t draw);
   void endProbe(std::uint32_t draw);
   void leave(std::uint32_t draw);
   void word(std::uint32_t draw);
@@ -48,6 +50,7 @@
   std::vector<RequestId> Claims;
   std::vector<AttemptId> Live;
   std::vector<std::string> Probes;
+  std::map<std::string, std::uint64_t> Lives; ///< By upstream, from 0.
 };
 
 } // namespace zinniarail::testing
--- a/tests/peers/PeersTaskTest.cpp
+++ b/tests/peers/PeersTaskTest.cpp
@@ -130,7 +130,7 @@
   BOOST_REQUIRE(!fleet.grantSome(first).empty());
   using Kind = PeerWord::Kind;
   const std::set<Kind> kinds{Kind::UpstreamCold, Kind::UpstreamWarm,
-                             Kind::Quarantine, Kind::Suspect};
+                             Kind::Quarantine, Kind::Suspect, Kind::Held};
   for (const Kind it : kinds) {
     first.Task->inbox().post(
         peers::WordForHomes{"orders", {it, "u1", 3, 4, 5}});
