Traces know the words and refusals of held requests

Cause: the names of enumerators in a trace stand in arrays; the new word and the new refusal were beyond their ends.

Change: both are named, and an assertion at compile time holds the arrays against the enumerations (it failed before the names were there).

--- a/src/trace/Fields.h
+++ b/src/trace/Fields.h
@@ -40,8 +40,10 @@
                                                        "refused", "broken"};
 };
 template <> struct Names<PeerWord::Kind> {
-  static constexpr std::array<std::string_view, 4> All{"cold", "warm",
-                                                       "quarantine", "suspect"};
+  static constexpr std::array<std::string_view, 5> All{
+      "cold", "warm", "quarantine", "suspect", "held"};
+  static_assert(All.size() ==
+                static_cast<std::size_t>(PeerWord::Kind::Held) + 1);
 };
 template <> struct Names<RoutingPolicy> {
   static constexpr std::array<std::string_view, 4> All{"homes", "two-choices",
@@ -52,10 +54,12 @@
                                                        "unknown"};
 };
 template <> struct Names<RefusalReason> {
-  static constexpr std::array<std::string_view, 11> All{
+  static constexpr std::array<std::string_view, 12> All{
       "unknown-service", "no-upstream",     "overloaded", "deadline-passed",
       "view-expired",    "key-missing",     "key-in-use", "claim-unavailable",
-      "quarantined",     "upstream-failed", "stopping"};
+      "quarantined",     "upstream-failed", "stopping",   "held"};
+  static_assert(All.size() ==
+                static_cast<std::size_t>(RefusalReason::Held) + 1);
 };
 
 // An archive reads or writes: a(key, field) a field that must be there,
