What a cold upstream runs is not cancelled

Cause: when a hedge won or a caller left, the attempt on a ramping upstream was cancelled, its slot was free at the home at once, and the next request was sent there. The upstream learns of the cancellation by a connection that closes, and may read the next request first: two in flight where it bears one.

Ruled out: nothing else was looked for.

Change: an attempt that was sent to a ramping upstream is let run to its end; its answer counts for the ramp. What was not sent yet is cancelled as before.

Before and after: whatAColdUpstreamRunsIsNotCancelled failed, passes; test_dispatch with all breaches, test_trace and test_gateway pass.

--- a/src/dispatch/Attempts.cpp
+++ b/src/dispatch/Attempts.cpp
@@ -153,6 +153,13 @@
          now + DeadlineMargin < attempt.Deadline;
 }
 
+// What a ramping upstream runs is let run: it learns of a cancellation later
+// than its slot is free here, and the next request would be one too many. Its
+// answer warms it, besides.
+bool isLetRun(const AttemptState &attempt) {
+  return attempt.Sent && attempt.Upstream->Warm.Phase == WarmthPhase::Ramping;
+}
+
 void dropUnplanned(ServiceState &state, UpstreamState &upstream) {
   if (!upstream.Planned && upstream.Running.empty()) {
     for (auto &[id, request] : state.Requests) {
@@ -210,8 +217,11 @@
 
 void cancelLive(Step step, RequestState &request) {
   for (const AttemptId it : request.Live) {
-    step.State.Attempts.at(numberOf(it)).Cancelled = true;
-    emit(step, CancelAttempt{it});
+    AttemptState &attempt = step.State.Attempts.at(numberOf(it));
+    if (!isLetRun(attempt)) {
+      attempt.Cancelled = true;
+      emit(step, CancelAttempt{it});
+    }
   }
 }
 
--- a/tests/dispatch/ColdStartTest.cpp
+++ b/tests/dispatch/ColdStartTest.cpp
@@ -35,3 +35,26 @@
   service.arrive(11, "read");
   BOOST_TEST(service.count<StartAttempt>() == 0u);
 }
+
+// A cancelled request may run on for a while: the upstream learns of it by a
+// connection that closes, and the next request can overtake that.
+BOOST_AUTO_TEST_CASE(whatAColdUpstreamRunsIsNotCancelled) {
+  Service service(makePlan(1, 4));
+  service.arrive(1, "read");
+  const auto first = service.find<StartAttempt>();
+  BOOST_REQUIRE(first);
+  service.tell(AttemptSent{first->Attempt});
+  service.tell(CallerGone{RequestId{1}});
+  BOOST_TEST(service.count<CancelAttempt>() == 0u);
+  service.arrive(2, "read");
+  BOOST_TEST(service.count<StartAttempt>() == 0u);
+  service.tell(AttemptEnded{first->Attempt, AttemptEnd::Answered, 200});
+  BOOST_TEST(service.count<StartAttempt>() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(whatWasNotSentYetIsCancelledAlsoThere) {
+  Service service(makePlan(1, 4));
+  service.arrive(1, "read");
+  service.tell(CallerGone{RequestId{1}});
+  BOOST_TEST(service.count<CancelAttempt>() == 1u);
+}
