One driver of libcurl on libev in place of three

The gateway's upstream client, the platform's client and the stand-ins' client each had their own socket watchers, timer and collection of what had finished. src/core/CurlLoop does it for all three; each client keeps its own transfers. Behaviour stays: the gateway still acts on due timeouts when it runs, the others when the loop comes to them.

test_gateway, test_control, test_standins and test_cluster pass.

--- a/src/gateway/UpstreamClient.cpp
+++ b/src/gateway/UpstreamClient.cpp
@@ -60,30 +60,14 @@
 };
 
 UpstreamClient::UpstreamClient(struct ev_loop *loop, CallHandlers handlers)
-    : Loop(loop), Handlers(std::move(handlers)), Multi(curl_multi_init()) {
-  curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, &onSocket);
-  curl_multi_setopt(Multi, CURLMOPT_SOCKETDATA, this);
-  curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, &onTimer);
-  curl_multi_setopt(Multi, CURLMOPT_TIMERDATA, this);
-  curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, KeptConnections);
-  curl_multi_setopt(Multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
-  Timer.data = this;
-  ev_timer_init(
-      &Timer,
-      [](struct ev_loop *, ev_timer *timer, int) {
-        static_cast<UpstreamClient *>(timer->data)->Due = true;
-      },
-      0, 0);
-}
+    : Handlers(std::move(handlers)),
+      Curl(loop, KeptConnections, CurlLoop::Timeouts::OnRun,
+           [this](CURL *easy, CURLcode code) { finish(easy, code); }) {}
 
 UpstreamClient::~UpstreamClient() {
   for (auto &[id, it] : Running) {
-    curl_multi_remove_handle(Multi, it->Easy);
+    Curl.remove(it->Easy);
   }
-  Running.clear();
-  Spare.clear();
-  curl_multi_cleanup(Multi);
-  ev_timer_stop(Loop, &Timer);
 }
 
 std::unique_ptr<UpstreamClient::Transfer> UpstreamClient::makeTransfer() {
@@ -178,7 +162,7 @@
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, &pool);
   prepare(*transfer);
   const std::uint64_t id = transfer->Call.Id;
-  curl_multi_add_handle(Multi, easy);
+  Curl.add(easy);
   Running.emplace(id, std::move(transfer));
 }
 
@@ -189,7 +173,7 @@
   }
   auto transfer = std::move(it->second);
   Running.erase(it);
-  curl_multi_remove_handle(Multi, transfer->Easy);
+  Curl.remove(transfer->Easy);
   CallEnd end;
   end.End = transfer->Sent ? AttemptEnd::Broken : AttemptEnd::NotSent;
   end.Error = "cancelled";
@@ -198,12 +182,7 @@
 }
 
 bool UpstreamClient::run() {
-  bool worked = false;
-  while (Due) {
-    worked = true;
-    Due = false;
-    act(CURL_SOCKET_TIMEOUT, 0);
-  }
+  bool worked = Curl.runDue();
   while (!Notices.empty()) {
     worked = true;
     auto notices = std::move(Notices);
@@ -232,28 +211,14 @@
   return n;
 }
 
-void UpstreamClient::act(curl_socket_t fd, int events) {
-  int running = 0;
-  curl_multi_socket_action(Multi, fd, events, &running);
-  collect();
-}
-
-void UpstreamClient::collect() {
-  int left = 0;
-  while (CURLMsg *message = curl_multi_info_read(Multi, &left)) {
-    if (message->msg != CURLMSG_DONE) {
-      continue;
-    }
-    const CURLcode code = message->data.result;
-    Transfer *transfer = nullptr;
-    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
-    curl_multi_remove_handle(Multi, transfer->Easy);
-    const auto it = Running.find(transfer->Call.Id);
-    Notices.push_back({it->first, false, conclude(*transfer, code)});
-    auto done = std::move(it->second);
-    Running.erase(it);
-    release(std::move(done));
-  }
+void UpstreamClient::finish(CURL *easy, CURLcode code) {
+  Transfer *transfer = nullptr;
+  curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
+  const auto it = Running.find(transfer->Call.Id);
+  Notices.push_back({it->first, false, conclude(*transfer, code)});
+  auto done = std::move(it->second);
+  Running.erase(it);
+  release(std::move(done));
 }
 
 CallEnd UpstreamClient::conclude(Transfer &transfer, CURLcode code) {
@@ -302,49 +267,6 @@
   Spare.push_back(std::move(transfer));
 }
 
-int UpstreamClient::onSocket(CURL *, curl_socket_t fd, int what, void *self,
-                             void *watcher) {
-  auto *owner = static_cast<UpstreamClient *>(self);
-  auto *io = static_cast<ev_io *>(watcher);
-  if (what == CURL_POLL_REMOVE) {
-    if (io != nullptr) {
-      ev_io_stop(owner->Loop, io);
-      curl_multi_assign(owner->Multi, fd, nullptr);
-      delete io;
-    }
-    return 0;
-  }
-  const int events = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) |
-                     ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
-  if (io == nullptr) {
-    io = new ev_io{};
-    io->data = owner;
-    ev_init(io, [](struct ev_loop *, ev_io *it, int revents) {
-      const int mask = ((revents & EV_READ) != 0 ? CURL_CSELECT_IN : 0) |
-                       ((revents & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
-      static_cast<UpstreamClient *>(it->data)->act(it->fd, mask);
-    });
-    curl_multi_assign(owner->Multi, fd, io);
-  } else {
-    ev_io_stop(owner->Loop, io);
-  }
-  ev_io_set(io, fd, events);
-  ev_io_start(owner->Loop, io);
-  return 0;
-}
-
-int UpstreamClient::onTimer(CURLM *, long ms, void *self) {
-  auto *owner = static_cast<UpstreamClient *>(self);
-  ev_timer_stop(owner->Loop, &owner->Timer);
-  if (ms == 0) {
-    owner->Due = true;
-  } else if (ms > 0) {
-    ev_timer_set(&owner->Timer, static_cast<double>(ms) / 1000.0, 0);
-    ev_timer_start(owner->Loop, &owner->Timer);
-  }
-  return 0;
-}
-
 int UpstreamClient::onPrerequest(void *data, char *, char *, int, int) {
   auto *transfer = static_cast<Transfer *>(data);
   // libcurl sends anew when a kept connection dies before the first byte of
--- a/src/gateway/UpstreamClient.h
+++ b/src/gateway/UpstreamClient.h
@@ -14,6 +14,7 @@
 #include <curl/curl.h>
 #include <ev.h>
 
+#include "core/CurlLoop.h"
 #include "gateway/Http.h"
 #include "zinniarail/core/Time.h"
 
@@ -85,9 +86,6 @@
     CallEnd End;
   };
 
-  static int onSocket(CURL *easy, curl_socket_t fd, int what, void *self,
-                      void *watcher);
-  static int onTimer(CURLM *multi, long ms, void *self);
   static int onPrerequest(void *transfer, char *, char *, int, int);
   static std::size_t onHeader(char *data, std::size_t size, std::size_t n,
                               void *transfer);
@@ -99,17 +97,13 @@
 
   std::unique_ptr<Transfer> makeTransfer();
   void prepare(Transfer &transfer);
-  void act(curl_socket_t fd, int events);
-  void collect();
+  void finish(CURL *easy, CURLcode code);
   void release(std::unique_ptr<Transfer> transfer);
   static CallEnd conclude(Transfer &transfer, CURLcode code);
 
-  struct ev_loop *Loop;
   CallHandlers Handlers;
-  CURLM *Multi;
-  ev_timer Timer{};
-  bool Due = false; ///< libcurl wants to act without waiting.
-  std::unordered_map<std::string, Pool> Pools;
+  std::unordered_map<std::string, Pool> Pools; // outlive the connections
+  CurlLoop Curl;
   std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> Running;
   std::vector<std::unique_ptr<Transfer>> Spare;
   std::vector<Notice> Notices;
--- a/src/platform/Http.cpp
+++ b/src/platform/Http.cpp
@@ -4,7 +4,7 @@
 #include <cctype>
 #include <map>
 
-#include <curl/curl.h>
+#include "core/CurlLoop.h"
 
 namespace zinniarail::platform {
 
@@ -122,114 +122,28 @@
   Impl(const Impl &) = delete;
   Impl &operator=(const Impl &) = delete;
 
-  void act(curl_socket_t socket, int flags);
-  void collect();
-  void watch(curl_socket_t socket, int what);
+  void finish(CURL *easy, CURLcode code);
 
-  static int onSocket(CURL *, curl_socket_t socket, int what, void *user,
-                      void *);
-  static int onTimer(CURLM *, long milliseconds, void *user);
-  static void onReady(struct ev_loop *, ev_io *it, int events);
-  static void onTimeout(struct ev_loop *, ev_timer *it, int);
-
-  struct ev_loop *Loop;
-  CURLM *Multi;
-  ev_timer Timer{};
-  std::map<curl_socket_t, std::unique_ptr<ev_io>> Sockets;
+  CurlLoop Curl;
   std::map<Transfer *, std::unique_ptr<Transfer>> Running;
 };
 
-HttpClient::Impl::Impl(struct ev_loop *loop) : Loop(loop) {
-  ensureCurl();
-  Multi = curl_multi_init();
-  ev_init(&Timer, onTimeout);
-  Timer.data = this;
-  curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, onSocket);
-  curl_multi_setopt(Multi, CURLMOPT_SOCKETDATA, this);
-  curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, onTimer);
-  curl_multi_setopt(Multi, CURLMOPT_TIMERDATA, this);
-  curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, MaxIdleConnections);
-}
+HttpClient::Impl::Impl(struct ev_loop *loop)
+    : Curl((ensureCurl(), loop), MaxIdleConnections, CurlLoop::Timeouts::OnLoop,
+           [this](CURL *easy, CURLcode code) { finish(easy, code); }) {}
 
 HttpClient::Impl::~Impl() {
   for (auto &[it, owned] : Running) {
-    curl_multi_remove_handle(Multi, it->Easy.get());
-  }
-  Running.clear();
-  curl_multi_cleanup(Multi);
-  for (auto &[socket, it] : Sockets) {
-    ev_io_stop(Loop, it.get());
-  }
-  ev_timer_stop(Loop, &Timer);
-}
-
-int HttpClient::Impl::onSocket(CURL *, curl_socket_t socket, int what,
-                               void *user, void *) {
-  static_cast<Impl *>(user)->watch(socket, what);
-  return 0;
-}
-
-void HttpClient::Impl::watch(curl_socket_t socket, int what) {
-  const auto known = Sockets.find(socket);
-  if (known != Sockets.end()) {
-    ev_io_stop(Loop, known->second.get());
-    Sockets.erase(known);
-  }
-  if (what == CURL_POLL_REMOVE) {
-    return;
+    Curl.remove(it->Easy.get());
   }
-  const int events = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) |
-                     ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
-  auto it = std::make_unique<ev_io>();
-  ev_io_init(it.get(), onReady, socket, events);
-  it->data = this;
-  ev_io_start(Loop, it.get());
-  Sockets.emplace(socket, std::move(it));
 }
 
-int HttpClient::Impl::onTimer(CURLM *, long milliseconds, void *user) {
-  auto &self = *static_cast<Impl *>(user);
-  ev_timer_stop(self.Loop, &self.Timer);
-  if (milliseconds >= 0) {
-    constexpr double millisecondsPerSecond = 1000;
-    ev_timer_set(&self.Timer,
-                 static_cast<double>(milliseconds) / millisecondsPerSecond, 0.);
-    ev_timer_start(self.Loop, &self.Timer);
-  }
-  return 0;
-}
-
-void HttpClient::Impl::onReady(struct ev_loop *, ev_io *it, int events) {
-  const int flags = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0) |
-                    ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
-  static_cast<Impl *>(it->data)->act(it->fd, flags);
-}
-
-void HttpClient::Impl::onTimeout(struct ev_loop *, ev_timer *it, int) {
-  static_cast<Impl *>(it->data)->act(CURL_SOCKET_TIMEOUT, 0);
-}
-
-void HttpClient::Impl::act(curl_socket_t socket, int flags) {
-  int running = 0;
-  curl_multi_socket_action(Multi, socket, flags, &running);
-  collect();
-}
-
-void HttpClient::Impl::collect() {
-  int left = 0;
-  while (CURLMsg *message = curl_multi_info_read(Multi, &left)) {
-    if (message->msg != CURLMSG_DONE) {
-      continue;
-    }
-    const CURLcode code = message->data.result;
-    CURL *easy = message->easy_handle;
-    char *user = nullptr;
-    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &user);
-    auto node = Running.extract(reinterpret_cast<Transfer *>(user));
-    conclude(*node.mapped(), code);
-    curl_multi_remove_handle(Multi, easy);
-    node.mapped()->Done(std::move(node.mapped()->Reply));
-  }
+void HttpClient::Impl::finish(CURL *easy, CURLcode code) {
+  char *user = nullptr;
+  curl_easy_getinfo(easy, CURLINFO_PRIVATE, &user);
+  auto node = Running.extract(reinterpret_cast<Transfer *>(user));
+  conclude(*node.mapped(), code);
+  node.mapped()->Done(std::move(node.mapped()->Reply));
 }
 
 HttpClient::HttpClient(struct ev_loop *loop)
@@ -245,7 +159,7 @@
   configure(*it);
   CURL *easy = it->Easy.get();
   Self->Running.emplace(it.get(), std::move(it));
-  curl_multi_add_handle(Self->Multi, easy);
+  Self->Curl.add(easy);
 }
 
 } // namespace zinniarail::platform
--- a/standins/common/HttpClient.cpp
+++ b/standins/common/HttpClient.cpp
@@ -3,18 +3,14 @@
 #include <algorithm>
 #include <cctype>
 
+#include "core/CurlLoop.h"
+
 namespace zinniarail::standins {
 
 namespace {
 
 constexpr long KeptConnections = 4096;
 
-/// One socket of libcurl's on the loop.
-struct SocketWatch {
-  ev_io Watcher{};
-  HttpClient *Client = nullptr;
-};
-
 } // namespace
 
 struct HttpClient::Transfer {
@@ -32,23 +28,18 @@
 }
 
 HttpClient::HttpClient(struct ev_loop *loop)
-    : Loop(loop), Multi(curl_multi_init()), Wake(loop) {
-  curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, &onSocket);
-  curl_multi_setopt(Multi, CURLMOPT_SOCKETDATA, this);
-  curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, &onTimer);
-  curl_multi_setopt(Multi, CURLMOPT_TIMERDATA, this);
-  curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, KeptConnections);
-}
+    : Curl(std::make_unique<CurlLoop>(
+          loop, KeptConnections, CurlLoop::Timeouts::OnLoop,
+          [this](CURL *easy, CURLcode code) { finish(easy, code); })) {}
 
 HttpClient::~HttpClient() {
   for (const auto &[easy, transfer] : Transfers) {
-    curl_multi_remove_handle(Multi, easy);
+    Curl->remove(easy);
     curl_easy_cleanup(easy);
   }
   for (CURL *easy : Spare) {
     curl_easy_cleanup(easy);
   }
-  curl_multi_cleanup(Multi);
 }
 
 CURL *HttpClient::takeHandle() {
@@ -94,7 +85,7 @@
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
-  curl_multi_add_handle(Multi, easy);
+  Curl->add(easy);
 }
 
 // libcurl sends a call anew when a kept connection turns out dead, whether or
@@ -134,70 +125,13 @@
   return size * n;
 }
 
-int HttpClient::onSocket(CURL * /*easy*/, curl_socket_t fd, int what,
-                         void *self, void *watcher) {
-  auto &client = *static_cast<HttpClient *>(self);
-  auto *watch = static_cast<SocketWatch *>(watcher);
-  if (watch != nullptr) {
-    ev_io_stop(client.Loop, &watch->Watcher);
-  }
-  if (what == CURL_POLL_REMOVE) {
-    delete watch;
-    return 0;
-  }
-  if (watch == nullptr) {
-    watch = new SocketWatch;
-    watch->Client = &client;
-    watch->Watcher.data = watch;
-    curl_multi_assign(client.Multi, fd, watch);
-  }
-  const int events = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) |
-                     ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
-  ev_io_init(
-      &watch->Watcher,
-      [](struct ev_loop *, ev_io *it, int ready) {
-        static_cast<SocketWatch *>(it->data)->Client->act(it->fd, ready);
-      },
-      fd, events);
-  ev_io_start(client.Loop, &watch->Watcher);
-  return 0;
-}
-
-int HttpClient::onTimer(CURLM * /*multi*/, long ms, void *self) {
-  auto &client = *static_cast<HttpClient *>(self);
-  if (ms < 0) {
-    client.Wake.stop();
-  } else {
-    client.Wake.start(std::chrono::milliseconds{ms},
-                      [&client] { client.act(CURL_SOCKET_TIMEOUT, 0); });
-  }
-  return 0;
-}
-
-void HttpClient::act(curl_socket_t fd, int events) {
-  const int ready = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0) |
-                    ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
-  int running = 0;
-  curl_multi_socket_action(Multi, fd, ready, &running);
-  collect();
-}
-
-void HttpClient::collect() {
-  int left = 0;
-  while (const CURLMsg *message = curl_multi_info_read(Multi, &left)) {
-    if (message->msg != CURLMSG_DONE) {
-      continue;
-    }
-    CURL *easy = message->easy_handle;
-    const CURLcode code = message->data.result;
-    const auto node = Transfers.extract(easy);
-    auto &answer = node.mapped()->Answer;
-    answer.Code = code;
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &answer.Status);
-    curl_multi_remove_handle(Multi, easy);
-    Spare.push_back(easy);
-    node.mapped()->Done(answer);
-  }
+void HttpClient::finish(CURL *easy, CURLcode code) {
+  const auto node = Transfers.extract(easy);
+  auto &answer = node.mapped()->Answer;
+  answer.Code = code;
+  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &answer.Status);
+  Spare.push_back(easy);
+  node.mapped()->Done(answer);
 }
 
 } // namespace zinniarail::standins
--- a/standins/common/HttpClient.h
+++ b/standins/common/HttpClient.h
@@ -12,7 +12,11 @@
 #include <curl/curl.h>
 #include <ev.h>
 
-#include "common/Timer.h"
+#include "zinniarail/core/Time.h"
+
+namespace zinniarail {
+class CurlLoop;
+}
 
 namespace zinniarail::standins {
 
@@ -56,21 +60,15 @@
 
 private:
   struct Transfer;
-  void act(curl_socket_t fd, int events);
-  void collect();
+  void finish(CURL *easy, CURLcode code);
   CURL *takeHandle();
-  static int onSocket(CURL *easy, curl_socket_t fd, int what, void *self,
-                      void *watcher);
-  static int onTimer(CURLM *multi, long ms, void *self);
   static int onPrerequest(void *transfer, char *, char *, int, int);
   static std::size_t onBody(char *data, std::size_t size, std::size_t n,
                             void *transfer);
   static std::size_t onHeader(char *data, std::size_t size, std::size_t n,
                               void *transfer);
 
-  struct ev_loop *Loop;
-  CURLM *Multi;
-  Timer Wake;
+  std::unique_ptr<CurlLoop> Curl;
   std::unordered_map<CURL *, std::unique_ptr<Transfer>> Transfers;
   std::vector<CURL *> Spare;
 };
