A service is placed once a view, and planned only where it has an engine

Each view placed every service twice and worked out its shares twice: once for the gateway's table and once for the engine's plan. The table takes both from the plan now, which is made where there is an engine to tell; an engine that is made later plans then. test_gateway, test_dispatch and test_cluster pass.

--- a/include/zinniarail/dispatch/Engine.h
+++ b/include/zinniarail/dispatch/Engine.h
@@ -39,6 +39,12 @@
 ServicePlan planService(const View &view, const ServiceSpec &service,
                         const std::string &self, RoutingPolicy policy);
 
+/// Likewise, for one whose homes are known already.
+/// \param homes as placeService gives them for this view and service.
+ServicePlan planService(const View &view, const Homes &homes,
+                        const ServiceSpec &service, const std::string &self,
+                        RoutingPolicy policy);
+
 /// All that an engine knows of its service. Made by makeService; the fields
 /// are the dispatch slice's own, in ServiceState.h.
 struct ServiceState;
--- a/src/dispatch/Plan.cpp
+++ b/src/dispatch/Plan.cpp
@@ -13,10 +13,16 @@
 
 ServicePlan planService(const View &view, const ServiceSpec &service,
                         const std::string &self, RoutingPolicy policy) {
+  return planService(view, placeService(view, service, service.Homes), service,
+                     self, policy);
+}
+
+ServicePlan planService(const View &view, const Homes &homes,
+                        const ServiceSpec &service, const std::string &self,
+                        RoutingPolicy policy) {
   ServicePlan plan;
   plan.Spec = service;
   plan.Policy = policy;
-  const Homes homes = placeService(view, service, service.Homes);
   plan.HomesDigest = homes.Digest;
   const auto shares = shareUpstreams(homes, service, self);
   for (std::size_t n = 0; n < shares.size(); ++n) {
--- a/src/gateway/Services.cpp
+++ b/src/gateway/Services.cpp
@@ -24,21 +24,27 @@
       table.Context.Policy != RoutingPolicy::Homes ||
       std::any_of(entry.Places.Ranked.begin(), entry.Places.Ranked.end(),
                   [&](const Instance &it) { return it.Id == self; });
-  if (!entry.AtHome && !entry.Engine) {
-    entry.Upstreams.clear();
-    entry.Connections.clear();
-    return;
-  }
+}
+
+// The plan of a service that is placed, and where its engine's upstreams are.
+ServicePlan planEntry(const ServiceTable &table, ServiceEntry &entry) {
+  auto plan = planService(*table.Current, entry.Places, entry.Spec,
+                          table.Context.Self, table.Context.Policy);
   entry.Upstreams.clear();
   entry.Connections.clear();
-  const bool homes = table.Context.Policy == RoutingPolicy::Homes;
-  const auto shares = shareUpstreams(entry.Places, spec, self);
-  for (std::size_t n = 0; n < shares.size(); ++n) {
-    const UpstreamSpec &it = spec.Upstreams[n];
-    entry.Upstreams.emplace(it.Id, it);
-    entry.Connections.emplace(it.Id,
-                              homes ? shares[n].Connections : it.Connections);
+  for (const Target &it : plan.Targets) {
+    entry.Upstreams.emplace(it.Spec.Id, it.Spec);
+    entry.Connections.emplace(it.Spec.Id, it.Share.Connections);
   }
+  return plan;
+}
+
+// The plan of a service that is named no more: what runs there ends, and
+// nothing begins.
+ServicePlan planEnd(const ServiceTable &table, ServiceEntry &entry) {
+  entry.Spec.Upstreams.clear();
+  return planService(*table.Current, entry.Spec, table.Context.Self,
+                     table.Context.Policy);
 }
 
 void confirm(ServiceEntry &entry, Instant validUntil, Instant now) {
@@ -82,14 +88,11 @@
       continue;
     }
     confirm(*entry, table.Current->ValidUntil, now);
-    if (!entry->Known) {
-      entry->Spec.Upstreams.clear(); // what runs there ends, nothing begins
-    }
     if (!same) {
       changes.push_back({entry.get(), {}});
       changePlan(*entry,
-                 planService(*table.Current, entry->Spec, table.Context.Self,
-                             table.Context.Policy),
+                 entry->Known ? planEntry(table, *entry)
+                              : planEnd(table, *entry),
                  now, changes.back().Wanted);
     }
   }
@@ -104,19 +107,13 @@
 
 ServiceState &engineOf(ServiceTable &table, ServiceEntry &entry, Instant now) {
   if (!entry.Engine) {
-    if (entry.Upstreams.empty()) {
-      for (const UpstreamSpec &it : entry.Spec.Upstreams) {
-        entry.Upstreams.emplace(it.Id, it);
-      }
-    }
-    const trace::Header start{
-        .Plan = planService(*table.Current, entry.Spec, table.Context.Self,
-                            table.Context.Policy),
-        .At = now,
-        .ValidUntil = table.Current->ValidUntil,
-        .Seed = table.Context.Seed,
-        .Stream = hashBytes(entry.Name, table.Context.Seed),
-        .FirstAttempt = (entry.Index << AttemptBits) + 1};
+    const trace::Header start{.Plan = planEntry(table, entry),
+                              .At = now,
+                              .ValidUntil = table.Current->ValidUntil,
+                              .Seed = table.Context.Seed,
+                              .Stream =
+                                  hashBytes(entry.Name, table.Context.Seed),
+                              .FirstAttempt = (entry.Index << AttemptBits) + 1};
     entry.Engine =
         makeService(start.Plan, start.ValidUntil,
                     Random(start.Seed, start.Stream), start.FirstAttempt);
--- a/src/gateway/Services.h
+++ b/src/gateway/Services.h
@@ -27,6 +27,7 @@
   Homes Places;
   ServiceStatePtr Engine; ///< Null until a request needs it.
   std::unique_ptr<trace::Recorder> Recording; ///< Null when it is off.
+  /// Of the engine's plan, by id.
   std::unordered_map<std::string, UpstreamSpec> Upstreams;
   /// This instance's share of each upstream's connections.
   std::unordered_map<std::string, unsigned> Connections;
