--- a/bench/Harness.h
+++ b/bench/Harness.h
@@ -43,13 +43,6 @@
   WorkDirectory &operator=(const WorkDirectory &) = delete;
 };
 
-/// The net of loopback addresses, as the tests use it.
-inline unsigned benchNet() {
-  constexpr unsigned fallback = 40;
-  const char *net = std::getenv("ZINNIARAIL_TEST_NET");
-  return net == nullptr ? fallback : std::strtoul(net, nullptr, 10);
-}
-
 /// A run of callers whose report is read once it has ended.
 struct CallerRun {
   Process Running;
--- a/bench/ServiceChanges.h
+++ b/bench/ServiceChanges.h
@@ -11,7 +11,7 @@
 #include <thread>
 #include <vector>
 
-#include "Harness.h"
+#include "Firms.h"
 
 namespace zinniarail::bench {
 
@@ -25,26 +25,6 @@
 constexpr Ms Briefly{700};     // out and in within a second
 constexpr Ms PlatformLag{100}; // from an accepted change to the outage
 
-struct Service {
-  const char *Name;
-  unsigned Upstreams;
-};
-
-struct Firm {
-  const char *Name;
-  unsigned Number;
-  Service Services[2];
-  const char *Domains[2]; ///< Those that go out.
-};
-
-inline const Firm Firms[] = {
-    {"serrano",
-     1,
-     {{"credencial", 14}, {"situacao", 10}},
-     {"serra-a", "serra-b"}},
-    {"cierzo", 2, {{"pedidos", 15}, {"carta", 9}}, {"bilbao", "zaragoza"}},
-};
-
 /// What one run of a scenario shows beside the callers' reports.
 struct Notes {
   std::map<std::string, double> Values;
@@ -84,15 +64,6 @@
   return {side.Owner->Domains, side.Owner->Domains + count};
 }
 
-inline bool putOut(Side &side, const std::set<std::string> &names) {
-  auto document = boost::json::parse(side.Processes.document());
-  for (auto &it : document.at("domains").as_array()) {
-    it.as_object()["inService"] =
-        !names.contains(it.at("name").as_string().c_str());
-  }
-  return side.Processes.putDocument(boost::json::serialize(document));
-}
-
 inline void waitUntil(const Side &side, Duration at) {
   std::this_thread::sleep_until(side.Began + at);
 }
@@ -149,7 +120,7 @@
   const auto names = firstDomains(side, domains);
   const auto upstreams = upstreamsIn(side, names);
   waitUntil(side, Settling);
-  notes.Values["failed steps"] += putOut(side, names) ? 0 : 1;
+  notes.Values["failed steps"] += side.Processes.putDomainsOut(names) ? 0 : 1;
   const auto accepted = unixMs();
   if (platformOut) {
     waitUntil(side, Settling + PlatformLag);
@@ -163,16 +134,17 @@
     side.Processes.setPlatformFaults({{"outage", "none"}});
   }
   waitUntil(side, Settling + OutFor);
-  notes.Values["failed steps"] += putOut(side, {}) ? 0 : 1;
+  notes.Values["failed steps"] += side.Processes.putDomainsOut({}) ? 0 : 1;
   waitUntil(side, Settling + OutFor + ReturnFor);
   noteFallen(side, upstreams, overloads, notes);
 }
 
 inline void outAndInAtOnce(Side &side, Notes &notes) {
   waitUntil(side, Settling);
-  notes.Values["failed steps"] += putOut(side, firstDomains(side, 2)) ? 0 : 1;
+  notes.Values["failed steps"] +=
+      side.Processes.putDomainsOut(firstDomains(side, 2)) ? 0 : 1;
   waitUntil(side, Settling + Briefly);
-  notes.Values["failed steps"] += putOut(side, {}) ? 0 : 1;
+  notes.Values["failed steps"] += side.Processes.putDomainsOut({}) ? 0 : 1;
 }
 
 /// A change that the platform can't take must say so at once.
@@ -180,7 +152,8 @@
   waitUntil(side, Settling);
   side.Processes.setPlatformFaults({{"outage", "503"}});
   const auto before = readClock();
-  notes.Values["failed steps"] += putOut(side, firstDomains(side, 1)) ? 1 : 0;
+  notes.Values["failed steps"] +=
+      side.Processes.putDomainsOut(firstDomains(side, 1)) ? 1 : 0;
   notes.Values["said ms"] =
       std::chrono::duration<double, std::milli>(readClock() - before).count();
   waitUntil(side, Settling + OutFor);
--- a/bench/added_latency.cpp
+++ b/bench/added_latency.cpp
@@ -121,7 +121,6 @@
   settings.BinaryDirectory = given["build"].as<std::string>();
   settings.Document = "examples/serrano.json";
   settings.LogDirectory = work.Path;
-  settings.Net = benchNet();
   settings.Instances = 1;
   settings.InstanceFlags = {"--log-level", "warn"};
   settings.UpstreamFlags = {"--mean-ms", "0", "--accept-us", "0"};
--- a/bench/control.cpp
+++ b/bench/control.cpp
@@ -11,14 +11,9 @@
 #include <thread>
 
 #include <boost/json.hpp>
-#include <ev.h>
-#include <signal.h>
-#include <spawn.h>
 #include <sys/resource.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
-#include "platform/Http.h"
+#include "common/Process.h"
 #include "zinniarail/control/ControlTask.h"
 #include "zinniarail/core/Random.h"
 #include "zinniarail/intent/Format.h"
@@ -35,25 +30,10 @@
 constexpr Duration GiveUp = 30s;
 const Settings Defaults;
 
-// One blocking request on a loop of its own.
-platform::HttpReply call(const std::string &method, const std::string &url,
-                         const std::string &body = "") {
-  struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
-  platform::HttpReply result;
-  {
-    platform::HttpClient client(loop);
-    const auto done = std::make_shared<bool>(false);
-    client.send({.Method = method, .Url = url, .Body = body},
-                [&, done](platform::HttpReply reply) {
-                  result = std::move(reply);
-                  *done = true;
-                });
-    while (!*done) {
-      ev_run(loop, EVRUN_ONCE);
-    }
-  }
-  ev_loop_destroy(loop);
-  return result;
+standins::Reply call(const std::string &method, const std::string &url,
+                     const std::string &body = "") {
+  return standins::fetch(
+      {.Method = method, .Url = url, .Body = body, .Timeout = GiveUp});
 }
 
 struct Fleet;
@@ -187,7 +167,7 @@
   }
   const auto reply = call("PUT", base + "/objects/environments/bench/document",
                           serialiseDocument(document));
-  return std::stoull(reply.Etag.substr(1));
+  return std::stoull(reply.header("etag").substr(1));
 }
 
 std::uint64_t countCalls(const std::string &base) {
@@ -215,12 +195,8 @@
 
 void measure(const Run &run, const std::string &standin,
              const std::string &address) {
-  std::string program = standin;
-  std::string flag = "--address";
-  std::string place = address;
-  char *words[] = {program.data(), flag.data(), place.data(), nullptr};
-  pid_t pid = 0;
-  if (posix_spawn(&pid, standin.c_str(), nullptr, nullptr, words, environ)) {
+  standins::Process platform;
+  if (!platform.start({standin, "--address", address}, standins::OwnLog)) {
     std::cerr << "can't start " << standin << "\n";
     return;
   }
@@ -271,8 +247,6 @@
               << perSecond / run.Instances << " | " << share * 100 << "\n"
               << std::flush;
   }
-  kill(pid, SIGKILL);
-  waitpid(pid, nullptr, 0);
 }
 
 constexpr std::size_t Everybody = 1000000;
--- a/bench/control_cost.cpp
+++ b/bench/control_cost.cpp
@@ -92,7 +92,6 @@
   ClusterSettings settings;
   settings.BinaryDirectory = build;
   settings.Document = "examples/serrano.json";
-  settings.Net = benchNet();
   settings.Instances = size;
   settings.InstanceFlags = {"--log-level", "error"};
   Cluster cluster(settings);
--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -1,7 +1,6 @@
 // Routing policies side by side on real processes: both firms at their sizes of
 // today, each policy under the same scenarios and seeds.
 
-#include <cctype>
 #include <map>
 #include <memory>
 #include <thread>
@@ -9,7 +8,7 @@
 
 #include <boost/program_options.hpp>
 
-#include "Harness.h"
+#include "Firms.h"
 
 namespace {
 
@@ -19,31 +18,6 @@
 using namespace zinniarail::bench;
 
 constexpr std::chrono::seconds Grace{40};
-constexpr double SlotsEach = 4;
-
-struct Service {
-  const char *Name;
-  unsigned Upstreams;
-};
-
-struct Firm {
-  const char *Name;
-  unsigned Number;
-  Service Services[2]; ///< The first one's latency is reported.
-  const char *Faulty;  ///< Two upstreams of each service, as JSON.
-};
-
-const Firm Firms[] = {
-    {"serrano",
-     1,
-     {{"credencial", 14}, {"situacao", 10}},
-     R"(["credencial-1","credencial-2","situacao-1","situacao-2"])"},
-    {"cierzo",
-     2,
-     {{"pedidos", 15}, {"carta", 9}},
-     R"(["pedidos-1","pedidos-2","carta-1","carta-2"])"},
-};
-
 struct Scenario {
   const char *Name;
   double Load; ///< Of the capacity.
@@ -123,41 +97,18 @@
   CallerRun Callers[2];
 };
 
-ClusterSettings clusterSettings(const Plan &plan, const Firm &firm,
-                                const Policy &policy, unsigned seed) {
-  ClusterSettings out;
-  out.BinaryDirectory = plan.Build;
-  out.Document = std::string("examples/") + firm.Name + ".json";
-  out.Net = benchNet();
-  out.Number = firm.Number;
-  out.InstanceFlags = {"--policy", policy.Name, "--log-level", "error"};
-  out.UpstreamFlags = {"--mean-ms", std::to_string(plan.MeanMs), "--seed",
-                       std::to_string(1000 * seed)};
-  return out;
-}
-
-/// Keys must differ between scenarios: they count for the claim window.
-std::string keyPrefix(const Service &service, const Scenario &scenario) {
-  std::string out = std::string(service.Name) + scenario.Name;
-  std::erase_if(out, [](unsigned char it) { return std::isalnum(it) == 0; });
-  return out;
-}
-
 void startCallers(Side &side, const Plan &plan, const Policy &policy,
                   const Scenario &scenario, unsigned seed,
                   const std::string &directory) {
   for (int n = 0; n < 2; ++n) {
     const auto &service = side.Owner->Services[n];
-    const double rate =
-        scenario.Load * service.Upstreams * SlotsEach * 1000 / plan.MeanMs;
-    auto command = side.Processes.callerCommand(service.Name);
+    auto command =
+        callerCommand(side.Processes, service,
+                      {scenario.Load, plan.MeanMs, plan.Seconds, seed,
+                       asKey(std::string(service.Name) + scenario.Name)});
     command.insert(command.end(),
-                   {"--key-prefix", keyPrefix(service, scenario), "--rate",
-                    std::to_string(rate), "--seconds",
-                    std::to_string(plan.Seconds), "--seed",
-                    std::to_string(seed), "--orders-share", "0.1",
-                    "--refusal-retries", "0", "--shift-share",
-                    std::to_string(scenario.ShiftShare), "--shift-ms", "300"});
+                   {"--shift-share", std::to_string(scenario.ShiftShare),
+                    "--shift-ms", "300"});
     if (policy.SpreadAll) {
       command.emplace_back("--spread-all");
     }
@@ -230,8 +181,11 @@
                const std::string &directory, Results &results) {
   std::vector<std::unique_ptr<Side>> sides;
   for (const auto &firm : Firms) {
-    sides.push_back(std::unique_ptr<Side>(new Side{
-        &firm, Cluster(clusterSettings(plan, firm, policy, seed)), {}}));
+    sides.push_back(std::unique_ptr<Side>(
+        new Side{&firm,
+                 Cluster(makeClusterSettings(firm, plan.Build, plan.MeanMs,
+                                             seed, {"--policy", policy.Name})),
+                 {}}));
     if (!sides.back()->Processes.start()) {
       std::cerr << "bench_policies: " << sides.back()->Processes.error()
                 << '\n';
--- a/bench/service_changes.cpp
+++ b/bench/service_changes.cpp
@@ -2,7 +2,6 @@
 // both firms' sizes of today, against the same seeds without the change.
 
 #include <algorithm>
-#include <cctype>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,7 +19,6 @@
 using namespace zinniarail::bench;
 
 constexpr std::chrono::seconds Grace{60};
-constexpr double SlotsEach = 4;
 constexpr unsigned RunSeconds = 13;
 constexpr unsigned RestartSeconds = 60;
 
@@ -105,20 +103,14 @@
          std::to_string(end.count());
 }
 
-/// \param key differs between runs: it counts for the claim window.
 void startCallers(Side &side, const Plan &plan, unsigned seconds, unsigned seed,
                   const std::string &key, const std::string &directory) {
   for (int n = 0; n < 2; ++n) {
     const auto &service = side.Owner->Services[n];
-    const double rate =
-        plan.Load * service.Upstreams * SlotsEach * 1000 / plan.MeanMs;
-    auto command = side.Processes.callerCommand(service.Name);
-    command.insert(command.end(),
-                   {"--key-prefix", key + service.Name, "--rate",
-                    std::to_string(rate), "--seconds", std::to_string(seconds),
-                    "--seed", std::to_string(seed), "--orders-share", "0.1",
-                    "--refusal-retries", "0", "--windows-ms",
-                    windowsOf(seconds)});
+    auto command = callerCommand(
+        side.Processes, service,
+        {plan.Load, plan.MeanMs, seconds, seed, key + service.Name});
+    command.insert(command.end(), {"--windows-ms", windowsOf(seconds)});
     side.Callers[n].start(command, directory + "/" + service.Name + ".json");
   }
   side.Began = readClock();
@@ -128,9 +120,8 @@
                  unsigned seed, const std::string &directory,
                  Results &results) {
   side.Processes.resetUpstreamCounters();
-  std::string key = std::to_string(seed) + scenario.Name;
-  std::erase_if(key, [](unsigned char it) { return std::isalnum(it) == 0; });
-  startCallers(side, plan, scenario.Seconds, seed, key, directory);
+  startCallers(side, plan, scenario.Seconds, seed,
+               asKey(std::to_string(seed) + scenario.Name), directory);
   Notes notes;
   notes.Values["failed steps"] = 0;
   scenario.Happens(side, notes);
@@ -160,15 +151,9 @@
   const WorkDirectory work;
   for (unsigned n = 0; n < plan.Runs; ++n) {
     const unsigned seed = plan.Seed + n;
-    ClusterSettings settings;
-    settings.BinaryDirectory = plan.Build;
-    settings.Document = std::string("examples/") + firm.Name + ".json";
-    settings.Net = benchNet();
-    settings.Number = firm.Number;
-    settings.InstanceFlags = {"--log-level", "error"};
-    settings.UpstreamFlags = {"--mean-ms", std::to_string(plan.MeanMs),
-                              "--seed", std::to_string(1000 * seed)};
-    Side side{&firm, Cluster(settings), {}};
+    Side side{&firm,
+              Cluster(makeClusterSettings(firm, plan.Build, plan.MeanMs, seed)),
+              {}};
     if (!side.Processes.start()) {
       std::cerr << "bench_service_changes: " << side.Processes.error() << '\n';
       return false;
--- a/programs/zinniactl/DocumentCommands.cpp
+++ b/programs/zinniactl/DocumentCommands.cpp
@@ -33,6 +33,16 @@
                   platform::nameOf(stored.How) + "); nothing was written");
 }
 
+// Why there is no stored document to go by; none when there is one.
+std::optional<Report> failUnread(const Stored &stored,
+                                 const std::string &environment) {
+  if (stored.How == Outcome::NotFound) {
+    return fail(ExitCode::Failed, environment + " has no document");
+  }
+  return isReached(stored) ? std::nullopt
+                           : std::optional(failUnreachable(stored));
+}
+
 // Reads the file of --base, when there is one.
 Result<std::optional<Document>, Report> readBase(const Options &options) {
   if (options.Base.empty()) {
@@ -117,11 +127,8 @@
                     Edit edit) {
   Session session(options.PlatformAddress, options.Timeout);
   const Stored seen = readStored(session, options.Environment);
-  if (seen.How == Outcome::NotFound) {
-    return fail(ExitCode::Failed, options.Environment + " has no document");
-  }
-  if (!isReached(seen)) {
-    return failUnreachable(seen);
+  if (auto failed = failUnread(seen, options.Environment)) {
+    return std::move(*failed);
   }
   auto parsed = parseDocument(seen.Whole);
   if (!parsed.has_value()) {
@@ -197,11 +204,8 @@
 Report show(const Options &options) {
   Session session(options.PlatformAddress, options.Timeout);
   const Stored seen = readStored(session, options.Environment);
-  if (seen.How == Outcome::NotFound) {
-    return fail(ExitCode::Failed, options.Environment + " has no document");
-  }
-  if (!isReached(seen)) {
-    return failUnreachable(seen);
+  if (auto failed = failUnread(seen, options.Environment)) {
+    return std::move(*failed);
   }
   Report report;
   report.Lines = {seen.Whole};
@@ -221,11 +225,11 @@
   Session session(options.PlatformAddress, options.Timeout);
   const Stored source = readStored(session, options.From);
   const Stored target = readStored(session, options.To);
-  if (source.How == Outcome::NotFound) {
-    return fail(ExitCode::Failed, options.From + " has no document");
+  if (auto failed = failUnread(source, options.From)) {
+    return std::move(*failed);
   }
-  if (!isReached(source) || !isReached(target)) {
-    return failUnreachable(isReached(source) ? target : source);
+  if (!isReached(target)) {
+    return failUnreachable(target);
   }
   const auto parsed = parseDocument(source.Whole);
   if (!parsed.has_value()) {
--- a/src/dispatch/Crashes.cpp
+++ b/src/dispatch/Crashes.cpp
@@ -15,8 +15,7 @@
   word.Upstream = crash.Upstream;
   word.Incarnation = crash.Life;
   word.Fingerprint = fingerprint;
-  word.HomesDigest = step.State.Plan.HomesDigest;
-  emit(step, TellHomes{std::move(word)});
+  tellHomes(step, std::move(word));
 }
 
 void tellCondemned(Step step, const Crash &crash,
--- a/src/dispatch/Life.h
+++ b/src/dispatch/Life.h
@@ -22,6 +22,12 @@
   step.Out.emplace_back(std::in_place_type<Wanted>, std::move(action));
 }
 
+/// Tells the service's other homes.
+inline void tellHomes(Step step, PeerWord word) {
+  word.HomesDigest = step.State.Plan.HomesDigest;
+  emit(step, TellHomes{std::move(word)});
+}
+
 // Requests.cpp
 
 void onArrival(Step step, const RequestArrived &event);
@@ -55,7 +61,7 @@
 /// permit.
 void hedge(Step step, RequestState &request);
 
-/// Cancels what runs for a request.
+/// Cancels what runs for a request, but for what an upstream that ramps runs.
 void cancelLive(Step step, RequestState &request);
 
 /// Gives a granted key back.
--- a/src/dispatch/Upstreams.cpp
+++ b/src/dispatch/Upstreams.cpp
@@ -32,8 +32,7 @@
   word.What = what;
   word.Upstream = upstream.Plan.Spec.Id;
   word.Incarnation = upstream.Warm.Incarnation;
-  word.HomesDigest = step.State.Plan.HomesDigest;
-  emit(step, TellHomes{std::move(word)});
+  tellHomes(step, std::move(word));
 }
 
 void tellWarm(Step step, UpstreamState &upstream) {
--- a/standins/caller-standin/Callers.cpp
+++ b/standins/caller-standin/Callers.cpp
@@ -1,8 +1,6 @@
 #include "caller-standin/Callers.h"
 
-#include <algorithm>
 #include <charconv>
-#include <iterator>
 #include <sys/timerfd.h>
 #include <unistd.h>
 
@@ -72,9 +70,9 @@
 
 Callers::Callers(struct ev_loop *loop, CallerSettings settings)
     : Loop(loop), Settings(std::move(settings)), Client(loop),
-      Draws(Settings.Seed), Addresses(Settings.Direct), ResolveTimer(loop),
-      ArrivalClock(
-          timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC)) {
+      Draws(Settings.Seed), Addresses(Settings.Direct), Sound(Addresses),
+      ResolveTimer(loop), ArrivalClock(timerfd_create(
+                              CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC)) {
   ev_io_init(
       &ArrivalWatch,
       [](struct ev_loop *, ev_io *it, int) {
@@ -125,7 +123,7 @@
       addresses.emplace_back(it.at("address").as_string());
     }
     Addresses = Settings.SpreadAll ? Settings.Instances : addresses;
-    Failed.clear();
+    Sound = Addresses;
     again = std::chrono::milliseconds{body.at("keepMs").to_number<int>()};
   }
   if (!Addresses.empty() && !Begun) {
@@ -213,13 +211,9 @@
   send(request);
 }
 
-/// Picks at random: not one that failed, nor the one of last time, where there
-/// is another.
-std::string Callers::pickAddress(const std::string &besides) {
-  std::vector<std::string> sound;
-  std::copy_if(Addresses.begin(), Addresses.end(), std::back_inserter(sound),
-               [this](const auto &it) { return !Failed.contains(it); });
-  const auto &among = sound.empty() ? Addresses : sound;
+/// Picks at random, another one than last time where there is one.
+const std::string &Callers::pickAddress(const std::string &besides) {
+  const auto &among = Sound.empty() ? Addresses : Sound;
   const auto n = static_cast<std::uint32_t>(among.size());
   const auto i = drawBelow(Draws, n);
   return among[i] == besides ? among[(i + 1) % n] : among[i];
@@ -251,7 +245,7 @@
 
 void Callers::answered(const RequestPtr &request, const Reply &reply) {
   if (!reply.isWhole()) {
-    Failed.insert(request->Address);
+    std::erase(Sound, request->Address);
   }
   if (reply.isWhole() && reply.Status == 200) {
     served(request, reply);
--- a/standins/caller-standin/Callers.h
+++ b/standins/caller-standin/Callers.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -76,7 +75,7 @@
   void end(const RequestPtr &request, const std::string &how, OrderEnd order);
   void finishIfDone();
   void fetchKeys(std::size_t index);
-  std::string pickAddress(const std::string &besides);
+  const std::string &pickAddress(const std::string &besides);
 
   struct ev_loop *Loop;
   CallerSettings Settings;
@@ -84,7 +83,9 @@
   Random Draws;
   Tally Counts;
   std::vector<std::string> Addresses;
-  std::set<std::string> Failed; ///< Gave no answer since the last resolve.
+  /// Of these, those that gave no answer since the last resolve are left out,
+  /// unless none is left.
+  std::vector<std::string> Sound;
   std::size_t NextInstance = 0;
   Timer ResolveTimer;
   int ArrivalClock; ///< A timerfd: libev's own timers round to milliseconds.
--- a/standins/common/Cluster.cpp
+++ b/standins/common/Cluster.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/json.hpp>
 
+#include "common/Net.h"
+
 namespace zinniarail::standins {
 
 namespace json = boost::json;
@@ -78,7 +80,7 @@
 
 std::string Cluster::address(unsigned group, unsigned host,
                              unsigned port) const {
-  return "127." + std::to_string(Settings.Net) + "." + std::to_string(group) +
+  return "127." + std::to_string(loopbackNet()) + "." + std::to_string(group) +
          "." + std::to_string(host) + ":" + std::to_string(port);
 }
 
@@ -102,7 +104,7 @@
   std::ifstream in(Settings.Document);
   std::stringstream text;
   text << in.rdbuf();
-  DocumentBytes = moveAddresses(text.str(), Settings.Net);
+  DocumentBytes = moveAddresses(text.str(), loopbackNet());
   boost::system::error_code ec;
   const auto document = json::parse(DocumentBytes, ec);
   if (ec) {
@@ -243,6 +245,15 @@
   return fetch(call).Status / 100 == 2;
 }
 
+bool Cluster::putDomainsOut(const std::set<std::string> &names) const {
+  auto document = json::parse(DocumentBytes);
+  for (auto &it : document.at("domains").as_array()) {
+    it.as_object()["inService"] =
+        !names.contains(it.at("name").as_string().c_str());
+  }
+  return putDocument(json::serialize(document));
+}
+
 std::vector<std::string>
 Cluster::callerCommand(const std::string &service) const {
   return {Settings.BinaryDirectory + "/standins/caller-standin",
--- a/standins/common/Cluster.h
+++ b/standins/common/Cluster.h
@@ -3,6 +3,7 @@
 /// instances, and one process that stands in for all upstreams of a document.
 #pragma once
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,7 +17,6 @@
   std::string BinaryDirectory; ///< Of the build.
   std::string Document;        ///< File; its addresses are 127.40.x.y.
   std::string LogDirectory;    ///< Empty: no logs.
-  unsigned Net = 40;           ///< All addresses are 127.Net.x.y.
   unsigned Number = 1;         ///< From 1 to 9, of this cluster on the net.
   unsigned Instances = 13;
   std::vector<std::string> InstanceFlags; ///< Beyond the addresses.
@@ -64,6 +64,9 @@
   bool resetUpstreamCounters() const;
   /// Replaces the document in the platform.
   bool putDocument(const std::string &bytes) const;
+  /// Puts the document with these failure domains out of service, and all
+  /// others in.
+  bool putDomainsOut(const std::set<std::string> &names) const;
   /// The document as it is put, with this net's addresses.
   const std::string &document() const { return DocumentBytes; }
 
--- /dev/null
+++ b/standins/common/Net.cpp
@@ -0,0 +1,17 @@
+#include "common/Net.h"
+
+#include <cstdlib>
+
+namespace zinniarail::standins {
+
+unsigned loopbackNet() {
+  constexpr unsigned usual = 40;
+  const char *net = std::getenv("ZINNIARAIL_TEST_NET");
+  return net == nullptr ? usual : std::strtoul(net, nullptr, 10);
+}
+
+std::string loopbackAddress(const std::string &rest) {
+  return "127." + std::to_string(loopbackNet()) + "." + rest;
+}
+
+} // namespace zinniarail::standins
--- a/standins/common/Process.cpp
+++ b/standins/common/Process.cpp
@@ -49,14 +49,21 @@
 }
 
 bool Process::start(const std::vector<std::string> &words,
-                    const std::string &log) {
+                    const std::string &log, const std::string &output) {
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
-  const std::string output = log.empty() ? "/dev/null" : log;
+  const std::string errors = log.empty() ? "/dev/null" : log;
   constexpr mode_t mode = 0644;
-  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, mode);
-  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  if (log != OwnLog) {
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errors.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, mode);
+  }
+  if (output.empty()) {
+    posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
+  } else {
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
+                                     O_WRONLY | O_CREAT | O_TRUNC, mode);
+  }
   std::vector<char *> arguments;
   arguments.reserve(words.size() + 1);
   for (const auto &it : words) {
--- a/standins/common/Process.h
+++ b/standins/common/Process.h
@@ -14,6 +14,9 @@
 
 namespace zinniarail::standins {
 
+/// In place of a log file: where this process's own errors go.
+constexpr const char *OwnLog = "-";
+
 /// A child process; destroying it kills it.
 class Process {
 public:
@@ -24,9 +27,11 @@
 
   /// Starts a program.
   /// \param words the program's path and its arguments.
-  /// \param log file that gets its output; empty: discarded.
+  /// \param log file that its output is added to, or OwnLog; empty: discarded.
+  /// \param output file for its standard output alone; empty: to the log too.
   /// \returns false when it cannot be started.
-  bool start(const std::vector<std::string> &words, const std::string &log);
+  bool start(const std::vector<std::string> &words, const std::string &log,
+             const std::string &output = "");
 
   bool isRunning() const { return Id > 0; }
   pid_t id() const { return Id; }
--- a/tests/cluster/ChangeTest.cpp
+++ b/tests/cluster/ChangeTest.cpp
@@ -19,14 +19,6 @@
 constexpr auto Briefly = 700ms;
 const std::string Domain = "serra-a";
 
-bool putOut(System &system, unsigned count) {
-  auto document = json::parse(system.Nodes.document());
-  for (unsigned n = 0; n < count; ++n) {
-    document.at("domains").as_array()[n].as_object()["inService"] = false;
-  }
-  return system.Nodes.putDocument(json::serialize(document));
-}
-
 std::string versionOf(const ClusterInstance &it) {
   const auto shown = standins::fetch(
       {.Url = "http://" + it.OperatorAddress + "/version-in-force"});
@@ -48,16 +40,16 @@
 }
 
 void twoDomainsOutAndIn(System &system) {
-  BOOST_TEST(putOut(system, 2));
+  BOOST_TEST(system.Nodes.putDomainsOut({Domain, "serra-b"}));
   std::this_thread::sleep_for(Briefly);
-  BOOST_TEST(putOut(system, 0));
+  BOOST_TEST(system.Nodes.putDomainsOut({}));
 }
 
 // One instance has it: the peers carry it to all others.
 void outAsThePlatformHangs(System &system) {
   const auto &first = system.Nodes.instances().front();
   const auto before = versionOf(first);
-  BOOST_TEST(putOut(system, 1));
+  BOOST_TEST(system.Nodes.putDomainsOut({Domain}));
   const auto until = readClock() + Patience;
   while (versionOf(first) == before && readClock() < until) {
   }
@@ -67,7 +59,7 @@
   std::this_thread::sleep_for(Watched);
   BOOST_TEST(system.takenIn(Domain) == taken);
   BOOST_TEST(system.Nodes.setPlatformFaults({{"outage", "none"}}));
-  BOOST_TEST(putOut(system, 0));
+  BOOST_TEST(system.Nodes.putDomainsOut({}));
   BOOST_TEST(system.operate({"status", "--wait-ms", "60000"}) == 0);
   std::this_thread::sleep_for(Watched);
   BOOST_TEST(system.takenIn(Domain) > taken);
--- a/tests/cluster/ClusterTest.cpp
+++ b/tests/cluster/ClusterTest.cpp
@@ -18,12 +18,6 @@
 
 void shortWait() { std::this_thread::sleep_for(1s); }
 
-std::string withDomain(const Cluster &cluster, bool inService) {
-  auto document = json::parse(cluster.document());
-  document.at("domains").as_array()[0].as_object()["inService"] = inService;
-  return json::serialize(document);
-}
-
 /// What happens while callers are served.
 struct Fault {
   const char *Name;
@@ -80,9 +74,9 @@
      }},
     {"a failure domain goes out and comes back",
      [](System &system) {
-       BOOST_TEST(system.Nodes.putDocument(withDomain(system.Nodes, false)));
+       BOOST_TEST(system.Nodes.putDomainsOut({"serra-a"}));
        std::this_thread::sleep_for(3s);
-       BOOST_TEST(system.Nodes.putDocument(withDomain(system.Nodes, true)));
+       BOOST_TEST(system.Nodes.putDomainsOut({}));
      },
      true, 8},
     onUpstreams("connections close before and after runs",
--- a/tests/cluster/System.h
+++ b/tests/cluster/System.h
@@ -3,7 +3,6 @@
 /// processes have: kills, freezes, restarts, outages.
 #pragma once
 
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -53,12 +52,10 @@
 
 inline standins::ClusterSettings makeClusterSettings(const Firm &firm,
                                                      unsigned instances) {
-  const char *net = std::getenv("ZINNIARAIL_TEST_NET");
   standins::ClusterSettings settings;
   settings.BinaryDirectory = ZINNIARAIL_BINARY_DIR;
   settings.Document =
       std::string(ZINNIARAIL_SOURCE_DIR "/examples/") + firm.Document;
-  settings.Net = net == nullptr ? 40 : std::strtoul(net, nullptr, 10);
   settings.Number = firm.Number;
   settings.Instances = instances;
   settings.UpstreamFlags = firm.UpstreamFlags;
--- a/tests/control/ControlTaskTest.cpp
+++ b/tests/control/ControlTaskTest.cpp
@@ -71,7 +71,8 @@
 // A platform and one instance's control task.
 struct Fixture {
   explicit Fixture(const std::string &rest)
-      : Platform(testAddress(rest)), Task(settings(), Seen.outboxes()) {
+      : Platform(standins::loopbackAddress(rest)),
+        Task(settings(), Seen.outboxes()) {
     Task.start();
   }
 
--- a/tests/control/RestartTest.cpp
+++ b/tests/control/RestartTest.cpp
@@ -13,7 +13,7 @@
 
 // Whole instances as processes, in two failure domains.
 struct Fleet {
-  Fleet() : Platform(testAddress("52.99:7000")) {
+  Fleet() : Platform(standins::loopbackAddress("52.99:7000")) {
     boost::json::array list;
     for (unsigned n = 0; n < Instances; ++n) {
       list.push_back({{"id", idOf(n)},
@@ -30,24 +30,18 @@
       start(n);
     }
   }
-  ~Fleet() {
-    for (unsigned n = 0; n < Instances; ++n) {
-      end(n);
-    }
-  }
-  Fleet(const Fleet &) = delete;
-  Fleet &operator=(const Fleet &) = delete;
 
   static std::string idOf(unsigned n) { return "i" + std::to_string(n); }
   static std::string domainOf(unsigned n) {
     return "d" + std::to_string(n % 2);
   }
   static std::string addressOf(unsigned n, const std::string &port) {
-    return testAddress("52." + std::to_string(n + 1) + ":" + port);
+    return standins::loopbackAddress("52." + std::to_string(n + 1) + ":" +
+                                     port);
   }
 
   void start(unsigned n) {
-    Pids[n] = startProgram(
+    Nodes[n] = startProgram(
         "/programs/zinniaraild",
         {"--instance-id", idOf(n), "--failure-domain", domainOf(n),
          "--environment", "trial", "--caller-address", addressOf(n, "8000"),
@@ -56,14 +50,13 @@
          "--log-level", "error"});
   }
   void end(unsigned n) {
-    kill(Pids[n], SIGKILL);
-    awaitExit(Pids[n]);
+    Nodes[n].signal(SIGKILL);
+    BOOST_TEST(Nodes[n].wait(Patience).has_value());
   }
   boost::json::value ask(unsigned n, const std::string &path) const {
-    std::string answer;
-    request("GET", "http://" + addressOf(n, "8002") + path, "", &answer);
     boost::json::error_code ec;
-    return boost::json::parse(answer, ec);
+    return boost::json::parse(
+        request("GET", "http://" + addressOf(n, "8002") + path).Body, ec);
   }
   // Whether an instance may act on its version.
   bool isValid(unsigned n) const {
@@ -89,7 +82,7 @@
   }
 
   PlatformStandin Platform;
-  pid_t Pids[Instances] = {};
+  Process Nodes[Instances];
 };
 
 } // namespace
--- a/tests/control/Standin.h
+++ b/tests/control/Standin.h
@@ -3,87 +3,43 @@
 #pragma once
 
 #include <chrono>
-#include <cstdlib>
+#include <csignal>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include <curl/curl.h>
-#include <fcntl.h>
-#include <spawn.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include <boost/test/unit_test.hpp>
 
+#include "common/Net.h"
+#include "common/Process.h"
+
 namespace zinniarail::testing {
 
-/// An address of this worktree's own.
-inline std::string testAddress(const std::string &rest) {
-  const char *net = std::getenv("ZINNIARAIL_TEST_NET");
-  return std::string("127.") + (net != nullptr ? net : "40") + "." + rest;
-}
+using standins::Process;
 
-/// Starts a program of the build.
+// Far beyond what a step takes; a loaded machine is slow, never wrong.
+constexpr Duration Patience = std::chrono::seconds{90};
+
+/// Starts a program of the build; its errors show among the test's.
 /// \param output the file that takes its standard output; empty: ours.
-inline pid_t startProgram(const std::string &program,
-                          std::vector<std::string> words,
-                          const std::string &output = "") {
+inline Process startProgram(const std::string &program,
+                            std::vector<std::string> words,
+                            const std::string &output = "") {
   words.insert(words.begin(), std::string(ZINNIARAIL_BINARY_DIR) + program);
-  std::vector<char *> arguments;
-  arguments.reserve(words.size() + 1);
-  for (std::string &it : words) {
-    arguments.push_back(it.data());
-  }
-  arguments.push_back(nullptr);
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  if (!output.empty()) {
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
-                                     O_WRONLY | O_CREAT | O_TRUNC, 0600);
-  }
-  pid_t pid = 0;
-  const int ec = posix_spawn(&pid, words.front().c_str(), &actions, nullptr,
-                             arguments.data(), environ);
-  posix_spawn_file_actions_destroy(&actions);
-  BOOST_REQUIRE(ec == 0);
-  return pid;
+  Process it;
+  BOOST_REQUIRE(it.start(words, standins::OwnLog, output));
+  return it;
 }
 
 /// Waits for a process to end. \returns its exit code.
-inline int awaitExit(pid_t pid) {
-  int status = 0;
-  waitpid(pid, &status, 0);
-  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-}
+inline int awaitExit(Process it) { return it.wait(Patience).value_or(-1); }
 
-/// One blocking request. \returns the status; 0 when there was no answer.
-inline long request(const std::string &method, const std::string &url,
-                    const std::string &body, std::string *answer = nullptr) {
-  std::string buf;
-  CURL *easy = curl_easy_init();
-  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
-  curl_easy_setopt(easy, CURLOPT_PROXY, "");
-  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method.c_str());
-  if (method != "GET") {
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body.c_str());
-  }
-  curl_easy_setopt(
-      easy, CURLOPT_WRITEFUNCTION,
-      +[](char *data, std::size_t, std::size_t size, void *user) {
-        static_cast<std::string *>(user)->append(data, size);
-        return size;
-      });
-  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &buf);
-  long status = 0;
-  if (curl_easy_perform(easy) == CURLE_OK) {
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-  }
-  curl_easy_cleanup(easy);
-  if (answer != nullptr) {
-    *answer = buf;
-  }
-  return status;
+/// One blocking request. \returns the answer; status 0 when there was none.
+inline standins::Reply request(const std::string &method,
+                               const std::string &url,
+                               const std::string &body = "") {
+  return standins::fetch(
+      {.Method = method, .Url = url, .Body = body, .Timeout = Patience});
 }
 
 /// Waits until a condition holds; gives up after a time that only a fault
@@ -103,34 +59,29 @@
 class PlatformStandin {
 public:
   explicit PlatformStandin(const std::string &address) : Address(address) {
-    Pid = startProgram("/standins/platform-standin", {"--address", address});
+    Running =
+        startProgram("/standins/platform-standin", {"--address", address});
     BOOST_REQUIRE(
-        waitFor([&] { return call("GET", "/control/counters") != 0; }));
-  }
-  ~PlatformStandin() {
-    kill(Pid, SIGKILL);
-    awaitExit(Pid);
+        waitFor([&] { return call("GET", "/control/counters").Status != 0; }));
   }
-  PlatformStandin(const PlatformStandin &) = delete;
-  PlatformStandin &operator=(const PlatformStandin &) = delete;
 
-  long call(const std::string &method, const std::string &path,
-            const std::string &body = "", std::string *answer = nullptr) const {
-    return request(method, "http://" + Address + path, body, answer);
+  standins::Reply call(const std::string &method, const std::string &path,
+                       const std::string &body = "") const {
+    return request(method, "http://" + Address + path, body);
   }
   void setFaults(const std::string &json) const {
-    BOOST_REQUIRE(call("POST", "/control/faults", json) == 200);
+    BOOST_REQUIRE(call("POST", "/control/faults", json).Status == 200);
   }
   void putDocument(const std::string &bytes) const {
     const long status =
-        call("PUT", "/objects/environments/trial/document", bytes);
+        call("PUT", "/objects/environments/trial/document", bytes).Status;
     BOOST_REQUIRE((status == 200 || status == 201));
   }
 
   std::string Address;
 
 private:
-  pid_t Pid = 0;
+  Process Running;
 };
 
 } // namespace zinniarail::testing
--- a/tests/control/ZinniactlTest.cpp
+++ b/tests/control/ZinniactlTest.cpp
@@ -29,7 +29,8 @@
 const Document Base{.Domains = {{"a", "", true}, {"b", "", true}}};
 
 struct Fixture {
-  explicit Fixture(const std::string &rest) : Platform(testAddress(rest)) {
+  explicit Fixture(const std::string &rest)
+      : Platform(standins::loopbackAddress(rest)) {
     Folder = std::filesystem::temp_directory_path() /
              ("zinniactl-" + std::to_string(getpid()));
     std::filesystem::create_directories(Folder);
@@ -44,8 +45,8 @@
     std::ofstream(name) << bytes;
     return name;
   }
-  pid_t start(std::vector<std::string> words,
-              const std::string &environment = "trial") const {
+  Process start(std::vector<std::string> words,
+                const std::string &environment = "trial") const {
     words.insert(words.end(), {"--platform-address", Platform.Address,
                                "--environment", environment});
     return startProgram("/programs/zinniactl", words);
@@ -65,10 +66,9 @@
     return {code, boost::json::parse(in).as_object()};
   }
   std::string stored(const std::string &environment = "trial") const {
-    std::string bytes;
-    Platform.call("GET", "/objects/environments/" + environment + "/document",
-                  "", &bytes);
-    return bytes;
+    return Platform
+        .call("GET", "/objects/environments/" + environment + "/document")
+        .Body;
   }
 
   PlatformStandin Platform;
@@ -137,10 +137,10 @@
   BOOST_REQUIRE(it.run({"apply", it.file(serialiseDocument(Base))}) == Done);
   // Both write from version 1, whoever reads first.
   it.Platform.setFaults(R"({"kinds":["get"],"delayMs":500})");
-  const pid_t a = it.start({"domain", "out", "a", "--expect", "1"});
-  const pid_t b = it.start({"domain", "out", "b", "--expect", "1"});
-  const int first = awaitExit(a);
-  const int second = awaitExit(b);
+  auto a = it.start({"domain", "out", "a", "--expect", "1"});
+  auto b = it.start({"domain", "out", "b", "--expect", "1"});
+  const int first = awaitExit(std::move(a));
+  const int second = awaitExit(std::move(b));
   BOOST_TEST(std::min(first, second) == Done);
   BOOST_TEST(std::max(first, second) == LostRace);
   it.Platform.setFaults(R"({"kinds":["get"],"delayMs":0})");
--- a/tests/dispatch/TruthTest.cpp
+++ b/tests/dispatch/TruthTest.cpp
@@ -30,6 +30,18 @@
     {"broken", true, AttemptEnd::Broken, false, Truth::Unknown, false},
 };
 
+// Ends the first attempt of a write whose claim is sought.
+StartAttempt endFirst(Service &service, const EndCase &it) {
+  service.tell(ClaimDecided{RequestId{1}, ClaimVerdict::Granted});
+  const auto first = service.find<StartAttempt>();
+  BOOST_REQUIRE(first);
+  if (it.Sent) {
+    service.tell(AttemptSent{first->Attempt});
+  }
+  service.tell(AttemptEnded{first->Attempt, it.End});
+  return *first;
+}
+
 } // namespace
 
 BOOST_DATA_TEST_CASE(aWriteRunsAgainOnlyWhenItDidNotRun, Ends, it) {
@@ -39,13 +51,7 @@
   service.arrive(1, "write");
   BOOST_TEST(service.count<StartAttempt>() == 0u);
   BOOST_TEST(service.count<SeekClaim>() == 1u);
-  service.tell(ClaimDecided{RequestId{1}, ClaimVerdict::Granted});
-  const auto first = service.find<StartAttempt>();
-  BOOST_REQUIRE(first);
-  if (it.Sent) {
-    service.tell(AttemptSent{first->Attempt});
-  }
-  service.tell(AttemptEnded{first->Attempt, it.End});
+  endFirst(service, it);
   const auto refusal = service.find<Refuse>();
   BOOST_REQUIRE(refusal);
   BOOST_TEST((refusal->Outcome == it.Told));
@@ -58,17 +64,11 @@
   plan.Spec.RetryShare = 1;
   Service service(plan);
   service.arrive(1, "write");
-  service.tell(ClaimDecided{RequestId{1}, ClaimVerdict::Granted});
-  const auto first = service.find<StartAttempt>();
-  BOOST_REQUIRE(first);
-  if (it.Sent) {
-    service.tell(AttemptSent{first->Attempt});
-  }
-  service.tell(AttemptEnded{first->Attempt, it.End});
+  const auto first = endFirst(service, it);
   const auto second = service.find<StartAttempt>();
   BOOST_TEST(second.has_value() == it.RunsAgain);
   if (second) {
-    BOOST_TEST(second->Upstream != first->Upstream);
+    BOOST_TEST(second->Upstream != first.Upstream);
   }
 }
 
--- a/tests/gateway/BadRequestTest.cpp
+++ b/tests/gateway/BadRequestTest.cpp
@@ -74,8 +74,7 @@
 BOOST_DATA_TEST_CASE(badBytesAreAnsweredAndTheConnectionClosed, BadBytes, it) {
   FakeUpstream upstream(testAddress(1), &echoWhole);
   Instanced gateway(10);
-  gateway.Task.inbox().post(
-      ViewChanged{makeView({gateway.self()}, {upstream.address()})});
+  gateway.serve(upstream.address());
   const int fd = gateway.connect();
   sendAll(fd, it.Bytes);
   const std::string answer = receiveAll(fd);
--- a/tests/gateway/CallerConnectionsTest.cpp
+++ b/tests/gateway/CallerConnectionsTest.cpp
@@ -16,8 +16,7 @@
     return Reply{wholeAnswer(it, body)};
   });
   Instanced gateway(10);
-  gateway.Task.inbox().post(
-      ViewChanged{makeView({gateway.self()}, {upstream.address()})});
+  gateway.serve(upstream.address());
   const std::string answer =
       gateway.ask("POST /s/x HTTP/1.1\r\nHost: x\r\nIdempotency-Key: "
                   "k\r\nTransfer-Encoding: chunked\r\n\r\n100000\r\n" +
@@ -29,8 +28,7 @@
 BOOST_AUTO_TEST_CASE(aHalfClosedCallerIsServed) {
   HeldUpstream upstream(testAddress(1));
   Instanced gateway(10);
-  gateway.Task.inbox().post(
-      ViewChanged{makeView({gateway.self()}, {upstream.address()})});
+  gateway.serve(upstream.address());
   const int fd = gateway.connect();
   sendAll(fd, get("/s/x"));
   shutdown(fd, SHUT_WR);
@@ -48,8 +46,7 @@
 BOOST_AUTO_TEST_CASE(aCallerThatLeavesFreesItsUpstream) {
   HeldUpstream upstream(testAddress(1));
   Instanced gateway(10);
-  gateway.Task.inbox().post(
-      ViewChanged{makeView({gateway.self()}, {upstream.address()})});
+  gateway.serve(upstream.address());
   const int fd = gateway.connect();
   sendAll(fd, get("/s/x"));
   upstream.awaitRequest();
--- a/tests/gateway/FakeUpstream.h
+++ b/tests/gateway/FakeUpstream.h
@@ -9,20 +9,19 @@
 #include <unistd.h>
 
 #include <atomic>
-#include <cstdlib>
 #include <functional>
 #include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "common/Net.h"
+
 namespace zinniarail::gateway {
 
 /// An address of this worktree's own test network.
 inline std::string testAddress(unsigned low) {
-  const char *net = std::getenv("ZINNIARAIL_TEST_NET");
-  return std::string("127.") + (net == nullptr ? "40" : net) + ".7." +
-         std::to_string(low);
+  return standins::loopbackAddress("7." + std::to_string(low));
 }
 
 /// Binds a listening socket to a free port of an address.
--- a/tests/gateway/GatewayTaskTest.cpp
+++ b/tests/gateway/GatewayTaskTest.cpp
@@ -13,8 +13,7 @@
     return echoWhole(it, n);
   });
   Instanced gateway(10);
-  gateway.Task.inbox().post(
-      ViewChanged{makeView({gateway.self()}, {upstream.address()})});
+  gateway.serve(upstream.address());
   const std::string answer = gateway.ask(
       get("/s/x?q=1", "X-Request-Id: mine\r\nX-Deadline-Ms: 5000\r\n"
                       "Connection: X-Secret\r\nX-Secret: 1\r\n"));
@@ -62,8 +61,7 @@
 BOOST_DATA_TEST_CASE(arefusalSaysThatItDidNotRun, Refusals, it) {
   FakeUpstream upstream(testAddress(1), &echoWhole);
   Instanced gateway(10);
-  gateway.Task.inbox().post(
-      ViewChanged{makeView({gateway.self()}, {upstream.address()})});
+  gateway.serve(upstream.address());
   const std::string answer = gateway.ask(it.Request);
   BOOST_TEST(answer.starts_with("HTTP/1.1 " + std::to_string(it.Status)));
   BOOST_TEST(fieldOf(answer, "X-Zinniarail-Reason") == it.Reason);
@@ -231,8 +229,7 @@
 BOOST_AUTO_TEST_CASE(aGracefulStopCutsOffNoRequest) {
   HeldUpstream upstream(testAddress(1));
   Instanced gateway(10);
-  gateway.Task.inbox().post(
-      ViewChanged{makeView({gateway.self()}, {upstream.address()})});
+  gateway.serve(upstream.address());
   const int running = gateway.connect();
   const int idle = gateway.connect();
   sendAll(running, get("/s/x"));
--- a/tests/gateway/Instanced.h
+++ b/tests/gateway/Instanced.h
@@ -32,6 +32,42 @@
   return settings;
 }
 
+inline std::shared_ptr<View> makeView(const std::vector<Instance> &instances,
+                                      const std::vector<std::string> &upstreams,
+                                      unsigned homes = 3) {
+  auto document = std::make_shared<Document>();
+  document->Environment = "trial";
+  document->ResolveLifetime = std::chrono::milliseconds{100};
+  document->Domains = {{"a", "r", true}, {"out", "r", false}};
+  ServiceSpec service;
+  service.Name = "s";
+  service.Homes = homes;
+  service.HedgeShare = 0;
+  service.ProbesPerSecond = 0;
+  service.Classes = {{.Name = "print",
+                      .Method = "POST",
+                      .Idempotent = false,
+                      .Deadline = std::chrono::seconds{10}},
+                     {.Name = "read", .Deadline = std::chrono::seconds{10}}};
+  for (const std::string &it : upstreams) {
+    const SocketAddress address = parseAddress(it);
+    service.Upstreams.push_back({.Id = it,
+                                 .Address = address.Host,
+                                 .Port = address.Port,
+                                 .Domain = "a"});
+  }
+  ServiceSpec bare = service; // Its requests match no class.
+  bare.Name = "bare";
+  bare.Classes.clear();
+  document->Services = {service, bare};
+  auto view = std::make_shared<View>();
+  view->Intent = document;
+  view->Version = 3;
+  view->Instances = instances;
+  view->ValidUntil = readClock() + std::chrono::hours{1};
+  return view;
+}
+
 /// A gateway on a thread of its own. Claims are granted at once.
 struct Instanced {
   Settings Options;
@@ -75,6 +111,11 @@
             .CallerAddress = Options.CallerAddress};
   }
 
+  /// Makes it the home of a service with one upstream.
+  void serve(const std::string &upstream) {
+    Task.inbox().post(ViewChanged{makeView({self()}, {upstream})});
+  }
+
   /// \param receiveBuffer bytes; 0: the system's own choice.
   int connect(int receiveBuffer = 0) const {
     const SocketAddress it = parseAddress(Options.CallerAddress);
@@ -102,42 +143,6 @@
   }
 };
 
-inline std::shared_ptr<View> makeView(const std::vector<Instance> &instances,
-                                      const std::vector<std::string> &upstreams,
-                                      unsigned homes = 3) {
-  auto document = std::make_shared<Document>();
-  document->Environment = "trial";
-  document->ResolveLifetime = std::chrono::milliseconds{100};
-  document->Domains = {{"a", "r", true}, {"out", "r", false}};
-  ServiceSpec service;
-  service.Name = "s";
-  service.Homes = homes;
-  service.HedgeShare = 0;
-  service.ProbesPerSecond = 0;
-  service.Classes = {{.Name = "print",
-                      .Method = "POST",
-                      .Idempotent = false,
-                      .Deadline = std::chrono::seconds{10}},
-                     {.Name = "read", .Deadline = std::chrono::seconds{10}}};
-  for (const std::string &it : upstreams) {
-    const SocketAddress address = parseAddress(it);
-    service.Upstreams.push_back({.Id = it,
-                                 .Address = address.Host,
-                                 .Port = address.Port,
-                                 .Domain = "a"});
-  }
-  ServiceSpec bare = service; // Its requests match no class.
-  bare.Name = "bare";
-  bare.Classes.clear();
-  document->Services = {service, bare};
-  auto view = std::make_shared<View>();
-  view->Intent = document;
-  view->Version = 3;
-  view->Instances = instances;
-  view->ValidUntil = readClock() + std::chrono::hours{1};
-  return view;
-}
-
 inline std::string get(const std::string &target,
                        const std::string &fields = "") {
   return "GET " + target + " HTTP/1.1\r\nHost: x\r\n" + fields + "\r\n";
--- a/tests/peers/Fleet.h
+++ b/tests/peers/Fleet.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <condition_variable>
-#include <cstdlib>
 #include <functional>
 #include <future>
 #include <map>
@@ -14,6 +13,7 @@
 #include <thread>
 #include <vector>
 
+#include "common/Net.h"
 #include "zinniarail/peers/PeersTask.h"
 
 namespace zinniarail::testing {
@@ -22,9 +22,8 @@
 
 /// "127.N.third.1:port" with N from the environment.
 inline std::string makeAddress(int third, int port) {
-  const char *net = std::getenv("ZINNIARAIL_TEST_NET");
-  return "127." + std::string(net ? net : "40") + "." + std::to_string(third) +
-         ".1:" + std::to_string(port);
+  return standins::loopbackAddress(std::to_string(third) +
+                                   ".1:" + std::to_string(port));
 }
 
 /// The platform's roster object.
--- a/tests/standins/StandIn.h
+++ b/tests/standins/StandIn.h
@@ -2,7 +2,6 @@
 /// Starts a stand-in for a test and sends it calls.
 #pragma once
 
-#include <cstdlib>
 #include <string>
 #include <thread>
 #include <vector>
@@ -10,6 +9,7 @@
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "common/Net.h"
 #include "common/Process.h"
 
 namespace zinniarail::standins {
@@ -18,9 +18,8 @@
 
 /// 127.N.60.host:port on the net of this worktree.
 inline std::string testAddress(unsigned host, unsigned port) {
-  const char *net = std::getenv("ZINNIARAIL_TEST_NET");
-  return "127." + std::string(net == nullptr ? "40" : net) + ".60." +
-         std::to_string(host) + ":" + std::to_string(port);
+  return loopbackAddress("60." + std::to_string(host) + ":" +
+                         std::to_string(port));
 }
 
 /// A running stand-in with its control address.
