The client of the object API is called objects; the word platform gets free

Cause: the users' platform is met in a folder platform/ of its own, and one word must mean one thing. Change: src/platform becomes src/objects, its HTTP client core/HttpClient. No behaviour changes.

--- a/include/zinniarail/intent/Changes.h
+++ b/include/zinniarail/intent/Changes.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "zinniarail/intent/Document.h"
-#include "zinniarail/platform/Client.h"
+#include "zinniarail/objects/Client.h"
 
 namespace zinniarail {
 
@@ -69,7 +69,7 @@
   Unknown,    ///< It may have been written; nothing tells.
 };
 
-ChangeStep afterPut(ChangeWrite &write, const platform::Reply &reply);
-ChangeStep afterRead(ChangeWrite &write, const platform::Reply &reply);
+ChangeStep afterPut(ChangeWrite &write, const objects::Reply &reply);
+ChangeStep afterRead(ChangeWrite &write, const objects::Reply &reply);
 
 } // namespace zinniarail
--- a/include/zinniarail/platform/Client.h
+++ b/include/zinniarail/objects/Client.h
@@ -14,7 +14,7 @@
 
 struct ev_loop;
 
-namespace zinniarail::platform {
+namespace zinniarail::objects {
 
 /// How a call ended.
 enum class Outcome : std::uint8_t {
@@ -115,4 +115,4 @@
   std::unique_ptr<Impl> Self;
 };
 
-} // namespace zinniarail::platform
+} // namespace zinniarail::objects
--- a/programs/zinniactl/Change.cpp
+++ b/programs/zinniactl/Change.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 namespace json = boost::json;
-using platform::Outcome;
+using objects::Outcome;
 
 constexpr Duration PauseBetweenTries = std::chrono::milliseconds{200};
 constexpr unsigned MaxReads = 10; // to settle one write
@@ -153,13 +153,13 @@
 }
 
 Stored readStored(Session &session, const std::string &environment) {
-  const platform::Reply reply = session.get(documentKey(environment));
+  const objects::Reply reply = session.get(documentKey(environment));
   if (reply.How != Outcome::Done) {
     return {.How = reply.How};
   }
   Parts parts;
   for (const std::string &digest : partsOf(reply.Bytes)) {
-    platform::Reply part = session.get(partKey(digest));
+    objects::Reply part = session.get(partKey(digest));
     if (part.How == Outcome::Unreachable) {
       return {.How = part.How};
     }
@@ -173,7 +173,7 @@
 
 bool writeParts(Session &session, const Parts &parts) {
   for (const auto &[digest, bytes] : parts) {
-    platform::Outcome how = Outcome::Unknown;
+    objects::Outcome how = Outcome::Unknown;
     for (unsigned n = 0; n < MaxChangeTries && how == Outcome::Unknown; ++n) {
       how = session.put(partKey(digest), bytes, 0).How;
     }
@@ -190,7 +190,7 @@
   const std::string key = documentKey(environment);
   ChangeWrite write{.Base = seen.Version, .Bytes = wanted.Bytes};
   ChangeStep step = ChangeStep::Put;
-  platform::Reply last;
+  objects::Reply last;
   unsigned reads = 0;
   while (step == ChangeStep::Put || step == ChangeStep::Read) {
     if (step == ChangeStep::Put) {
--- a/programs/zinniactl/Change.h
+++ b/programs/zinniactl/Change.h
@@ -12,7 +12,7 @@
 
 /// An environment's document as the platform has it.
 struct Stored {
-  platform::Outcome How = platform::Outcome::Unreachable;
+  objects::Outcome How = objects::Outcome::Unreachable;
   std::uint64_t Version = 0; ///< 0: there is none.
   std::string Bytes;         ///< As stored: the document, or a root of parts.
   std::string Whole;         ///< The document with its parts.
--- a/programs/zinniactl/DocumentCommands.cpp
+++ b/programs/zinniactl/DocumentCommands.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-using platform::Outcome;
+using objects::Outcome;
 
 Result<std::string, Report> readFile(const std::string &name) {
   std::ifstream in(name, std::ios::binary);
@@ -30,7 +30,7 @@
 Report failUnreachable(const Stored &stored) {
   return fail(ExitCode::Unreachable,
               std::string("the platform gave no answer (") +
-                  platform::nameOf(stored.How) + "); nothing was written");
+                  objects::nameOf(stored.How) + "); nothing was written");
 }
 
 // Why there is no stored document to go by; none when there is one.
--- a/programs/zinniactl/InstanceCommands.cpp
+++ b/programs/zinniactl/InstanceCommands.cpp
@@ -10,8 +10,7 @@
 namespace {
 
 namespace json = boost::json;
-using platform::HttpReply;
-using platform::Outcome;
+using objects::Outcome;
 
 constexpr int Ok = 200;
 constexpr int SuccessEnd = 300;
@@ -30,7 +29,7 @@
   if (!options.OperatorAddress.empty()) {
     return options.OperatorAddress;
   }
-  const platform::InstanceListing listing = session.listInstances();
+  const objects::InstanceListing listing = session.listInstances();
   if (listing.How != Outcome::Done) {
     return fail(ExitCode::Unreachable,
                 "the platform gave no instance list; use --operator-address");
@@ -114,7 +113,7 @@
 Survey survey(Session &session, const std::string &environment) {
   Survey it;
   it.Accepted = readStored(session, environment);
-  const platform::InstanceListing listing = session.listInstances();
+  const objects::InstanceListing listing = session.listInstances();
   it.ListOutcome = listing.How;
   std::vector<std::string> addresses;
   for (const Instance &instance : listing.Instances) {
@@ -157,7 +156,7 @@
   report.Lines = {options.Environment + ": accepted version " +
                   (known ? std::to_string(it.Accepted.Version)
                          : std::string("unknown (") +
-                               platform::nameOf(it.Accepted.How) + ")")};
+                               objects::nameOf(it.Accepted.How) + ")")};
   json::array instances;
   for (const Word &word : it.Words) {
     report.Lines.push_back("  " + word.Id + ": " + describe(it, word));
@@ -172,7 +171,7 @@
   report.Data = {{"result", everywhere ? "in-force" : "not-in-force"},
                  {"environment", options.Environment},
                  {"acceptedVersion", it.Accepted.Version},
-                 {"platform", platform::nameOf(it.Accepted.How)},
+                 {"platform", objects::nameOf(it.Accepted.How)},
                  {"instances", std::move(instances)}};
   return report;
 }
--- a/programs/zinniactl/Session.cpp
+++ b/programs/zinniactl/Session.cpp
@@ -24,41 +24,41 @@
     : Loop(ev_loop_new(EVFLAG_AUTO)), Timeout(timeout),
       Platform(Loop.get(), platformAddress, timeout), Http(Loop.get()) {}
 
-platform::Reply Session::get(const std::string &key) {
-  return await<platform::Reply>(
+objects::Reply Session::get(const std::string &key) {
+  return await<objects::Reply>(
       Loop.get(), [&](auto done) { Platform.get(key, std::move(done)); });
 }
 
-platform::Reply Session::put(const std::string &key, const std::string &bytes,
+objects::Reply Session::put(const std::string &key, const std::string &bytes,
                              std::uint64_t version) {
-  return await<platform::Reply>(Loop.get(), [&](auto done) {
+  return await<objects::Reply>(Loop.get(), [&](auto done) {
     Platform.put(key, bytes, version, std::move(done));
   });
 }
 
-platform::InstanceListing Session::listInstances() {
-  return await<platform::InstanceListing>(
+objects::InstanceListing Session::listInstances() {
+  return await<objects::InstanceListing>(
       Loop.get(), [&](auto done) { Platform.listInstances(std::move(done)); });
 }
 
-platform::HttpReply Session::call(const std::string &method,
+HttpReply Session::call(const std::string &method,
                                   const std::string &address,
                                   const std::string &path) {
   return callAll(method, {address}, path).front();
 }
 
-std::vector<platform::HttpReply>
+std::vector<HttpReply>
 Session::callAll(const std::string &method,
                  const std::vector<std::string> &addresses,
                  const std::string &path) {
-  std::vector<platform::HttpReply> replies(addresses.size());
+  std::vector<HttpReply> replies(addresses.size());
   std::size_t left = addresses.size();
   for (std::size_t n = 0; n < addresses.size(); ++n) {
-    platform::HttpRequest request;
+    HttpRequest request;
     request.Method = method;
     request.Url = "http://" + addresses[n] + path;
     request.Timeout = Timeout;
-    Http.send(std::move(request), [&, n](platform::HttpReply reply) {
+    Http.send(std::move(request), [&, n](HttpReply reply) {
       replies[n] = std::move(reply);
       --left;
     });
--- a/programs/zinniactl/Session.h
+++ b/programs/zinniactl/Session.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "platform/Http.h"
-#include "zinniarail/platform/Platform.h"
+#include "core/HttpClient.h"
+#include "zinniarail/objects/Objects.h"
 
 namespace zinniarail::ctl {
 
@@ -17,16 +17,16 @@
 public:
   Session(const std::string &platformAddress, Duration timeout);
 
-  platform::Reply get(const std::string &key);
-  platform::Reply put(const std::string &key, const std::string &bytes,
+  objects::Reply get(const std::string &key);
+  objects::Reply put(const std::string &key, const std::string &bytes,
                       std::uint64_t version);
-  platform::InstanceListing listInstances();
+  objects::InstanceListing listInstances();
 
   /// One request to an operator port.
-  platform::HttpReply call(const std::string &method,
+  HttpReply call(const std::string &method,
                            const std::string &address, const std::string &path);
   /// The same to many addresses at once; the answers in the same order.
-  std::vector<platform::HttpReply>
+  std::vector<HttpReply>
   callAll(const std::string &method, const std::vector<std::string> &addresses,
           const std::string &path);
 
@@ -39,8 +39,8 @@
 
   std::unique_ptr<struct ev_loop, LoopDelete> Loop;
   Duration Timeout;
-  platform::Client Platform;
-  platform::HttpClient Http;
+  objects::Client Platform;
+  HttpClient Http;
 };
 
 } // namespace zinniarail::ctl
--- a/src/control/ControlTask.cpp
+++ b/src/control/ControlTask.cpp
@@ -9,13 +9,13 @@
 #include "control/PartReader.h"
 #include "control/Roster.h"
 #include "control/State.h"
-#include "zinniarail/platform/Platform.h"
+#include "zinniarail/objects/Objects.h"
 
 namespace zinniarail::control {
 
 namespace {
 
-using platform::Outcome;
+using objects::Outcome;
 
 constexpr double TickSeconds = 0.1;
 constexpr Duration ReadPause = std::chrono::milliseconds{50};
@@ -54,9 +54,9 @@
   void advance();
   void readDocument(bool reader, bool lacksProof, Instant now);
   void readInstances(bool reader, Instant now);
-  void takeDocument(const platform::Reply &reply);
+  void takeDocument(const objects::Reply &reply);
   void endDocumentRead(bool reached);
-  void takeInstances(platform::InstanceListing listing);
+  void takeInstances(objects::InstanceListing listing);
 
   std::unique_ptr<struct ev_loop, LoopDelete> Loop;
   ev_async Wake{};
@@ -71,7 +71,7 @@
   Parts DocumentParts; ///< Of the root read last.
   std::shared_ptr<const View> Posted = std::make_shared<View>();
   Instant PostedAt{};
-  platform::Client Platform;
+  objects::Client Platform;
   std::thread Thread;
 };
 
@@ -194,7 +194,7 @@
     return;
   }
   noteStart(Known.DocumentRead);
-  const auto done = [this](const platform::Reply &reply) {
+  const auto done = [this](const objects::Reply &reply) {
     takeDocument(reply);
   };
   if (kind == ReadKind::Get) {
@@ -206,7 +206,7 @@
                  DocumentWait, done);
 }
 
-void ControlTask::Impl::takeDocument(const platform::Reply &reply) {
+void ControlTask::Impl::takeDocument(const objects::Reply &reply) {
   if (reply.How != Outcome::Done) {
     if (answered(reply.How) && Known.Intent.Intent) {
       confirmFromPlatform(Known.Intent, reply.AsOf);
@@ -237,7 +237,7 @@
     return;
   }
   noteStart(Known.InstancesRead);
-  const auto done = [this](platform::InstanceListing listing) {
+  const auto done = [this](objects::InstanceListing listing) {
     takeInstances(std::move(listing));
   };
   if (kind == ReadKind::Get) {
@@ -247,7 +247,7 @@
   Platform.watchInstances(Known.InstancesVersion, InstancesWait, done);
 }
 
-void ControlTask::Impl::takeInstances(platform::InstanceListing listing) {
+void ControlTask::Impl::takeInstances(objects::InstanceListing listing) {
   const Instant now = readClock();
   if (listing.How == Outcome::Done) {
     hearList(Known.Members, std::move(listing.Instances), now);
--- a/src/control/PartReader.cpp
+++ b/src/control/PartReader.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-using platform::Outcome;
-using platform::Reply;
+using objects::Outcome;
+using objects::Reply;
 
 struct Gathering {
-  platform::Client &Client;
+  objects::Client &Client;
   std::string Root;
   std::vector<std::string> Digests;
   Parts &Cache;
@@ -58,7 +58,7 @@
 
 } // namespace
 
-void completeDocument(platform::Client &client, const std::string &root,
+void completeDocument(objects::Client &client, const std::string &root,
                       Parts &cache,
                       std::function<void(Outcome, std::string)> done) {
   fetchNext(std::make_shared<Gathering>(
--- a/src/control/PartReader.h
+++ b/src/control/PartReader.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "zinniarail/intent/Parts.h"
-#include "zinniarail/platform/Client.h"
+#include "zinniarail/objects/Client.h"
 
 namespace zinniarail::control {
 
@@ -15,8 +15,8 @@
 /// unless the platform couldn't be reached. Outlives the call.
 /// \param done Done with the whole bytes; Malformed when they make no
 /// document; Unreachable when a part couldn't be read.
-void completeDocument(platform::Client &client, const std::string &root,
+void completeDocument(objects::Client &client, const std::string &root,
                       Parts &cache,
-                      std::function<void(platform::Outcome, std::string)> done);
+                      std::function<void(objects::Outcome, std::string)> done);
 
 } // namespace zinniarail::control
--- a/src/control/Roster.cpp
+++ b/src/control/Roster.cpp
@@ -2,8 +2,8 @@
 
 namespace zinniarail::control {
 
-using platform::Outcome;
-using platform::Reply;
+using objects::Outcome;
+using objects::Reply;
 
 namespace {
 
@@ -23,7 +23,7 @@
 
 } // namespace
 
-void readRoster(platform::Client &client, const std::string &environment,
+void readRoster(objects::Client &client, const std::string &environment,
                 RosterCallback done) {
   client.get(rosterKey(environment),
              [done = std::move(done)](const Reply &reply) {
@@ -31,7 +31,7 @@
              });
 }
 
-void writeRoster(platform::Client &client, const std::string &environment,
+void writeRoster(objects::Client &client, const std::string &environment,
                  const WriteRoster &wanted, RosterCallback done) {
   client.put(rosterKey(environment), wanted.Bytes, wanted.Version,
              [&client, environment, bytes = wanted.Bytes,
--- a/src/control/State.cpp
+++ b/src/control/State.cpp
@@ -113,7 +113,7 @@
   }
 }
 
-json::object describe(const State &state, const platform::CallCounts &calls,
+json::object describe(const State &state, const objects::CallCounts &calls,
                       Instant now) {
   const View view = makeView(state, now);
   const InForce &intent = state.Intent;
--- a/src/control/State.h
+++ b/src/control/State.h
@@ -7,7 +7,7 @@
 #include "control/Reads.h"
 #include "zinniarail/intent/InForce.h"
 #include "zinniarail/membership/Membership.h"
-#include "zinniarail/platform/Client.h"
+#include "zinniarail/objects/Client.h"
 
 namespace zinniarail::control {
 
@@ -43,6 +43,6 @@
 
 /// The state for a dump, with stable keys.
 boost::json::object describe(const State &state,
-                             const platform::CallCounts &calls, Instant now);
+                             const objects::CallCounts &calls, Instant now);
 
 } // namespace zinniarail::control
--- a/src/platform/Http.cpp
+++ b/src/core/HttpClient.cpp
@@ -1,4 +1,4 @@
-#include "platform/Http.h"
+#include "core/HttpClient.h"
 
 #include <algorithm>
 #include <cctype>
@@ -6,7 +6,7 @@
 
 #include "core/CurlLoop.h"
 
-namespace zinniarail::platform {
+namespace zinniarail {
 
 namespace {
 
@@ -162,4 +162,4 @@
   Self->Curl.add(easy);
 }
 
-} // namespace zinniarail::platform
+} // namespace zinniarail
--- a/src/platform/Http.h
+++ b/src/core/HttpClient.h
@@ -14,7 +14,7 @@
 
 #include "zinniarail/core/Time.h"
 
-namespace zinniarail::platform {
+namespace zinniarail {
 
 /// One request.
 struct HttpRequest {
@@ -59,4 +59,4 @@
   std::unique_ptr<Impl> Self;
 };
 
-} // namespace zinniarail::platform
+} // namespace zinniarail
--- a/src/intent/Changes.cpp
+++ b/src/intent/Changes.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 namespace json = boost::json;
-using platform::Outcome;
+using objects::Outcome;
 
 using Members = std::map<std::string, const json::value *>;
 
@@ -150,7 +150,7 @@
   return false;
 }
 
-ChangeStep afterPut(ChangeWrite &write, const platform::Reply &reply) {
+ChangeStep afterPut(ChangeWrite &write, const objects::Reply &reply) {
   ++write.Tries;
   switch (reply.How) {
   case Outcome::Done:
@@ -165,7 +165,7 @@
   }
 }
 
-ChangeStep afterRead(ChangeWrite &write, const platform::Reply &reply) {
+ChangeStep afterRead(ChangeWrite &write, const objects::Reply &reply) {
   if (reply.How == Outcome::Done && reply.Bytes == write.Bytes) {
     write.Version = reply.Version;
     return ChangeStep::Accepted;
--- a/src/platform/Client.cpp
+++ b/src/objects/Client.cpp
@@ -1,4 +1,4 @@
-#include "zinniarail/platform/Client.h"
+#include "zinniarail/objects/Client.h"
 
 #include <algorithm>
 #include <charconv>
@@ -6,9 +6,9 @@
 
 #include <boost/json.hpp>
 
-#include "platform/Http.h"
+#include "core/HttpClient.h"
 
-namespace zinniarail::platform {
+namespace zinniarail::objects {
 
 namespace {
 
@@ -344,4 +344,4 @@
 
 CallCounts Client::counts() const { return Self->Counts; }
 
-} // namespace zinniarail::platform
+} // namespace zinniarail::objects
--- a/tests/intent/ChangesTest.cpp
+++ b/tests/intent/ChangesTest.cpp
@@ -8,8 +8,8 @@
 #include "zinniarail/intent/Format.h"
 
 using namespace zinniarail;
-using platform::Outcome;
-using platform::Reply;
+using objects::Outcome;
+using objects::Reply;
 
 namespace {
 
--- a/tests/intent/RaceModel.h
+++ b/tests/intent/RaceModel.h
@@ -18,8 +18,8 @@
 
 namespace zinniarail::race {
 
-using platform::Outcome;
-using platform::Reply;
+using objects::Outcome;
+using objects::Reply;
 
 /// A deliberate fault of the model, to see that the checks find it.
 enum class Breach {
