--- /dev/null
+++ b/include/zinniarail/balance/Messages.h
@@ -0,0 +1,153 @@
+/// \file
+/// What a service's engine is told (events) and what it asks for (actions).
+/// The engine decides; the proxy turns sockets into events and actions into
+/// sockets.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "zinniarail/core/Time.h"
+
+namespace zinniarail::balance {
+
+/// A caller's request, unique in its process.
+enum class RequestId : std::uint64_t {};
+
+/// One try of a request on one upstream, unique in its process.
+enum class AttemptId : std::uint64_t {};
+
+inline std::uint64_t numberOf(RequestId id) {
+  return static_cast<std::uint64_t>(id);
+}
+inline std::uint64_t numberOf(AttemptId id) {
+  return static_cast<std::uint64_t>(id);
+}
+
+/// What an upstream says of its load, with a response.
+struct LoadReport {
+  unsigned Running = 0;
+  unsigned Waiting = 0;
+  unsigned Slots = 0;
+  /// How long work takes there now, beside its usual time.
+  double Slowness = 1;
+};
+
+/// How an attempt ended.
+enum class AttemptEnd : std::uint8_t {
+  Answered,     ///< A whole response to this very request.
+  NotSent,      ///< No byte can have left.
+  RefusedUnrun, ///< The upstream said that it did not run the request.
+  Misdirected,  ///< Another upstream has the address; it ran nothing.
+  Broken,       ///< A byte may have left and no whole response came back.
+};
+
+/// What is known of whether a request ran.
+enum class Truth : std::uint8_t { Ran, DidNotRun, Unknown };
+
+/// Why a request got no upstream's response.
+enum class RefusalReason : std::uint8_t {
+  NoUpstream,     ///< None in service.
+  Overloaded,     ///< All are busy for longer than it can wait.
+  DeadlinePassed, ///< It ran out of time.
+  Quarantined,    ///< Its like crashed upstreams.
+  UpstreamFailed, ///< Every permitted try failed.
+};
+
+/// Stable names, as callers and logs see them.
+const char *nameOf(RefusalReason reason);
+const char *nameOf(Truth truth);
+const char *nameOf(AttemptEnd end);
+
+/// The route's rules for one request.
+struct Rules {
+  std::string Route;       ///< Requests of one route take alike long.
+  bool Idempotent = false; ///< May run more than once.
+  unsigned Priority = 1;   ///< 0 is the most urgent.
+  unsigned MaxAttempts = 1;
+  Duration Target = std::chrono::seconds{1}; ///< Latency worth aiming at.
+};
+
+// Events.
+
+/// A caller's whole request is here.
+struct RequestArrived {
+  RequestId Request{};
+  Rules Treatment;
+  std::uint64_t Fingerprint = 0; ///< Alike for requests that are alike.
+  Instant Deadline{};            ///< The caller's or the route's, the nearer.
+};
+/// An attempt is over.
+struct AttemptEnded {
+  AttemptId Attempt{};
+  AttemptEnd End = AttemptEnd::NotSent;
+  unsigned Status = 0; ///< Where there was a response.
+  std::optional<LoadReport> Report;
+  /// The connection was kept from before and died without a byte: the upstream
+  /// may merely have forgotten it.
+  bool KeptAndSilent = false;
+};
+/// A health check is over.
+struct ProbeEnded {
+  std::string Upstream;
+  bool Reached = false; ///< A response of this very upstream came.
+  bool Healthy = false; ///< And it was a good one.
+  std::optional<LoadReport> Report;
+  Duration ColdFor{0}; ///< As it said; zero when it is warm.
+};
+/// The caller went away before its answer.
+struct CallerGone {
+  RequestId Request{};
+};
+/// Another instance found that requests like this crash upstreams.
+struct Condemned {
+  std::uint64_t Fingerprint = 0;
+};
+/// The time that nextWake gave has come.
+struct Woken {};
+
+using Event = std::variant<RequestArrived, AttemptEnded, ProbeEnded, CallerGone,
+                           Condemned, Woken>;
+
+// Actions.
+
+/// Send the request to an upstream.
+struct StartAttempt {
+  AttemptId Attempt{};
+  RequestId Request{};
+  std::string Upstream;
+  Instant Deadline{};
+};
+/// Cancel an attempt; its AttemptEnded still follows.
+struct CancelAttempt {
+  AttemptId Attempt{};
+};
+/// Give the caller this attempt's response.
+struct Deliver {
+  RequestId Request{};
+  AttemptId Attempt{};
+};
+/// Give the caller its final answer.
+struct Refuse {
+  RequestId Request{};
+  RefusalReason Reason{};
+  Truth Outcome{};
+  Duration RetryAfter{0}; ///< Zero: coming back does not help.
+};
+/// Check an upstream's health; ProbeEnded follows.
+struct SendProbe {
+  std::string Upstream;
+};
+/// Tell the other instances that requests like this crash upstreams.
+struct TellCondemned {
+  std::uint64_t Fingerprint = 0;
+};
+
+using Action = std::variant<StartAttempt, CancelAttempt, Deliver, Refuse,
+                            SendProbe, TellCondemned>;
+using Actions = std::vector<Action>;
+
+} // namespace zinniarail::balance
--- a/include/zinniarail/events/Events.h
+++ b/include/zinniarail/events/Events.h
@@ -18,6 +18,7 @@
   StopBegan = 102,
   Stopped = 103,
   StopCutShort = 104,
+  SettingsKept = 105,
   ViewInForce = 200,
   ViewConfirmed = 201,
   ViewExpired = 202,
--- /dev/null
+++ b/include/zinniarail/settings/NodeSettings.h
@@ -0,0 +1,65 @@
+/// \file
+/// What an instance learns at its start, from flags, environment variables and
+/// a settings file.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "zinniarail/core/Result.h"
+#include "zinniarail/core/Time.h"
+#include "zinniarail/settings/Settings.h"
+
+namespace zinniarail {
+
+/// An instance's settings. Each is a flag (--failure-domain), a variable
+/// (ZINNIARAIL_FAILURE_DOMAIN) and a line of the settings file
+/// (failure-domain = a); the flag goes before the variable, that before the
+/// file.
+struct NodeSettings {
+  std::string InstanceId;
+  std::string FailureDomain;
+  std::string CallerAddress;    ///< "ip:port"
+  std::string ReadyAddress;     ///< "ip:port"
+  std::string DirectoryAddress; ///< "ip:port"
+  std::string PeerAddress;      ///< "ip:port"
+  std::string OperatorAddress;  ///< "ip:port"
+  std::string StoreAddress;     ///< "ip:port"
+  std::string LogLevel;
+  Duration StopTimeout{};     ///< A graceful stop ends by then.
+  Duration ResolveLifetime{}; ///< How long callers may keep an answer.
+  double RetryRatio = 0;      ///< Repeats for each request, over all instances.
+  double ExtraRetries = 0;    ///< Beyond that in one window, over all.
+  double ColdOvershoot = 0;   ///< Times the rate that a cold upstream bears.
+  double ColdSlack = 0;       ///< Requests a second beyond that.
+  double ProbesPerSecond = 0; ///< To one upstream, over all instances.
+  std::uint64_t Seed = 0;     ///< Of random draws; 0: drawn at the start.
+};
+
+/// What the command line asks for.
+struct NodeInvocation {
+  Command Wanted = Command::Run;
+  NodeSettings Values; ///< Only for Run and Check.
+};
+
+/// Reads a file.
+/// \returns its text, none when it can't be read.
+using ReadFile = std::function<std::optional<std::string>(const std::string &)>;
+
+/// Reads the settings and checks them all before it returns.
+/// \param arguments the command line without the program's name.
+/// \returns the settings, or every error at once.
+Result<NodeInvocation, SettingErrors>
+readNodeSettings(const std::vector<std::string> &arguments,
+                 const ReadVariable &variable, const ReadFile &file);
+
+/// Every setting, in the order of --help.
+std::vector<SettingKind> nodeSettingKinds();
+
+/// The text of --help.
+std::string describeNodeSettings();
+
+} // namespace zinniarail
--- a/programs/zinniactl/Session.cpp
+++ b/programs/zinniactl/Session.cpp
@@ -30,7 +30,7 @@
 }
 
 objects::Reply Session::put(const std::string &key, const std::string &bytes,
-                             std::uint64_t version) {
+                            std::uint64_t version) {
   return await<objects::Reply>(Loop.get(), [&](auto done) {
     Platform.put(key, bytes, version, std::move(done));
   });
@@ -41,9 +41,8 @@
       Loop.get(), [&](auto done) { Platform.listInstances(std::move(done)); });
 }
 
-HttpReply Session::call(const std::string &method,
-                                  const std::string &address,
-                                  const std::string &path) {
+HttpReply Session::call(const std::string &method, const std::string &address,
+                        const std::string &path) {
   return callAll(method, {address}, path).front();
 }
 
--- a/programs/zinniactl/Session.h
+++ b/programs/zinniactl/Session.h
@@ -19,16 +19,16 @@
 
   objects::Reply get(const std::string &key);
   objects::Reply put(const std::string &key, const std::string &bytes,
-                      std::uint64_t version);
+                     std::uint64_t version);
   objects::InstanceListing listInstances();
 
   /// One request to an operator port.
-  HttpReply call(const std::string &method,
-                           const std::string &address, const std::string &path);
+  HttpReply call(const std::string &method, const std::string &address,
+                 const std::string &path);
   /// The same to many addresses at once; the answers in the same order.
-  std::vector<HttpReply>
-  callAll(const std::string &method, const std::vector<std::string> &addresses,
-          const std::string &path);
+  std::vector<HttpReply> callAll(const std::string &method,
+                                 const std::vector<std::string> &addresses,
+                                 const std::string &path);
 
   void sleep(Duration duration);
 
--- /dev/null
+++ b/programs/zinniarail-node/main.cpp
@@ -0,0 +1,51 @@
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "daemon/Node.h"
+#include "zinniarail/events/Events.h"
+
+using namespace zinniarail;
+
+namespace {
+
+std::optional<std::string> readFile(const std::string &path) {
+  std::ifstream in(path);
+  if (!in) {
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  const auto read = readNodeSettings(
+      {argv + 1, argv + argc}, [](const char *name) { return getenv(name); },
+      readFile);
+  if (!read) {
+    for (const std::string &it : read.error()) {
+      std::cerr << "zinniaraild: " << it << '\n';
+    }
+    return static_cast<int>(ExitCode::BadSettings);
+  }
+  const NodeInvocation &invocation = read.value();
+  switch (invocation.Wanted) {
+  case Command::Help:
+    std::cout << describeNodeSettings();
+    return 0;
+  case Command::Version:
+    std::cout << "zinniaraild " ZINNIARAIL_VERSION "\n";
+    return 0;
+  case Command::Check:
+    std::cout << "the settings are right\n";
+    return 0;
+  case Command::Run:
+    break;
+  }
+  openLog(invocation.Values.LogLevel);
+  return static_cast<int>(runNode(invocation.Values));
+}
--- /dev/null
+++ b/src/balance/Placing.cpp
@@ -0,0 +1,236 @@
+// Where a request goes: the upstream that is expected to answer first, of this
+// instance's own failure domain where that costs little.
+#include "balance/State.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace zinniarail::balance {
+
+namespace {
+
+// Upstreams that are asked at a time how they are, before a request is sent.
+constexpr std::size_t ProbeWidth = 2;
+
+// What a request on a slot beside others takes longer, for each of them.
+constexpr double CrowdingPerRequest = 0.1;
+
+// Likewise where it takes the last slot.
+constexpr double LastSlotFactor = 1.4;
+
+// Part of the target that an upstream of another failure domain must be ahead.
+constexpr double OtherDomainPart = 0.1;
+
+// A cold upstream takes about twice as long.
+constexpr double ColdFactor = 2;
+
+// A probe that was not answered for so long makes an upstream doubtful.
+constexpr Duration ProbeDoubt = std::chrono::milliseconds{20};
+constexpr double DoubtFactor = 5;
+
+// An attempt that runs this many times as long as expected likewise.
+constexpr double OverdueFactor = 2;
+
+bool wasTried(const RequestState &request, const UpstreamState &upstream) {
+  return std::find(request.Tried.begin(), request.Tried.end(),
+                   upstream.Plan.Id) != request.Tried.end();
+}
+
+// How much longer than expected the oldest attempt there has been running.
+double overdueOf(const Engine &engine, const UpstreamState &upstream,
+                 Instant now) {
+  double worst = 1;
+  for (const AttemptId id : upstream.Running) {
+    const AttemptState &it = engine.Attempts.at(numberOf(id));
+    const auto expected =
+        static_cast<double>(std::max(it.Expected, Duration{1000}).count());
+    worst = std::max(worst, static_cast<double>((now - it.Started).count()) /
+                                expected);
+  }
+  return worst > OverdueFactor ? worst : 1;
+}
+
+/// What a request would meet at an upstream.
+struct Outlook {
+  UpstreamState *Upstream = nullptr;
+  double Hoped = 0;    ///< Micros, if what is not known were good.
+  double Expected = 0; ///< Micros.
+  double Busy = 0;
+  bool Fresh = false;
+  bool Full = false;
+};
+
+double timeOf(const Engine &engine, const RequestState &request,
+              const UpstreamState &upstream, double slowness, double busy,
+              Instant now) {
+  const auto found = engine.Work.find(request.Treatment.Route);
+  const Duration usual =
+      usualWork(found == engine.Work.end() ? WorkEstimate{} : found->second,
+                request.Treatment.Target);
+  double time = static_cast<double>(usual.count()) * slowness;
+  time *= dragNow(upstream, now) * overdueOf(engine, upstream, now);
+  time *= 1 + CrowdingPerRequest * busy;
+  const double slots = upstream.Plan.Slots;
+  if (busy + 1 >= slots && slots > 1) {
+    time *= LastSlotFactor;
+  }
+  if (busy >= slots) {
+    time *= 1 + (busy + 1 - slots) / slots;
+  }
+  if (isCold(upstream, now)) {
+    time *= ColdFactor;
+  }
+  if (upstream.ProbeOut && now - upstream.ProbedAt > ProbeDoubt) {
+    time *= DoubtFactor;
+  }
+  if (upstream.Plan.Domain != engine.Plan.Domain) {
+    time +=
+        OtherDomainPart * static_cast<double>(request.Treatment.Target.count());
+  }
+  return time;
+}
+
+Outlook outlookOf(Engine &engine, const RequestState &request,
+                  UpstreamState &upstream, Instant now) {
+  Outlook out;
+  out.Upstream = &upstream;
+  const auto own = static_cast<unsigned>(upstream.Running.size());
+  const Duration usual = leastTime(engine, request);
+  out.Busy = busyNow(upstream.Load, own, usual, now);
+  out.Fresh = isFresh(upstream.Load, now);
+  const double slowness = slownessNow(upstream.Load, engine.MeanSlowness, now);
+  const double hoped =
+      out.Fresh ? slowness
+                : std::min(slownessNow(upstream.Load, 1, now), slowness);
+  out.Expected = timeOf(engine, request, upstream, slowness, out.Busy, now);
+  out.Hoped = timeOf(engine, request, upstream, hoped, out.Busy, now);
+  out.Full =
+      out.Busy + 0.5 >= upstream.Plan.Slots || own >= upstream.Plan.Slots;
+  return out;
+}
+
+std::vector<Outlook> survey(Engine &engine, const RequestState &request,
+                            Instant now) {
+  std::vector<Outlook> open;
+  std::vector<Outlook> ejected;
+  std::vector<Outlook> tried;
+  for (auto &[id, it] : engine.Upstreams) {
+    if (!it.Planned || (isCold(it, now) && now < it.ColdNext)) {
+      continue;
+    }
+    if (wasTried(request, it)) {
+      tried.push_back(outlookOf(engine, request, it, now));
+    } else if (isEjected(it, now)) {
+      ejected.push_back(outlookOf(engine, request, it, now));
+    } else {
+      open.push_back(outlookOf(engine, request, it, now));
+    }
+  }
+  // Where most seem out of order, the signs are doubted.
+  if (open.empty() || ejected.size() > open.size() * 2) {
+    open.insert(open.end(), ejected.begin(), ejected.end());
+  }
+  return open.empty() ? tried : open;
+}
+
+// Of those that are alike, a drawn one.
+template <typename Key>
+const Outlook *pick(Engine &engine, const std::vector<Outlook> &all, Key key) {
+  const Outlook *best = nullptr;
+  double least = std::numeric_limits<double>::max();
+  std::uint32_t alike = 0;
+  for (const Outlook &it : all) {
+    if (it.Full) {
+      continue;
+    }
+    const double cost = key(it);
+    if (cost < least) {
+      best = &it;
+      least = cost;
+      alike = 1;
+    } else if (cost == least && drawBelow(engine.Draws, ++alike) == 0) {
+      best = &it;
+    }
+  }
+  return best;
+}
+
+// Those that could be the best and are not known freshly.
+std::vector<UpstreamState *>
+worthProbing(Engine &engine, const std::vector<Outlook> &all, double limit) {
+  std::vector<const Outlook *> some;
+  for (const Outlook &it : all) {
+    if (!it.Fresh && it.Hoped < limit) {
+      some.push_back(&it);
+    }
+  }
+  std::shuffle(some.begin(), some.end(), engine.Draws);
+  std::stable_sort(
+      some.begin(), some.end(),
+      [](const Outlook *a, const Outlook *b) { return a->Hoped < b->Hoped; });
+  std::vector<UpstreamState *> out;
+  for (const Outlook *it : some) {
+    if (out.size() < ProbeWidth) {
+      out.push_back(it->Upstream);
+    }
+  }
+  return out;
+}
+
+} // namespace
+
+Duration leastTime(const Engine &engine, const RequestState &request) {
+  const auto found = engine.Work.find(request.Treatment.Route);
+  return usualWork(found == engine.Work.end() ? WorkEstimate{} : found->second,
+                   request.Treatment.Target);
+}
+
+Duration expectedTime(const Engine &engine, const RequestState &request,
+                      const UpstreamState &upstream, Instant now) {
+  const auto own = static_cast<unsigned>(upstream.Running.size());
+  const double busy =
+      busyNow(upstream.Load, own, leastTime(engine, request), now);
+  const double slowness = slownessNow(upstream.Load, engine.MeanSlowness, now);
+  return Duration(static_cast<Duration::rep>(
+      timeOf(engine, request, upstream, slowness, busy, now)));
+}
+
+Placement place(Engine &engine, const RequestState &request, bool mayLook,
+                Instant now) {
+  const std::vector<Outlook> all = survey(engine, request, now);
+  if (all.empty()) {
+    const bool any =
+        std::any_of(engine.Upstreams.begin(), engine.Upstreams.end(),
+                    [](const auto &it) { return it.second.Planned; });
+    return {any ? Placement::Kind::Wait : Placement::Kind::Never, nullptr, {}};
+  }
+  const Outlook *sure = nullptr;
+  for (const Outlook &it : all) {
+    if (it.Fresh && !it.Full &&
+        (sure == nullptr || it.Expected < sure->Expected)) {
+      sure = &it;
+    }
+  }
+  if (engine.TellsLoad && mayLook) {
+    const double limit = sure == nullptr ? std::numeric_limits<double>::max()
+                                         : sure->Expected * 0.8;
+    Placement look{Placement::Kind::Look, nullptr,
+                   worthProbing(engine, all, limit)};
+    const bool asked =
+        std::any_of(look.Probes.begin(), look.Probes.end(),
+                    [](const UpstreamState *it) { return it->ProbeOut; });
+    std::erase_if(look.Probes,
+                  [](const UpstreamState *it) { return it->ProbeOut; });
+    if ((!look.Probes.empty() && mayProbe(engine, now)) || asked) {
+      return look;
+    }
+  }
+  const Outlook *best =
+      pick(engine, all, [](const Outlook &it) { return it.Expected; });
+  if (best == nullptr) {
+    return {Placement::Kind::Wait, nullptr, {}};
+  }
+  return {Placement::Kind::Send, best->Upstream, {}};
+}
+
+} // namespace zinniarail::balance
--- /dev/null
+++ b/src/balance/State.h
@@ -0,0 +1,171 @@
+/// \file
+/// What a service's engine knows: its plan, its upstreams, the requests without
+/// a final answer and the attempts that are running.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "zinniarail/balance/Engine.h"
+#include "zinniarail/balance/Forecast.h"
+
+namespace zinniarail::balance {
+
+/// What an upstream's ends say of it.
+struct Health {
+  unsigned FailuresInRow = 0;
+  double FailureShare = 0; ///< Running mean.
+  Instant EjectedUntil{};
+  Duration Backoff{0};     ///< Of the last ejection; 0 when in good standing.
+  bool NeedsProbe = false; ///< Out until a health check succeeds.
+};
+
+/// One upstream, planned, or gone from the plan with attempts still running.
+struct UpstreamState {
+  Target Plan;
+  bool Planned = true;
+  std::vector<AttemptId> Running; ///< Oldest first.
+  KnownLoad Load;
+  Health Standing;
+  /// How much longer work takes than its reports explain; fades towards 1.
+  double Drag = 1;
+  Instant DragAt{};
+  Instant ColdUntil{};
+  Instant ColdNext{}; ///< The next request that it may get while cold.
+  bool ProbeOut = false;
+  Instant ProbedAt{};
+  Instant JoinedAt{};
+};
+
+/// One request without a final answer.
+struct RequestState {
+  RequestId Id{};
+  Rules Treatment;
+  std::uint64_t Fingerprint = 0;
+  Instant Arrived{};
+  Instant Deadline{};
+  bool Queued = false;
+  Instant QueuedAt{};
+  unsigned Sent = 0; ///< Upstreams that got it.
+  std::vector<std::string> Tried;
+  std::vector<AttemptId> Live;
+  Truth Past = Truth::DidNotRun; ///< What its ended attempts leave known.
+  unsigned Broke = 0;            ///< Attempts that broke off.
+  Instant HedgeAt = Instant::max();
+};
+
+/// One running attempt. Its request may have its answer already.
+struct AttemptState {
+  RequestId Request{};
+  std::string Upstream;
+  std::string Route;
+  std::uint64_t Fingerprint = 0;
+  Instant Started{};
+  Duration Expected{0};
+  double Slowness = 1; ///< Known as it started; 0 when it was not.
+  bool Cancelled = false;
+};
+
+/// A fingerprint that was in flight where an upstream seemed to crash.
+struct Suspicion {
+  std::set<std::string> Upstreams;
+  Instant Until{};
+};
+
+struct Engine {
+  ServicePlan Plan;
+  Random Draws;
+  std::uint64_t NextAttempt = 1;
+  std::map<std::string, UpstreamState> Upstreams;
+  std::unordered_map<std::uint64_t, RequestState> Requests;
+  std::unordered_map<std::uint64_t, AttemptState> Attempts;
+  std::vector<RequestId> Queue;
+  std::set<std::pair<Instant, std::uint64_t>> Timers; ///< Deadlines, hedges.
+  std::map<std::string, WorkEstimate> Work;           ///< By route.
+  double MeanSlowness = 1;
+  bool TellsLoad = true; ///< Until a response came without a report.
+  RetryBudget Budget;
+  double ProbeTokens = 1;
+  Instant ProbeTokensAt{};
+  std::unordered_map<std::uint64_t, Suspicion> Suspects;
+  std::unordered_map<std::uint64_t, Instant> CondemnedUntil;
+  Instant LookAgainAt = Instant::max(); ///< At what is queued.
+  EngineCounters Counters;
+};
+
+/// One step of the engine: what is changed, when, and what is to be done.
+struct Step {
+  Engine &Self;
+  Instant Now;
+  Actions &Out;
+};
+
+// Requests.cpp
+void onArrival(Step step, const RequestArrived &event);
+void onGone(Step step, const CallerGone &event);
+void runTimers(Step step);
+void refuse(Step step, RequestState &request, RefusalReason reason);
+void deliver(Step step, RequestState &request, AttemptId attempt);
+void enqueue(Step step, RequestState &request);
+void setHedge(Engine &engine, RequestState &request, Instant at);
+/// Places what is queued, best first.
+void drain(Step step);
+
+// Attempts.cpp
+void startAttempt(Step step, RequestState &request, UpstreamState &upstream);
+void onEnded(Step step, const AttemptEnded &event);
+void hedge(Step step, RequestState &request);
+void cancelLive(Step step, RequestState &request);
+
+// Upstreams.cpp
+void putTargets(Engine &engine, Instant now);
+void dropUnplanned(Engine &engine);
+void onProbe(Step step, const ProbeEnded &event);
+void takeReport(Engine &engine, UpstreamState &upstream,
+                const LoadReport &report, Instant now);
+void noteGood(UpstreamState &upstream);
+/// \param certain whether the upstream is surely out of order.
+void noteFailure(Step step, UpstreamState &upstream, bool certain);
+void noteDrag(UpstreamState &upstream, double ratio, Instant now);
+double dragNow(const UpstreamState &upstream, Instant now);
+void probe(Step step, UpstreamState &upstream);
+bool mayProbe(Engine &engine, Instant now);
+void tendUpstreams(Step step);
+Instant nextTending(const Engine &engine);
+bool isEjected(const UpstreamState &upstream, Instant now);
+bool isCold(const UpstreamState &upstream, Instant now);
+void paceCold(const Engine &engine, UpstreamState &upstream, Instant now);
+
+// Placing.cpp
+/// What to do with a request that waits.
+struct Placement {
+  enum class Kind : std::uint8_t {
+    Send,  ///< To Upstream.
+    Look,  ///< First ask those of Probes how they are.
+    Wait,  ///< Nobody has room, or answers are due.
+    Never, ///< No upstream is in service.
+  };
+  Kind What = Kind::Wait;
+  UpstreamState *Upstream = nullptr;
+  std::vector<UpstreamState *> Probes;
+};
+/// \param mayLook whether there is time to ask.
+Placement place(Engine &engine, const RequestState &request, bool mayLook,
+                Instant now);
+/// How long a request of this route would take on an upstream at best.
+Duration leastTime(const Engine &engine, const RequestState &request);
+Duration expectedTime(const Engine &engine, const RequestState &request,
+                      const UpstreamState &upstream, Instant now);
+
+// Crashes.cpp
+bool isCondemned(const Engine &engine, std::uint64_t fingerprint, Instant now);
+void noteCrash(Step step, const std::string &upstream,
+               std::uint64_t fingerprint);
+void noteHarmless(Engine &engine, std::uint64_t fingerprint);
+void onCondemned(Step step, const Condemned &event);
+
+} // namespace zinniarail::balance
--- /dev/null
+++ b/src/balance/Upstreams.cpp
@@ -0,0 +1,216 @@
+// What is known of upstreams: load, health, coldness, and the checks that ask
+// for them.
+#include "balance/State.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace zinniarail::balance {
+
+namespace {
+
+// Weight of one end in the running means.
+constexpr double EndWeight = 1.0 / 8;
+constexpr double SlownessWeight = 1.0 / 64;
+constexpr double DragWeight = 1.0 / 4;
+
+constexpr unsigned FailuresToEject = 2;
+constexpr double FailureShareToEject = 0.3;
+constexpr Duration FirstBackoff = std::chrono::milliseconds{200};
+constexpr Duration LongestBackoff = std::chrono::seconds{2};
+
+// A drag that nothing confirms halves in about two seconds.
+constexpr double DragMemoryMicros = 3e6;
+constexpr double MostDrag = 20;
+
+// Parts of a second that remain between two requests to a cold upstream beyond
+// the bound itself.
+constexpr double ColdMargin = 1.05;
+
+constexpr double MicrosPerSecond = 1e6;
+
+void eject(Step step, UpstreamState &upstream) {
+  Health &health = upstream.Standing;
+  health.Backoff = std::clamp(health.Backoff * 2, FirstBackoff, LongestBackoff);
+  health.EjectedUntil = step.Now + health.Backoff;
+  health.NeedsProbe = true;
+  health.FailuresInRow = 0;
+  ++step.Self.Counters.Ejections;
+}
+
+double probeTokens(const Engine &engine, Instant now) {
+  const double rate = engine.Plan.ProbesPerSecond *
+                      static_cast<double>(engine.Upstreams.size());
+  const auto micros = static_cast<double>((now - engine.ProbeTokensAt).count());
+  const double most = std::max(rate / 4, 4.0); // a quarter of a second's worth
+  return std::min(engine.ProbeTokens + rate * micros / MicrosPerSecond, most);
+}
+
+} // namespace
+
+void putTargets(Engine &engine, Instant now) {
+  for (auto &[id, it] : engine.Upstreams) {
+    it.Planned = false;
+  }
+  for (const Target &target : engine.Plan.Targets) {
+    const auto [at, isNew] = engine.Upstreams.try_emplace(target.Id);
+    UpstreamState &it = at->second;
+    const bool restarted = !isNew && it.Plan.StartedMs != target.StartedMs;
+    if (restarted) { // Nothing is known of it but what runs.
+      const std::vector<AttemptId> running = std::move(it.Running);
+      it = UpstreamState{};
+      it.Running = running;
+    }
+    const bool toldAnew =
+        isNew || restarted || it.Plan.ColdFor != target.ColdFor;
+    if (toldAnew) {
+      it.ColdUntil = std::max(it.ColdUntil, now + target.ColdFor);
+    }
+    if (isNew || restarted) {
+      it.JoinedAt = now;
+    }
+    it.Plan = target;
+    it.Planned = true;
+  }
+}
+
+void dropUnplanned(Engine &engine) {
+  std::erase_if(engine.Upstreams, [](const auto &it) {
+    return !it.second.Planned && it.second.Running.empty() &&
+           !it.second.ProbeOut;
+  });
+}
+
+bool isEjected(const UpstreamState &upstream, Instant now) {
+  return upstream.Standing.NeedsProbe || now < upstream.Standing.EjectedUntil;
+}
+
+bool isCold(const UpstreamState &upstream, Instant now) {
+  return now < upstream.ColdUntil;
+}
+
+void paceCold(const Engine &engine, UpstreamState &upstream, Instant now) {
+  const ColdLimits &limits = engine.Plan.Cold;
+  if (!isCold(upstream, now) || limits.PerSecond <= 0) {
+    return;
+  }
+  const auto sharers =
+      static_cast<double>(std::max<std::size_t>(limits.Sharers, 1));
+  const double each = limits.PerSecond / sharers;
+  // In any second at most one more than the gaps that fit in.
+  const double seconds = each >= 1 ? ColdMargin / std::floor(each) : 2 / each;
+  upstream.ColdNext =
+      now + Duration(static_cast<Duration::rep>(seconds * MicrosPerSecond));
+}
+
+void takeReport(Engine &engine, UpstreamState &upstream,
+                const LoadReport &report, Instant now) {
+  engine.TellsLoad = true;
+  upstream.Load.Report = report;
+  upstream.Load.OwnThen = static_cast<unsigned>(upstream.Running.size());
+  upstream.Load.At = now;
+  upstream.Load.Known = true;
+  engine.MeanSlowness +=
+      (report.Slowness - engine.MeanSlowness) * SlownessWeight;
+}
+
+void noteGood(UpstreamState &upstream) {
+  Health &health = upstream.Standing;
+  health.FailuresInRow = 0;
+  health.FailureShare -= health.FailureShare * EndWeight;
+  if (!health.NeedsProbe && health.FailureShare < FailureShareToEject / 2) {
+    health.Backoff = Duration{0};
+  }
+}
+
+void noteFailure(Step step, UpstreamState &upstream, bool certain) {
+  Health &health = upstream.Standing;
+  ++health.FailuresInRow;
+  health.FailureShare += (1 - health.FailureShare) * EndWeight;
+  const bool onTrial = health.Backoff != Duration{0};
+  const bool due = certain || onTrial ||
+                   health.FailuresInRow >= FailuresToEject ||
+                   health.FailureShare > FailureShareToEject;
+  if (due && !isEjected(upstream, step.Now)) {
+    eject(step, upstream);
+  }
+}
+
+double dragNow(const UpstreamState &upstream, Instant now) {
+  const auto age = static_cast<double>((now - upstream.DragAt).count());
+  return 1 + (upstream.Drag - 1) * std::exp(-age / DragMemoryMicros);
+}
+
+void noteDrag(UpstreamState &upstream, double ratio, Instant now) {
+  const double drag = dragNow(upstream, now);
+  const double sample = std::clamp(drag * ratio, 1 / MostDrag, MostDrag);
+  upstream.Drag = drag + (sample - drag) * DragWeight;
+  upstream.DragAt = now;
+}
+
+bool mayProbe(Engine &engine, Instant now) {
+  return probeTokens(engine, now) >= 1;
+}
+
+void probe(Step step, UpstreamState &upstream) {
+  Engine &engine = step.Self;
+  if (upstream.ProbeOut) {
+    return;
+  }
+  engine.ProbeTokens = probeTokens(engine, step.Now) - 1;
+  engine.ProbeTokensAt = step.Now;
+  upstream.ProbeOut = true;
+  upstream.ProbedAt = step.Now;
+  ++engine.Counters.Probes;
+  step.Out.emplace_back(SendProbe{upstream.Plan.Id});
+}
+
+void onProbe(Step step, const ProbeEnded &event) {
+  const auto at = step.Self.Upstreams.find(event.Upstream);
+  if (at == step.Self.Upstreams.end()) {
+    return;
+  }
+  UpstreamState &it = at->second;
+  it.ProbeOut = false;
+  if (event.Reached && event.Report) {
+    takeReport(step.Self, it, *event.Report, step.Now);
+  }
+  if (event.Reached) {
+    it.ColdUntil = event.ColdFor > Duration{0}
+                       ? step.Now + event.ColdFor
+                       : std::min(it.ColdUntil, step.Now);
+  }
+  Health &health = it.Standing;
+  if (event.Reached && event.Healthy) {
+    if (health.NeedsProbe && step.Now >= health.EjectedUntil) {
+      health.NeedsProbe = false;
+    }
+  } else if (!event.Reached) {
+    health.NeedsProbe = true;
+    health.Backoff =
+        std::clamp(health.Backoff * 2, FirstBackoff, LongestBackoff);
+    health.EjectedUntil = step.Now + health.Backoff;
+  }
+  dropUnplanned(step.Self);
+}
+
+void tendUpstreams(Step step) {
+  for (auto &[id, it] : step.Self.Upstreams) {
+    if (it.Planned && it.Standing.NeedsProbe && !it.ProbeOut &&
+        step.Now >= it.Standing.EjectedUntil) {
+      probe(step, it);
+    }
+  }
+}
+
+Instant nextTending(const Engine &engine) {
+  Instant next = Instant::max();
+  for (const auto &[id, it] : engine.Upstreams) {
+    if (it.Planned && it.Standing.NeedsProbe && !it.ProbeOut) {
+      next = std::min(next, it.Standing.EjectedUntil);
+    }
+  }
+  return next;
+}
+
+} // namespace zinniarail::balance
--- a/src/control/Roster.h
+++ b/src/control/Roster.h
@@ -6,8 +6,8 @@
 #include <string>
 
 #include "zinniarail/control/Messages.h"
-#include "zinniarail/peers/Messages.h"
 #include "zinniarail/objects/Client.h"
+#include "zinniarail/peers/Messages.h"
 
 namespace zinniarail::control {
 
--- /dev/null
+++ b/src/daemon/Node.h
@@ -0,0 +1,14 @@
+/// \file
+/// One instance on the platform: its sockets, what it knows of the fleet, and
+/// its graceful stop, on one loop.
+#pragma once
+
+#include "zinniarail/settings/NodeSettings.h"
+
+namespace zinniarail {
+
+/// Runs an instance on the calling thread until a graceful stop.
+/// \returns how it ended. What went wrong is in the log.
+ExitCode runNode(const NodeSettings &settings);
+
+} // namespace zinniarail
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -27,6 +27,8 @@
      "The stop took longer than --stop-timeout-ms and cut requests off; the "
      "process exits with code 1. Give it more time, or look for callers that "
      "do not read."},
+    {EventId::SettingsKept, "settings-kept", EventLevel::Info,
+     "SIGHUP came; the settings in force stay until the process starts anew."},
     {EventId::ViewInForce, "view-in-force", EventLevel::Info,
      "Another version of the document, or other instances, are in force."},
     {EventId::ViewConfirmed, "view-confirmed", EventLevel::Debug,
--- /dev/null
+++ b/src/http/Message.cpp
@@ -0,0 +1,176 @@
+#include "http/Message.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <ostream>
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace zinniarail::http {
+
+namespace {
+
+constexpr unsigned NoContent = 204;
+constexpr unsigned NotModified = 304;
+
+void append(std::string &out, std::string_view name, std::string_view value) {
+  out.append(name).append(": ").append(value).append("\r\n");
+}
+
+// Names listed in Connection fields belong to the connection as well.
+std::vector<std::string> namedByConnection(const Headers &fields) {
+  std::vector<std::string> names;
+  for (const Header &it : fields) {
+    if (!sameName(it.Name, "Connection")) {
+      continue;
+    }
+    std::string_view rest = it.Value;
+    while (!rest.empty()) {
+      const std::size_t comma = std::min(rest.find(','), rest.size());
+      std::string_view name = rest.substr(0, comma);
+      while (!name.empty() && name.front() == ' ') {
+        name.remove_prefix(1);
+      }
+      while (!name.empty() && name.back() == ' ') {
+        name.remove_suffix(1);
+      }
+      names.emplace_back(name);
+      rest.remove_prefix(std::min(comma + 1, rest.size()));
+    }
+  }
+  return names;
+}
+
+std::string decodeEscapes(std::string_view text) {
+  constexpr int hexadecimal = 16;
+  constexpr std::size_t escapeLength = 3; // "%2F"
+  std::string out;
+  for (std::size_t n = 0; n < text.size(); ++n) {
+    unsigned code = 0;
+    if (text[n] == '%' && n + escapeLength <= text.size()) {
+      const char *first = text.data() + n + 1;
+      const auto [end, ec] =
+          std::from_chars(first, first + 2, code, hexadecimal);
+      if (ec == std::errc{} && end == first + 2) {
+        out += static_cast<char>(code);
+        n += 2;
+        continue;
+      }
+    }
+    out += text[n] == '+' ? ' ' : text[n];
+  }
+  return out;
+}
+
+} // namespace
+
+bool sameName(std::string_view a, std::string_view b) {
+  return boost::beast::iequals(a, b);
+}
+
+const std::string *findHeader(const Headers &fields, std::string_view name) {
+  const auto it =
+      std::find_if(fields.begin(), fields.end(),
+                   [&](const Header &any) { return sameName(any.Name, name); });
+  return it == fields.end() ? nullptr : &it->Value;
+}
+
+void dropHeader(Headers &fields, std::string_view name) {
+  std::erase_if(fields,
+                [&](const Header &it) { return sameName(it.Name, name); });
+}
+
+void dropConnectionHeaders(Headers &fields) {
+  constexpr std::array<std::string_view, 9> always{
+      "Connection",        "Keep-Alive", "Proxy-Connection", "TE",
+      "Transfer-Encoding", "Trailer",    "Upgrade",          "Expect",
+      "Content-Length"};
+  const std::vector<std::string> named = namedByConnection(fields);
+  std::erase_if(fields, [&](const Header &it) {
+    const auto isIt = [&](std::string_view name) {
+      return sameName(it.Name, name);
+    };
+    return std::any_of(always.begin(), always.end(), isIt) ||
+           std::any_of(named.begin(), named.end(), isIt);
+  });
+}
+
+std::string_view pathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+std::string queryParameter(std::string_view target, std::string_view name) {
+  const std::size_t mark = target.find('?');
+  if (mark == std::string_view::npos) {
+    return {};
+  }
+  std::string_view rest = target.substr(mark + 1);
+  while (!rest.empty()) {
+    const std::size_t end = std::min(rest.find('&'), rest.size());
+    const std::string_view pair = rest.substr(0, end);
+    const std::size_t equals = std::min(pair.find('='), pair.size());
+    if (pair.substr(0, equals) == name) {
+      return decodeEscapes(pair.substr(std::min(equals + 1, pair.size())));
+    }
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+  }
+  return {};
+}
+
+const char *reasonOf(unsigned status) {
+  return boost::beast::http::obsolete_reason(
+             static_cast<boost::beast::http::status>(status))
+      .data();
+}
+
+std::string printRequest(const Request &request, const Headers &extra) {
+  std::string out;
+  constexpr std::size_t usualHead = 512; // bytes
+  out.reserve(usualHead + request.Body.size());
+  out.append(request.Method)
+      .append(" ")
+      .append(request.Target)
+      .append(" HTTP/1.1\r\n");
+  for (const Header &it : request.Fields) {
+    append(out, it.Name, it.Value);
+  }
+  for (const Header &it : extra) {
+    append(out, it.Name, it.Value);
+  }
+  const bool mayOmit = request.Method == "GET" || request.Method == "HEAD" ||
+                       request.Method == "DELETE" ||
+                       request.Method == "OPTIONS";
+  if (!request.Body.empty() || !mayOmit) {
+    append(out, "Content-Length", std::to_string(request.Body.size()));
+  }
+  return out.append("\r\n").append(request.Body);
+}
+
+std::string printResponse(const Response &response, bool toHead, bool close) {
+  std::string out;
+  constexpr std::size_t usualHead = 512; // bytes
+  out.reserve(usualHead + response.Body.size());
+  out.append("HTTP/1.1 ")
+      .append(std::to_string(response.Status))
+      .append(" ")
+      .append(reasonOf(response.Status))
+      .append("\r\n");
+  for (const Header &it : response.Fields) {
+    append(out, it.Name, it.Value);
+  }
+  const bool bodyless =
+      response.Status == NoContent || response.Status == NotModified;
+  if (!bodyless && findHeader(response.Fields, "Content-Length") == nullptr) {
+    append(out, "Content-Length", std::to_string(response.Body.size()));
+  }
+  if (close) {
+    append(out, "Connection", "close");
+  }
+  out.append("\r\n");
+  return toHead || bodyless ? out : out.append(response.Body);
+}
+
+} // namespace zinniarail::http
--- /dev/null
+++ b/src/store/Feed.cpp
@@ -0,0 +1,68 @@
+#include "zinniarail/store/Feed.h"
+
+#include <algorithm>
+
+namespace zinniarail::store {
+
+namespace {
+
+// Doublings of the pause beyond which it no longer grows.
+constexpr unsigned MostDoublings = 8;
+
+// A pause is drawn from this part of it upwards, so that instances that failed
+// together do not come back together.
+constexpr double LeastPart = 0.5;
+
+void succeed(Feed &feed) {
+  feed.Running = false;
+  feed.Failures = 0;
+  feed.NextAt = Instant{};
+}
+
+} // namespace
+
+FeedCall nextCall(const Feed &feed, Instant now) {
+  if (feed.Running || now < feed.NextAt) {
+    return FeedCall::None;
+  }
+  return feed.Watches ? FeedCall::Watch : FeedCall::List;
+}
+
+void noteStart(Feed &feed) { feed.Running = true; }
+
+void noteListed(Feed &feed, std::uint64_t asOf, const std::string &last) {
+  succeed(feed);
+  // Changes between two pages must not be missed: the first page's revision
+  // counts.
+  feed.AsOf = feed.After.empty() ? asOf : std::min(feed.AsOf, asOf);
+  feed.After = last;
+  feed.Watches = last.empty();
+  feed.NeedsLatest = feed.NeedsLatest && !last.empty();
+}
+
+void noteWatched(Feed &feed, std::uint64_t asOf, bool any, Instant now) {
+  succeed(feed);
+  feed.AsOf = std::max(feed.AsOf, asOf);
+  if (any) {
+    feed.NextAt = now + GatherPause;
+  }
+}
+
+void noteHistoryGone(Feed &feed) {
+  succeed(feed);
+  feed.Watches = false;
+  feed.NeedsLatest = true;
+  feed.After.clear();
+}
+
+void noteFailure(Feed &feed, Random &draws, Instant now) {
+  feed.Running = false;
+  const unsigned doublings = std::min(feed.Failures++, MostDoublings);
+  const Duration pause =
+      std::min<Duration>(FirstPause * (1U << doublings), LongestPause);
+  const double part = LeastPart + (1 - LeastPart) * drawShare(draws);
+  feed.NextAt = now + Duration(static_cast<Duration::rep>(
+                          static_cast<double>(pause.count()) * part));
+}
+
+} // namespace zinniarail::store
--- /dev/null
+++ b/tests/settings/NodeSettingsTest.cpp
@@ -0,0 +1,118 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "zinniarail/settings/NodeSettings.h"
+
+using namespace zinniarail;
+
+namespace {
+
+const std::vector<std::string> Complete{"--instance-id=i1",
+                                        "--failure-domain=a",
+                                        "--caller-address=10.0.0.1:80",
+                                        "--ready-address=10.0.0.1:81",
+                                        "--directory-address=10.0.0.1:82",
+                                        "--peer-address=10.0.0.1:83",
+                                        "--operator-address=10.0.0.1:84",
+                                        "--store-address=10.0.0.9:85"};
+
+const char *noVariable(const char *) { return nullptr; }
+
+std::optional<std::string> noFile(const std::string &) { return std::nullopt; }
+
+std::vector<std::string> with(std::vector<std::string> some) {
+  some.insert(some.end(), Complete.begin(), Complete.end());
+  return some;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(completeSettingsAreTaken) {
+  const auto read = readNodeSettings(
+      with({"--stop-timeout=2.5s", "--extra-retries=56"}), noVariable, noFile);
+  BOOST_REQUIRE(read);
+  const NodeSettings &it = read.value().Values;
+  BOOST_TEST(it.InstanceId == "i1");
+  BOOST_TEST(it.StopTimeout.count() == 2'500'000);
+  BOOST_TEST(it.ExtraRetries == 56);
+  BOOST_TEST(it.LogLevel == "info");
+}
+
+BOOST_DATA_TEST_CASE(wrongSettingsAreRefusedByName,
+                     (std::vector<std::string>{
+                         "--stop-timeout=5", "--stop-timeout=1ms",
+                         "--stop-timeout=-1s", "--retry-ratio=2",
+                         "--retry-ratio=x", "--extra-retries=-1",
+                         "--log-level=loud", "--seed=1.5", "--instance-id=a b",
+                         "--caller-address=here", "--resolve-lifetime=2min"}),
+                     flag) {
+  std::vector<std::string> arguments = Complete;
+  const std::string name = flag.substr(0, flag.find('='));
+  std::erase_if(arguments, [&](const std::string &it) {
+    return it.starts_with(name + "=");
+  });
+  arguments.push_back(flag);
+  const auto read = readNodeSettings(arguments, noVariable, noFile);
+  BOOST_REQUIRE(!read);
+  BOOST_TEST(read.error().size() == 1);
+  BOOST_TEST(read.error().front().find(name) != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(eachSettingWithoutADefaultMustBeGiven) {
+  const auto read = readNodeSettings({}, noVariable, noFile);
+  BOOST_REQUIRE(!read);
+  for (const SettingKind &it : nodeSettingKinds()) {
+    const auto named = std::count_if(
+        read.error().begin(), read.error().end(),
+        [&](const std::string &any) { return any.starts_with(it.Flag + ":"); });
+    BOOST_TEST(named == (it.Default.empty() ? 1 : 0), it.Flag);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(theFlagGoesBeforeTheVariableAndThatBeforeTheFile) {
+  const auto variable = [](const char *name) -> const char * {
+    const std::string it = name;
+    if (it == "ZINNIARAIL_SETTINGS") {
+      return "/settings";
+    }
+    if (it == "ZINNIARAIL_RETRY_RATIO" || it == "ZINNIARAIL_EXTRA_RETRIES") {
+      return "0.5";
+    }
+    return nullptr;
+  };
+  const auto file = [](const std::string &path) -> std::optional<std::string> {
+    BOOST_TEST(path == "/settings");
+    return "# a comment\nretry-ratio = 0.25\nextra-retries = 1\n"
+           "cold-slack = 5\n";
+  };
+  const auto read =
+      readNodeSettings(with({"--retry-ratio=0.75"}), variable, file);
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read.value().Values.RetryRatio == 0.75);
+  BOOST_TEST(read.value().Values.ExtraRetries == 0.5);
+  BOOST_TEST(read.value().Values.ColdSlack == 5);
+}
+
+BOOST_DATA_TEST_CASE(wrongFilesAreErrors,
+                     (std::vector<std::string>{"no-such-setting = 1\n",
+                                               "seed = 1\nseed = 2\n",
+                                               "seed\n"}),
+                     text) {
+  const auto read = readNodeSettings(
+      with({"--settings-file=f"}), noVariable,
+      [&](const std::string &) -> std::optional<std::string> { return text; });
+  BOOST_TEST(!read);
+}
+
+BOOST_AUTO_TEST_CASE(aFileThatCannotBeReadIsAnError) {
+  BOOST_TEST(
+      !readNodeSettings(with({"--settings-file=f"}), noVariable, noFile));
+}
+
+BOOST_AUTO_TEST_CASE(twoPortsAtOneAddressAreRefused) {
+  std::vector<std::string> arguments = Complete;
+  arguments[3] = "--ready-address=10.0.0.1:80";
+  const auto read = readNodeSettings(arguments, noVariable, noFile);
+  BOOST_REQUIRE(!read);
+  BOOST_TEST(read.error().size() == 1);
+}
