Reads begin anew after each cut and outage of the store, and are current while it may lag

Traced by logging each reply: (1) a watch from before the store dropped its history is neither refused nor told what it missed until the next change of its kind; (2) cheap reads lag for seconds afterwards; (3) a watch that began while the instance was cut off held up the next try for its whole wait of 4 s after the cut had healed. Change: a failure puts the store in question; one short call at a time asks whether it is back; then every kind is listed anew by a current read. After a cut watch or lost history no cheap reads for 20 s, nor in a process that starts in a running system.

--- a/include/zinniarail/settings/NodeSettings.h
+++ b/include/zinniarail/settings/NodeSettings.h
@@ -36,6 +36,7 @@
   double ColdOvershoot = 0;   ///< Times the rate that a cold upstream bears.
   double ColdSlack = 0;       ///< Requests a second beyond that.
   double ProbesPerSecond = 0; ///< To one upstream, over all instances.
+  bool FirstStart = false;    ///< No instance of the system ran before.
   std::uint64_t Seed = 0;     ///< Of random draws; 0: drawn at the start.
 };
 
--- a/src/core/HttpClient.cpp
+++ b/src/core/HttpClient.cpp
@@ -12,6 +12,10 @@
 
 constexpr long MaxIdleConnections = 16;
 
+// A lost opening packet is sent again after a second; a call that is tried
+// again has its connection sooner.
+constexpr long ConnectTimeoutMs = 500;
+
 struct EasyDelete {
   void operator()(CURL *it) const { curl_easy_cleanup(it); }
 };
@@ -81,6 +85,7 @@
       static_cast<long>(std::max<std::int64_t>(
           1, std::chrono::duration_cast<milliseconds>(it.Request.Timeout)
                  .count())));
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMs);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, takeBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &it);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, takeHeader);
@@ -102,6 +107,7 @@
     return;
   }
   if (code != CURLE_OK) {
+    it.Reply.TimedOut = code == CURLE_OPERATION_TIMEDOUT;
     long sent = 0;
     curl_easy_getinfo(it.Easy.get(), CURLINFO_REQUEST_SIZE, &sent);
     it.Reply.How =
--- a/src/core/HttpClient.h
+++ b/src/core/HttpClient.h
@@ -35,6 +35,7 @@
     TooLarge, ///< The answer is beyond MaxBytes.
   };
   Ending How = Ending::Lost;
+  bool TimedOut = false; ///< Where there was no answer.
   int Status = 0;
   std::string Etag; ///< As sent, quotes included.
   std::string Body;
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -165,6 +165,9 @@
   ev_signal_start(Loop, &Terminate);
   ev_signal_start(Loop, &Reload);
   ev_prepare_start(Loop, &BeforeWait);
+  if (!Options.FirstStart) {
+    Store.distrustCheapReads();
+  }
   Store.start();
   ev_run(Loop, 0);
   return Code;
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -106,6 +106,15 @@
       }};
 }
 
+Kind flagOf(const char *flag, bool NodeSettings::*target, const char *meaning) {
+  return {flag, "false", "true|false", meaning,
+          [target](NodeSettings &out, const std::string &text) -> std::string {
+            out.*target = text == "true";
+            return text == "true" || text == "false" ? ""
+                                                     : "is not true or false";
+          }};
+}
+
 Kind seed() {
   return {"seed", "0", "N", "of random draws; 0: drawn at the start",
           [](NodeSettings &out, const std::string &text) -> std::string {
@@ -150,6 +159,8 @@
                "requests a second to a cold upstream beyond that"),
       numberOf("probes-per-second", &S::ProbesPerSecond, "10", 0, mostRate,
                "health checks of one upstream, over all instances"),
+      flagOf("first-start", &S::FirstStart,
+             "whether the whole system starts for the first time"),
       seed(),
   };
 }
--- a/src/store/Feed.cpp
+++ b/src/store/Feed.cpp
@@ -15,7 +15,7 @@
 
 void succeed(Feed &feed) {
   feed.Running = false;
-  feed.Failures = 0;
+  feed.NeedsLatest = false;
   feed.NextAt = Instant{};
 }
 
@@ -28,16 +28,21 @@
   return feed.Watches ? FeedCall::Watch : FeedCall::List;
 }
 
+bool needsLatest(const Feed &feed, Instant now) {
+  return feed.NeedsLatest || now < feed.LatestUntil;
+}
+
 void noteStart(Feed &feed) { feed.Running = true; }
 
 void noteListed(Feed &feed, std::uint64_t asOf, const std::string &last) {
+  const bool isLatest = feed.NeedsLatest;
   succeed(feed);
   // Changes between two pages must not be missed: the first page's revision
   // counts.
   feed.AsOf = feed.After.empty() ? asOf : std::min(feed.AsOf, asOf);
   feed.After = last;
   feed.Watches = last.empty();
-  feed.NeedsLatest = feed.NeedsLatest && !last.empty();
+  feed.NeedsLatest = isLatest && !last.empty();
 }
 
 void noteWatched(Feed &feed, std::uint64_t asOf, bool any, Instant now) {
@@ -48,21 +53,39 @@
   }
 }
 
-void noteHistoryGone(Feed &feed) {
-  succeed(feed);
+void noteHistoryGone(Feed &feed, Instant now) {
+  feed.Running = false;
   feed.Watches = false;
   feed.NeedsLatest = true;
+  feed.LatestUntil = now + LagTime;
   feed.After.clear();
 }
 
-void noteFailure(Feed &feed, Random &draws, Instant now) {
+void noteFailure(Feed &feed, bool cut, Instant now) {
+  feed.Running = false;
+  feed.NextAt = Instant::max();
+  if (cut && feed.Watches) {
+    feed.LatestUntil = now + LagTime;
+  }
+}
+
+void restart(Feed &feed) {
+  ++feed.Generation;
   feed.Running = false;
-  const unsigned doublings = std::min(feed.Failures++, MostDoublings);
+  feed.Watches = false;
+  feed.After.clear();
+  feed.NeedsLatest = true;
+  feed.NextAt = Instant{};
+}
+
+void noteFailure(Retry &retry, Random &draws, Instant now) {
+  retry.Running = false;
+  const unsigned doublings = std::min(retry.Failures++, MostDoublings);
   const Duration pause =
       std::min<Duration>(FirstPause * (1U << doublings), LongestPause);
   const double part = LeastPart + (1 - LeastPart) * drawShare(draws);
-  feed.NextAt = now + Duration(static_cast<Duration::rep>(
-                          static_cast<double>(pause.count()) * part));
+  retry.NextAt = now + Duration(static_cast<Duration::rep>(
+                           static_cast<double>(pause.count()) * part));
 }
 
 } // namespace zinniarail::store
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -18,9 +18,16 @@
 // lost is noticed that much later at the latest.
 constexpr Duration WatchWait = std::chrono::milliseconds{3000};
 
+// Likewise at the full price.
+constexpr Duration LatestWatchWait = std::chrono::milliseconds{8000};
+
 // For the answer itself, beyond a watch's wait.
 constexpr Duration CallTimeout = std::chrono::milliseconds{1000};
 
+// For the question whether the store is back: one that began before it was must
+// not hold up the next.
+constexpr Duration PingTimeout = std::chrono::milliseconds{400};
+
 std::size_t indexOf(Kind kind) { return static_cast<std::size_t>(kind); }
 
 constexpr std::array<Kind, 4> AllKinds{Kind::Configuration, Kind::Upstreams,
@@ -43,47 +50,30 @@
 
 StoreTask::~StoreTask() { ev_timer_stop(Loop, &Timer); }
 
-void StoreTask::start() { advance(); }
-
-// While the store fails, one feed at a time asks whether it is back.
-bool StoreTask::isOut() const {
-  return std::any_of(Feeds.begin(), Feeds.end(),
-                     [](const Feed &it) { return it.Failures > 0; });
+void StoreTask::distrustCheapReads() {
+  for (Feed &it : Feeds) {
+    it.LatestUntil = readClock() + LagTime;
+  }
 }
 
+void StoreTask::start() { advance(); }
+
 void StoreTask::advance() {
   const Instant now = readClock();
   if (dropDue(Upstreams, now)) {
     Dirty = true;
   }
-  const bool out = isOut();
-  bool asked = false;
-  Instant next = nextDrop(Upstreams);
-  for (const Kind kind : AllKinds) {
-    Feed &feed = Feeds[indexOf(kind)];
-    const bool held = out && (asked || feed.Failures == 0);
-    asked = asked || (out && feed.Failures > 0);
-    if (held) {
-      continue;
-    }
-    const FeedCall what = nextCall(feed, now);
-    if (what != FeedCall::None) {
-      call(kind, what);
-    } else if (!feed.Running) {
-      next = std::min(next, feed.NextAt);
-    }
-  }
-  if (!out) {
+  if (Lost) {
+    advancePing(now);
+  } else {
+    advanceFeeds(now);
     advanceRecord(now);
-    if (!Recorded && !Record.Running) {
-      next = std::min(next, Record.NextAt);
-    }
   }
   if (Dirty) {
     report();
   }
   ev_timer_stop(Loop, &Timer);
-  if (next != Instant::max()) {
+  if (const Instant next = nextAt(); next != Instant::max()) {
     const std::chrono::duration<double> left =
         std::max(next - readClock(), Duration{0});
     ev_timer_set(&Timer, left.count(), 0);
@@ -91,62 +81,122 @@
   }
 }
 
+void StoreTask::advanceFeeds(Instant now) {
+  for (const Kind kind : AllKinds) {
+    const FeedCall what = nextCall(Feeds[indexOf(kind)], now);
+    if (what != FeedCall::None) {
+      call(kind, what);
+    }
+  }
+}
+
+// The kind with the fewest objects serves to see whether the store answers.
+void StoreTask::advancePing(Instant now) {
+  if (Ping.Running || now < Ping.NextAt) {
+    return;
+  }
+  Ping.Running = true;
+  Client.list(Kind::Evacuations, "", Freshness::MayLag, PingTimeout,
+              [this](const platform::Reply &reply) {
+                if (reply.How == Outcome::Done) {
+                  noteBack();
+                } else {
+                  noteFailure(Ping, Draws, readClock());
+                }
+                advance();
+              });
+}
+
+Instant StoreTask::nextAt() const {
+  Instant next = nextDrop(Upstreams);
+  const auto consider = [&](bool running, Instant at) {
+    next = running ? next : std::min(next, at);
+  };
+  if (Lost) {
+    consider(Ping.Running, Ping.NextAt);
+    return next;
+  }
+  for (const Feed &it : Feeds) {
+    consider(it.Running, it.NextAt);
+  }
+  consider(Record.Running || Recorded, Record.NextAt);
+  return next;
+}
+
 void StoreTask::call(Kind kind, FeedCall what) {
   Feed &feed = Feeds[indexOf(kind)];
+  // Who else is there may be known a little late.
+  const bool latest = kind != Kind::Instances && needsLatest(feed, readClock());
+  const Freshness freshness = latest ? Freshness::Latest : Freshness::MayLag;
   noteStart(feed);
   if (what == FeedCall::List) {
     if (feed.After.empty()) {
       Listed[kind].clear();
     }
-    Client.list(kind, feed.After,
-                feed.NeedsLatest ? Freshness::Latest : Freshness::MayLag,
-                CallTimeout, [this, kind](platform::Reply reply) {
-                  takeListed(kind, std::move(reply));
-                  advance();
-                });
+    Client.list(
+        kind, feed.After, freshness, CallTimeout,
+        [this, kind, at = feed.Generation](const platform::Reply &reply) {
+          if (at == Feeds[indexOf(kind)].Generation) {
+            takeListed(kind, reply);
+            advance();
+          }
+        });
     return;
   }
-  Client.watch(kind, feed.AsOf, WatchWait, Freshness::MayLag,
-               WatchWait + CallTimeout, [this, kind](platform::Reply reply) {
-                 takeWatched(kind, std::move(reply));
-                 advance();
-               });
+  const Duration wait = latest ? LatestWatchWait : WatchWait;
+  Client.watch(
+      kind, feed.AsOf, wait, freshness, wait + CallTimeout,
+      [this, kind, at = feed.Generation](const platform::Reply &reply) {
+        if (at == Feeds[indexOf(kind)].Generation) {
+          takeWatched(kind, reply);
+          advance();
+        }
+      });
 }
 
 bool StoreTask::failed(Kind kind, const platform::Reply &reply) {
   Feed &feed = Feeds[indexOf(kind)];
   if (reply.How == Outcome::Done) {
-    noteAnswered(kind);
     return false;
   }
   if (reply.How == Outcome::HistoryGone) {
-    noteAnswered(kind);
-    noteHistoryGone(feed);
+    noteHistoryGone(feed, readClock());
     return true;
   }
-  if (!isOut()) {
-    logEvent(EventId::PlatformLost, std::string(nameOf(kind)) + ": " +
-                                        nameOf(reply.How) + ", " + reply.Error);
-  }
-  noteFailure(feed, Draws, readClock());
+  noteFailure(feed, reply.Cut, readClock());
+  noteLost(nameOf(kind), reply);
   return true;
 }
 
-// After an outage the other feeds go on at once, and registrations that lapsed
-// meanwhile get the time to come back.
-void StoreTask::noteAnswered(Kind kind) {
-  if (Feeds[indexOf(kind)].Failures == 0) {
+void StoreTask::noteLost(const std::string &what,
+                         const platform::Reply &reply) {
+  if (Lost) {
     return;
   }
-  logEvent(EventId::PlatformBack, nameOf(kind));
+  Lost = true;
+  Ping = {};
+  logEvent(EventId::PlatformLost,
+           what + ": " + nameOf(reply.How) + ", " + reply.Error);
+}
+
+// Registrations that lapsed in the outage get the time to come back. Calls that
+// still wait may have been forgotten, and are begun anew.
+void StoreTask::noteBack() {
+  Lost = false;
+  logEvent(EventId::PlatformBack,
+           "after " + std::to_string(Ping.Failures) + " failures");
   noteReturn(Upstreams, readClock());
+  const auto lags = std::max_element(Feeds.begin(), Feeds.end(),
+                                     [](const Feed &a, const Feed &b) {
+                                       return a.LatestUntil < b.LatestUntil;
+                                     });
   for (Feed &it : Feeds) {
-    it.Failures = 0;
-    it.NextAt = Instant{};
+    restart(it);
+    it.LatestUntil = lags->LatestUntil;
   }
 }
 
-void StoreTask::takeListed(Kind kind, platform::Reply reply) {
+void StoreTask::takeListed(Kind kind, const platform::Reply &reply) {
   if (failed(kind, reply)) {
     return;
   }
@@ -164,7 +214,7 @@
   }
 }
 
-void StoreTask::takeWatched(Kind kind, platform::Reply reply) {
+void StoreTask::takeWatched(Kind kind, const platform::Reply &reply) {
   if (failed(kind, reply)) {
     return;
   }
@@ -264,11 +314,11 @@
 }
 
 void StoreTask::advanceRecord(Instant now) {
-  if (Recorded || nextCall(Record, now) == FeedCall::None) {
+  if (Recorded || Record.Running || now < Record.NextAt) {
     return;
   }
-  noteStart(Record);
-  const auto done = [this](platform::Reply reply) {
+  Record.Running = true;
+  const auto done = [this](const platform::Reply &reply) {
     endRecord(reply);
     advance();
   };
@@ -284,11 +334,10 @@
 void StoreTask::endRecord(const platform::Reply &reply) {
   const bool conflict = reply.How == Outcome::Conflict;
   if (reply.How == Outcome::Done || (conflict && !reply.Objects.empty())) {
-    Record.Running = false;
-    Record.Failures = 0;
     const auto stored = reply.Objects.empty()
                             ? std::nullopt
                             : platform::decodeInstance(reply.Objects.front());
+    Record = {};
     Recorded = !conflict || (stored && *stored == Self);
     RecordRevision = reply.AsOf;
     return;
@@ -320,13 +369,14 @@
     feeds[nameOf(kind)] = {{"watches", it.Watches},
                            {"running", it.Running},
                            {"asOf", it.AsOf},
-                           {"failures", it.Failures}};
+                           {"latest", needsLatest(it, now)}};
   }
   boost::json::object calls;
   for (const auto &[key, count] : Client.counts()) {
     calls[std::string(key.first) + "/" + nameOf(key.second)] = count;
   }
-  return {{"version", Config ? Config->Version : 0},
+  return {{"lost", Lost},
+          {"version", Config ? Config->Version : 0},
           {"upstreams", Upstreams.Entries.size()},
           {"instances", Instances.size()},
           {"domainsOut", DomainsOut.size()},
--- a/src/store/StoreTask.h
+++ b/src/store/StoreTask.h
@@ -43,6 +43,10 @@
   /// \param changed called from the loop whenever the picture changed.
   StoreTask(struct ev_loop *loop, const std::string &address, Instance self,
             std::uint64_t seed, Changed changed);
+
+  /// Uses no reads that may lag for a while: it is not known what the store has
+  /// been through. Before start.
+  void distrustCheapReads();
   ~StoreTask();
   StoreTask(const StoreTask &) = delete;
   StoreTask &operator=(const StoreTask &) = delete;
@@ -55,13 +59,16 @@
   static constexpr std::size_t Kinds = 4;
 
   void advance();
+  void advanceFeeds(Instant now);
+  void advancePing(Instant now);
   void advanceRecord(Instant now);
-  bool isOut() const;
+  Instant nextAt() const;
   void call(platform::Kind kind, FeedCall what);
-  void takeListed(platform::Kind kind, platform::Reply reply);
-  void takeWatched(platform::Kind kind, platform::Reply reply);
+  void takeListed(platform::Kind kind, const platform::Reply &reply);
+  void takeWatched(platform::Kind kind, const platform::Reply &reply);
   bool failed(platform::Kind kind, const platform::Reply &reply);
-  void noteAnswered(platform::Kind kind);
+  void noteLost(const std::string &what, const platform::Reply &reply);
+  void noteBack();
   void apply(platform::Kind kind, const platform::Object &object);
   void applyConfiguration(const platform::Object &object);
   void finishList(platform::Kind kind, std::uint64_t asOf);
@@ -80,7 +87,9 @@
   std::shared_ptr<const Configuration> Config;
   std::set<std::string> DomainsOut;
   std::map<std::string, Instance> Instances;
-  Feed Record; ///< Writing of this instance's own record, paced likewise.
+  bool Lost = false; ///< The store failed; it is asked whether it is back.
+  Retry Ping;
+  Retry Record; ///< Writing of this instance's own record.
   std::uint64_t RecordRevision = 0;
   bool Recorded = false;
   bool Dirty = false;
