Under pressure a request waits for an upstream that is known to have room

Ruled out: slowness beginning while a request runs: responses took the usual time whatever the report at their end said. Change: an upstream is good when a fresh report shows room and a time within the request's slack; requests wait for one, asking again when the last report gives hope; guesses only while most reports are good. What the last slot costs is learned, and it is left free where it costs more than it gives.

--- a/src/balance/Attempts.cpp
+++ b/src/balance/Attempts.cpp
@@ -102,6 +102,19 @@
          unrun ? RefusalReason::Overloaded : RefusalReason::UpstreamFailed);
 }
 
+// Weight of one response in the estimate of what the last slot costs.
+constexpr double LastSlotWeight = 1.0 / 16;
+
+void noteLastSlot(Engine &engine, const AttemptState &attempt, Duration took) {
+  const double usual = engine.Work[attempt.Route].Micros;
+  if (usual <= 0 || attempt.Slowness <= 0) {
+    return;
+  }
+  const double factor =
+      static_cast<double>(took.count()) / (usual * attempt.Slowness);
+  engine.LastSlotFactor += (factor - engine.LastSlotFactor) * LastSlotWeight;
+}
+
 // What an attempt's end says of its upstream.
 void observe(Step step, UpstreamState &upstream, const AttemptState &attempt,
              const AttemptEnded &event) {
@@ -120,7 +133,9 @@
     if (!event.Report) {
       engine.TellsLoad = false;
     }
-    if (attempt.Slowness > 0) {
+    if (attempt.OnLastSlot) {
+      noteLastSlot(engine, attempt, took);
+    } else if (attempt.Slowness > 0) {
       noteWork(engine.Work[attempt.Route], took, attempt.Slowness);
       const auto expected = static_cast<double>(
           std::max(attempt.Expected, Duration{1000}).count());
@@ -161,6 +176,14 @@
   attempt.Started = step.Now;
   attempt.Expected = expectedTime(engine, request, upstream, step.Now);
   const bool known = isFresh(upstream.Load, step.Now);
+  const double busy =
+      busyNow(upstream.Load, static_cast<unsigned>(upstream.Running.size()),
+              leastTime(engine, request), step.Now);
+  attempt.OnLastSlot =
+      upstream.Plan.Slots > 1 && known && busy + 1.5 > upstream.Plan.Slots;
+  if (attempt.OnLastSlot) {
+    engine.LastSlotTriedAt = step.Now;
+  }
   attempt.Slowness =
       known ? upstream.Load.Report.Slowness : (engine.TellsLoad ? 0 : 1);
   upstream.Running.push_back(id);
@@ -168,6 +191,7 @@
   request.Tried.push_back(upstream.Plan.Id);
   ++request.Sent;
   ++engine.Counters.Attempts;
+  engine.SentAt = step.Now;
   paceCold(engine, upstream, step.Now);
   const bool mayHedge = request.Treatment.Idempotent &&
                         request.Sent < request.Treatment.MaxAttempts;
@@ -200,7 +224,7 @@
       !maySpend(engine.Budget, HedgeReserve)) {
     return;
   }
-  const Placement found = place(engine, request, false, step.Now);
+  const Placement found = place(engine, request, true, step.Now);
   if (found.What != Placement::Kind::Send ||
       std::find(request.Tried.begin(), request.Tried.end(),
                 found.Upstream->Plan.Id) != request.Tried.end()) {
--- a/src/balance/Placing.cpp
+++ b/src/balance/Placing.cpp
@@ -15,8 +15,26 @@
 // What a request on a slot beside others takes longer, for each of them.
 constexpr double CrowdingPerRequest = 0.1;
 
-// Likewise where it takes the last slot.
-constexpr double LastSlotFactor = 1.4;
+// Between two tries of a last slot that is not worth using, as far as is known.
+constexpr Duration LastSlotPause = std::chrono::seconds{1};
+
+// A request that would take this much longer than usual waits for a better
+// upstream while it has the time.
+constexpr double GoodFactor = 1.5;
+
+// A choice that is this much better is worth a question.
+constexpr double WorthAsking = 0.8;
+
+// Above this share of bad reports a guess is likely to be wrong.
+constexpr double GuessLimit = 0.5;
+
+// Guesses are made all the same at this distance, lest reports that are wrong
+// keep everything from being sent.
+constexpr Duration GuessPause = std::chrono::milliseconds{250};
+
+// An upstream that was slow is asked again after this; slowness changes many
+// times a second.
+constexpr Duration SlowPause = std::chrono::milliseconds{40};
 
 // Part of the target that an upstream of another failure domain must be ahead.
 constexpr double OtherDomainPart = 0.1;
@@ -71,8 +89,8 @@
   time *= dragNow(upstream, now) * overdueOf(engine, upstream, now);
   time *= 1 + CrowdingPerRequest * busy;
   const double slots = upstream.Plan.Slots;
-  if (busy + 1 >= slots && slots > 1) {
-    time *= LastSlotFactor;
+  if (busy + 1.5 > slots && slots > 1) {
+    time *= std::max(1.0, engine.LastSlotFactor);
   }
   if (busy >= slots) {
     time *= 1 + (busy + 1 - slots) / slots;
@@ -155,12 +173,34 @@
   return best;
 }
 
+// When an upstream may have room and be quick, by its last report.
+Instant hopefulFrom(const Engine &engine, const UpstreamState &upstream,
+                    Duration usual, Instant now) {
+  const LoadReport &report = upstream.Load.Report;
+  if (!upstream.Load.Known) {
+    return Instant{};
+  }
+  if (isSlow(engine, report.Slowness)) {
+    return upstream.Load.At + SlowPause;
+  }
+  const unsigned busy = report.Running + report.Waiting;
+  const unsigned capacity = capacityOf(engine, upstream, now);
+  if (busy < capacity) {
+    return Instant{};
+  }
+  return upstream.Load.At +
+         usual * (busy - capacity + 1) / std::max(upstream.Plan.Slots, 1U) / 2;
+}
+
 // Those that could be the best and are not known freshly.
-std::vector<UpstreamState *>
-worthProbing(Engine &engine, const std::vector<Outlook> &all, double limit) {
+std::vector<UpstreamState *> worthProbing(Engine &engine,
+                                          const std::vector<Outlook> &all,
+                                          double limit, Duration usual,
+                                          Instant now) {
   std::vector<const Outlook *> some;
   for (const Outlook &it : all) {
-    if (!it.Fresh && it.Hoped < limit) {
+    if (!it.Fresh && it.Hoped < limit &&
+        now >= hopefulFrom(engine, *it.Upstream, usual, now)) {
       some.push_back(&it);
     }
   }
@@ -195,7 +235,20 @@
       timeOf(engine, request, upstream, slowness, busy, now)));
 }
 
-Placement place(Engine &engine, const RequestState &request, bool mayLook,
+unsigned capacityOf(const Engine &engine, const UpstreamState &upstream,
+                    Instant now) {
+  const unsigned slots = upstream.Plan.Slots;
+  if (slots < 2) {
+    return slots;
+  }
+  // With its last slot in use an upstream may finish fewer requests than
+  // without.
+  const bool pays = engine.LastSlotFactor * (slots - 1) < slots;
+  const bool tryIt = now - engine.LastSlotTriedAt > LastSlotPause;
+  return pays || tryIt ? slots : slots - 1;
+}
+
+Placement place(Engine &engine, const RequestState &request, bool lastResort,
                 Instant now) {
   const std::vector<Outlook> all = survey(engine, request, now);
   if (all.empty()) {
@@ -204,30 +257,40 @@
                     [](const auto &it) { return it.second.Planned; });
     return {any ? Placement::Kind::Wait : Placement::Kind::Never, nullptr, {}};
   }
-  const Outlook *sure = nullptr;
+  const auto usual = static_cast<double>(leastTime(engine, request).count());
+  const auto left = static_cast<double>(
+      (request.Arrived + request.Treatment.Target - now).count());
+  const double goodTime = std::max(usual * GoodFactor, left);
+  const Outlook *good = nullptr;
   for (const Outlook &it : all) {
-    if (it.Fresh && !it.Full &&
-        (sure == nullptr || it.Expected < sure->Expected)) {
-      sure = &it;
+    if (it.Fresh && !it.Full && it.Expected <= goodTime &&
+        (good == nullptr || it.Expected < good->Expected)) {
+      good = &it;
     }
   }
-  if (engine.TellsLoad && mayLook) {
-    const double limit = sure == nullptr ? std::numeric_limits<double>::max()
-                                         : sure->Expected * 0.8;
-    Placement look{Placement::Kind::Look, nullptr,
-                   worthProbing(engine, all, limit)};
+  if (engine.TellsLoad) {
+    const double limit = good == nullptr ? std::numeric_limits<double>::max()
+                                         : good->Expected * WorthAsking;
+    Placement look{
+        Placement::Kind::Look, nullptr,
+        worthProbing(engine, all, limit, leastTime(engine, request), now)};
     const bool asked =
         std::any_of(look.Probes.begin(), look.Probes.end(),
                     [](const UpstreamState *it) { return it->ProbeOut; });
     std::erase_if(look.Probes,
                   [](const UpstreamState *it) { return it->ProbeOut; });
-    if ((!look.Probes.empty() && mayProbe(engine, now)) || asked) {
+    if (asked || (!look.Probes.empty() && mayProbe(engine, now))) {
       return look;
     }
   }
+  if (good != nullptr) {
+    return {Placement::Kind::Send, good->Upstream, {}};
+  }
+  const bool mayGuess = !engine.TellsLoad || engine.BadShare < GuessLimit ||
+                        (lastResort && now - engine.SentAt > GuessPause);
   const Outlook *best =
       pick(engine, all, [](const Outlook &it) { return it.Expected; });
-  if (best == nullptr) {
+  if (best == nullptr || !mayGuess) {
     return {Placement::Kind::Wait, nullptr, {}};
   }
   return {Placement::Kind::Send, best->Upstream, {}};
--- a/src/balance/Requests.cpp
+++ b/src/balance/Requests.cpp
@@ -10,10 +10,6 @@
 // What remains of a deadline is given back for the way to the caller.
 constexpr Duration AnswerMargin = std::chrono::milliseconds{3};
 
-// How long a request may wait for health checks before it is placed by what is
-// known: beyond it the wait costs more than a wrong guess.
-constexpr Duration LookTime = std::chrono::milliseconds{8};
-
 // Between two looks at upstreams that seemed full.
 constexpr Duration RecheckPause = std::chrono::milliseconds{10};
 
@@ -68,6 +64,16 @@
   return slots;
 }
 
+// Part of a request's usual time that it may take longer than that.
+constexpr double UsualSpread = 1.3;
+
+Instant latestStart(const Engine &engine, const RequestState &request) {
+  const Duration usual = leastTime(engine, request);
+  return request.Arrived + request.Treatment.Target -
+         Duration(static_cast<Duration::rep>(
+             static_cast<double>(usual.count()) * UsualSpread));
+}
+
 // Those that can still meet their target go first, by urgency and by when it
 // ends; late ones take what is left.
 bool goesBefore(const Engine &engine, const RequestState &a,
@@ -195,9 +201,9 @@
     if (refusedHopeless(step, request)) {
       continue;
     }
-    const Instant lookUntil = request.QueuedAt + LookTime;
+    const Instant goodUntil = latestStart(engine, request);
     const Placement found =
-        place(engine, request, step.Now < lookUntil, step.Now);
+        place(engine, request, step.Now >= goodUntil, step.Now);
     switch (found.What) {
     case Placement::Kind::Send:
       std::erase(engine.Queue, id);
@@ -208,7 +214,8 @@
       for (UpstreamState *it : found.Probes) {
         probe(step, *it);
       }
-      engine.LookAgainAt = std::min(engine.LookAgainAt, lookUntil);
+      engine.LookAgainAt =
+          std::min(engine.LookAgainAt, step.Now + RecheckPause);
       continue;
     case Placement::Kind::Wait:
       engine.LookAgainAt =
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -66,7 +66,8 @@
   std::uint64_t Fingerprint = 0;
   Instant Started{};
   Duration Expected{0};
-  double Slowness = 1; ///< Known as it started; 0 when it was not.
+  double Slowness = 1;     ///< Known as it started; 0 when it was not.
+  bool OnLastSlot = false; ///< As far as was known as it started.
   bool Cancelled = false;
 };
 
@@ -87,6 +88,12 @@
   std::set<std::pair<Instant, std::uint64_t>> Timers; ///< Deadlines, hedges.
   std::map<std::string, WorkEstimate> Work;           ///< By route.
   double MeanSlowness = 1;
+  double UsualSlowness = 1; ///< What the better part of the reports say.
+  /// How much longer a request takes on an upstream's last free slot.
+  double LastSlotFactor = 1.4;
+  Instant LastSlotTriedAt{};
+  double BadShare = 0;   ///< Of the reports: no room, or slow.
+  Instant SentAt{};      ///< The last attempt.
   bool TellsLoad = true; ///< Until a response came without a report.
   RetryBudget Budget;
   double ProbeTokens = 1;
@@ -127,6 +134,8 @@
 void onProbe(Step step, const ProbeEnded &event);
 void takeReport(Engine &engine, UpstreamState &upstream,
                 const LoadReport &report, Instant now);
+/// Whether a reported slowness stands out.
+bool isSlow(const Engine &engine, double slowness);
 void noteGood(UpstreamState &upstream);
 /// \param certain whether the upstream is surely out of order.
 void noteFailure(Step step, UpstreamState &upstream, bool certain);
@@ -153,9 +162,12 @@
   UpstreamState *Upstream = nullptr;
   std::vector<UpstreamState *> Probes;
 };
-/// \param mayLook whether there is time to ask.
-Placement place(Engine &engine, const RequestState &request, bool mayLook,
+/// \param lastResort whether those that would be late may be taken.
+Placement place(Engine &engine, const RequestState &request, bool lastResort,
                 Instant now);
+/// Requests that an upstream is given at a time.
+unsigned capacityOf(const Engine &engine, const UpstreamState &upstream,
+                    Instant now);
 /// How long a request of this route would take on an upstream at best.
 Duration leastTime(const Engine &engine, const RequestState &request);
 Duration expectedTime(const Engine &engine, const RequestState &request,
--- a/src/balance/Upstreams.cpp
+++ b/src/balance/Upstreams.cpp
@@ -13,6 +13,12 @@
 constexpr double EndWeight = 1.0 / 8;
 constexpr double SlownessWeight = 1.0 / 64;
 constexpr double DragWeight = 1.0 / 4;
+constexpr double BadWeight = 1.0 / 32;
+
+// Steps of the estimate of what most reports say: it settles where this part of
+// them is below.
+constexpr double UsualPart = 0.4;
+constexpr double UsualStep = 0.02;
 
 constexpr unsigned FailuresToEject = 2;
 constexpr double FailureShareToEject = 0.3;
@@ -29,6 +35,9 @@
 
 constexpr double MicrosPerSecond = 1e6;
 
+// Beyond this many times the usual slowness an upstream counts as slow.
+constexpr double SlowFactor = 1.5;
+
 void eject(Step step, UpstreamState &upstream) {
   Health &health = upstream.Standing;
   health.Backoff = std::clamp(health.Backoff * 2, FirstBackoff, LongestBackoff);
@@ -112,6 +121,17 @@
   upstream.Load.Known = true;
   engine.MeanSlowness +=
       (report.Slowness - engine.MeanSlowness) * SlownessWeight;
+  engine.UsualSlowness *= report.Slowness < engine.UsualSlowness
+                              ? 1 - UsualStep * (1 - UsualPart)
+                              : 1 + UsualStep * UsualPart;
+  const bool full =
+      report.Running + report.Waiting >= capacityOf(engine, upstream, now);
+  const bool bad = full || isSlow(engine, report.Slowness);
+  engine.BadShare += ((bad ? 1 : 0) - engine.BadShare) * BadWeight;
+}
+
+bool isSlow(const Engine &engine, double slowness) {
+  return slowness > engine.UsualSlowness * SlowFactor;
 }
 
 void noteGood(UpstreamState &upstream) {
