--- a/src/balance/Engine.cpp
+++ b/src/balance/Engine.cpp
@@ -1,6 +1,7 @@
 #include "zinniarail/balance/Engine.h"
 
 #include <algorithm>
+#include <limits>
 
 #include <boost/json.hpp>
 
@@ -29,6 +30,7 @@
   engine->NextAttempt = firstAttempt;
   // The first requests may meet a failure as well as later ones.
   engine->Budget.Tokens = capacityOf(engine->Plan.Budget);
+  engine->ProbeTokens = std::numeric_limits<double>::max(); // All it can save.
   engine->ProbeTokensAt = now;
   putTargets(*engine, now);
   return engine;
--- a/src/balance/Upstreams.cpp
+++ b/src/balance/Upstreams.cpp
@@ -35,6 +35,10 @@
 
 constexpr double MicrosPerSecond = 1e6;
 
+// Health checks that may be saved up: what is earned in this time, or so many.
+constexpr double SavedSeconds = 0.5;
+constexpr double LeastSaved = 8;
+
 // Beyond this many times the usual slowness an upstream counts as slow.
 constexpr double SlowFactor = 1.5;
 
@@ -51,7 +55,7 @@
   const double rate = engine.Plan.ProbesPerSecond *
                       static_cast<double>(engine.Upstreams.size());
   const auto micros = static_cast<double>((now - engine.ProbeTokensAt).count());
-  const double most = std::max(rate / 4, 4.0); // a quarter of a second's worth
+  const double most = std::max(rate * SavedSeconds, LeastSaved);
   return std::min(engine.ProbeTokens + rate * micros / MicrosPerSecond, most);
 }
 
