One instance of each failure domain reads the store; the others follow it

And nobody knew which instances live: answers to resolutions named all that were ever recorded. Ruled out: relaying on the old mesh (an RPC connection for each pair; 0.02% of a core for each further instance). Change: instances ping the three leading ones of their failure domain by datagram (Cap'n Proto, packed); one reads the store, passes on what changed over a held HTTP question, says who lives, and writes the missing records. Resolutions name the live ones. A word that requests crash upstreams goes to all. The store is asked every 500 ms, cheaply, whether it is there. A restart of all is ready 25 ms later than before.

--- a/include/zinniarail/events/Events.h
+++ b/include/zinniarail/events/Events.h
@@ -31,6 +31,7 @@
   PlatformBack = 209,
   ReadingBegan = 210,
   ReadingEnded = 211,
+  DutyChanged = 212,
   AttemptBroken = 300,
   HomeUnreachable = 301,
 };
--- a/include/zinniarail/registry/Registry.h
+++ b/include/zinniarail/registry/Registry.h
@@ -53,7 +53,10 @@
 /// When dropDue has something to do; Instant::max() when never.
 Instant nextDrop(const Registry &registry);
 
-/// The upstreams, by id.
-std::vector<Upstream> upstreamsOf(const Registry &registry);
+/// The upstreams, by id, each with what is left of its cold time.
+std::vector<Upstream> upstreamsOf(const Registry &registry, Instant now);
+
+/// What an upstream's registration says now.
+Upstream currentOf(const Registration &registration, Instant now);
 
 } // namespace zinniarail
--- a/include/zinniarail/settings/NodeSettings.h
+++ b/include/zinniarail/settings/NodeSettings.h
@@ -22,12 +22,14 @@
 struct NodeSettings {
   std::string InstanceId;
   std::string FailureDomain;
-  std::string CallerAddress;    ///< "ip:port"
-  std::string ReadyAddress;     ///< "ip:port"
-  std::string DirectoryAddress; ///< "ip:port"
-  std::string PeerAddress;      ///< "ip:port"
-  std::string OperatorAddress;  ///< "ip:port"
-  std::string StoreAddress;     ///< "ip:port"
+  std::string CallerAddress;      ///< "ip:port"
+  std::string ReadyAddress;       ///< "ip:port"
+  std::string DirectoryAddress;   ///< "ip:port"
+  std::string PeerAddress;        ///< "ip:port"
+  std::string OperatorAddress;    ///< "ip:port"
+  std::string StoreAddress;       ///< "ip:port"
+  std::vector<std::string> Seeds; ///< Peer addresses that may know others.
+  double Cores = 0;               ///< Processor time that this instance has.
   std::string LogLevel;
   Duration StopTimeout{};     ///< A graceful stop ends by then.
   Duration ResolveLifetime{}; ///< How long callers may keep an answer.
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -6,6 +6,7 @@
 
 #include <ev.h>
 
+#include "fleet/PeerTask.h"
 #include "platform/Platform.h"
 #include "proxy/Proxy.h"
 #include "store/StoreTask.h"
@@ -24,6 +25,14 @@
 // What is left of the time for a stop to write the last answers.
 constexpr Duration StopMargin = std::chrono::milliseconds{500};
 
+// How long an instance listens for others before it reads the store for itself.
+// Where all start at once they need longer to hear of each other, and nobody
+// waits for them yet.
+constexpr Duration SettleTime = std::chrono::milliseconds{25};
+constexpr Duration FirstSettleTime = std::chrono::milliseconds{600};
+
+constexpr double MilliPerCore = 1000;
+
 struct LoopDelete {
   void operator()(struct ev_loop *it) const { ev_loop_destroy(it); }
 };
@@ -33,9 +42,10 @@
   return (std::uint64_t{device()} << 32U) | device();
 }
 
+/// The tasks of one process, and what they tell each other.
 class Node {
 public:
-  explicit Node(const NodeSettings &settings);
+  explicit Node(NodeSettings settings);
   ~Node();
   Node(const Node &) = delete;
   Node &operator=(const Node &) = delete;
@@ -44,8 +54,20 @@
   ExitCode run();
 
 private:
-  void takePicture(const store::Picture &picture);
-  void answerReady(http::ExchangeId id);
+  http::ServerHandlers callerHandlers();
+  http::ServerHandlers readyHandlers();
+  http::ServerHandlers directoryHandlers();
+  proxy::ProxyOutlets proxyOutlets();
+  fleet::PeerHandlers peerHandlers();
+  store::StoreHandlers storeHandlers();
+
+  void takeDuty(Duty duty);
+  void takeNews(const fleet::News &news);
+  void fillNews(fleet::News &news, fleet::Part part) const;
+  void takeStoreChange(platform::Kind kind);
+  void takeLive();
+  void logVersion();
+  void refresh();
   void answerResolve(http::ExchangeId id, const http::Request &request);
   void settle();
   void beginStop();
@@ -65,65 +87,60 @@
   ev_timer StopTimer{};
   ev_signal Terminate{};
   ev_signal Reload{};
+  store::Mirror Known;
   http::ClientPool Pool;
   proxy::Proxy Core;
   http::Server Callers;
   http::Server Ready;
   http::Server Directory;
   store::StoreTask Store;
-  std::shared_ptr<const Fleet> Current;
-  bool Complete = false;
+  fleet::PeerTask Peers;
+  bool Changed = false;  ///< What the proxy is to be told.
+  bool Complete = false; ///< Upstreams were heard of once at least.
+  std::uint64_t LoggedVersion = 0;
   bool Stopping = false;
   Instant StoppingSince{};
   ExitCode Code = ExitCode::Done;
 };
 
-proxy::ProxyContext makeContext(const NodeSettings &settings,
-                                std::uint64_t seed) {
+Member describeSelf(const NodeSettings &settings, std::uint64_t boot) {
+  Member self;
+  self.Record = {settings.InstanceId,      settings.FailureDomain,
+                 settings.CallerAddress,   settings.PeerAddress,
+                 settings.OperatorAddress, false};
+  self.Boot = boot;
+  self.Weight = static_cast<unsigned>(settings.Cores * MilliPerCore);
+  return self;
+}
+
+proxy::ProxyContext makeContext(const NodeSettings &settings) {
   return {settings.InstanceId,
           settings.FailureDomain,
-          seed,
+          settings.Seed,
           {settings.RetryRatio, settings.ExtraRetries, settings.ColdOvershoot,
            settings.ColdSlack, settings.ProbesPerSecond},
           &platform::dialect()};
 }
 
-Node::Node(const NodeSettings &settings)
-    : Options(settings), Owned(ev_loop_new(EVFLAG_AUTO)), Loop(Owned.get()),
-      Pool(Loop,
-           [this](http::CallId id, http::CallResult result) {
-             Core.onCallEnded(id, std::move(result));
-           }),
-      Core(makeContext(settings,
-                       settings.Seed == 0 ? drawSeed() : settings.Seed),
-           {[this](http::ExchangeId id, http::Response response) {
-              Callers.answer(id, std::move(response));
-            },
-            [this](http::Call call) { Pool.start(std::move(call)); },
-            [this](http::CallId id) { Pool.cancel(id); },
-            [this](const std::string &address) { Pool.closeIdle(address); },
-            [](std::uint64_t) {}}),
-      Callers(Loop,
-              {[this](const http::Request &it) { return Core.mayOvertake(it); },
-               [this](http::ExchangeId id, http::Request request) {
-                 Core.onRequest(id, std::move(request));
-               },
-               [this](http::ExchangeId id) { Core.onCallerGone(id); }}),
-      Ready(Loop, {[](const http::Request &) { return true; },
-                   [this](http::ExchangeId id, const http::Request &) {
-                     answerReady(id);
-                   },
-                   [](http::ExchangeId) {}}),
-      Directory(Loop, {[](const http::Request &) { return true; },
-                       [this](http::ExchangeId id, const http::Request &it) {
-                         answerResolve(id, it);
-                       },
-                       [](http::ExchangeId) {}}),
-      Store(Loop, settings.StoreAddress,
-            Instance{settings.InstanceId, settings.FailureDomain,
-                     settings.CallerAddress, settings.PeerAddress, "", false},
-            settings.Seed == 0 ? drawSeed() : settings.Seed,
-            [this](const store::Picture &it) { takePicture(it); }) {
+NodeSettings withSeed(NodeSettings settings) {
+  if (settings.Seed == 0) {
+    settings.Seed = drawSeed();
+  }
+  return settings;
+}
+
+Node::Node(NodeSettings settings)
+    : Options(withSeed(std::move(settings))), Owned(ev_loop_new(EVFLAG_AUTO)),
+      Loop(Owned.get()), Pool(Loop,
+                              [this](http::CallId id, http::CallResult result) {
+                                Core.onCallEnded(id, std::move(result));
+                              }),
+      Core(makeContext(Options), proxyOutlets()),
+      Callers(Loop, callerHandlers()), Ready(Loop, readyHandlers()),
+      Directory(Loop, directoryHandlers()),
+      Store(Loop, Options.StoreAddress, Known, Options.Seed, storeHandlers()),
+      Peers(Loop, describeSelf(Options, drawSeed()), Options.Seeds,
+            Options.FirstStart ? FirstSettleTime : SettleTime, peerHandlers()) {
   ev_prepare_init(&BeforeWait, (&on<&Node::settle, ev_prepare>));
   ev_timer_init(&WakeTimer, (&on<&Node::settle, ev_timer>), 0, 0);
   ev_timer_init(&StopTimer, (&on<&Node::checkStop, ev_timer>), StopInterval,
@@ -146,6 +163,64 @@
   ev_signal_stop(Loop, &Reload);
 }
 
+proxy::ProxyOutlets Node::proxyOutlets() {
+  return {
+      [this](http::ExchangeId id, http::Response response) {
+        Callers.answer(id, std::move(response));
+      },
+      [this](http::Call call) { Pool.start(std::move(call)); },
+      [this](http::CallId id) { Pool.cancel(id); },
+      [this](const std::string &address) { Pool.closeIdle(address); },
+      [this](std::uint64_t fingerprint) { Peers.tellCondemned(fingerprint); }};
+}
+
+http::ServerHandlers Node::callerHandlers() {
+  return {[this](const http::Request &it) { return Core.mayOvertake(it); },
+          [this](http::ExchangeId id, http::Request request) {
+            Core.onRequest(id, std::move(request));
+          },
+          [this](http::ExchangeId id) { Core.onCallerGone(id); }};
+}
+
+http::ServerHandlers Node::readyHandlers() {
+  return {[](const http::Request &) { return true; },
+          [this](http::ExchangeId id, const http::Request &request) {
+            const bool asked = platform::dialect().IsReadyQuestion(request);
+            const unsigned status = isReady() ? Ok : Unavailable;
+            Ready.answer(id, {asked ? status : NotFound, {}, {}});
+          },
+          [](http::ExchangeId) {}};
+}
+
+http::ServerHandlers Node::directoryHandlers() {
+  return {[](const http::Request &) { return true; },
+          [this](http::ExchangeId id, const http::Request &it) {
+            answerResolve(id, it);
+          },
+          [](http::ExchangeId) {}};
+}
+
+fleet::PeerHandlers Node::peerHandlers() {
+  return {
+      [this](Duty duty) { takeDuty(duty); },
+      [this](const fleet::News &news) { takeNews(news); },
+      [this] { takeLive(); },
+      [this](const std::vector<std::uint64_t> &fingerprints) {
+        for (const std::uint64_t it : fingerprints) {
+          Core.onCondemned(it);
+        }
+      },
+      [this](fleet::News &news, fleet::Part part) { fillNews(news, part); }};
+}
+
+store::StoreHandlers Node::storeHandlers() {
+  return {[this](platform::Kind kind) { takeStoreChange(kind); },
+          [this](bool healthy) {
+            Complete = Complete || healthy;
+            Peers.setHealthy(healthy);
+          }};
+}
+
 bool Node::open() {
   const std::pair<http::Server *, const std::string *> ports[]{
       {&Callers, &Options.CallerAddress},
@@ -157,6 +232,10 @@
       return false;
     }
   }
+  if (!Peers.open()) {
+    logEvent(EventId::PortUnusable, "cannot listen on " + Options.PeerAddress);
+    return false;
+  }
   return true;
 }
 
@@ -165,62 +244,142 @@
   ev_signal_start(Loop, &Terminate);
   ev_signal_start(Loop, &Reload);
   ev_prepare_start(Loop, &BeforeWait);
+  Peers.start();
+  ev_run(Loop, 0);
+  return Code;
+}
+
+void Node::takeDuty(Duty duty) {
+  if (duty != Duty::Read) {
+    return Store.end();
+  }
   if (!Options.FirstStart) {
     Store.distrustCheapReads();
   }
-  Store.start();
-  ev_run(Loop, 0);
-  return Code;
+  Store.begin();
+  takeLive();
+}
+
+void Node::takeNews(const fleet::News &news) {
+  const Instant now = readClock();
+  if (news.Config && adopt(Known, news.Config)) {
+    logVersion();
+  }
+  if (news.Upstreams) {
+    putAll(Known, news.Upstreams->All, news.Upstreams->AsOf, now);
+    Complete = true;
+  }
+  if (news.Domains) {
+    setAllOut(Known, news.Domains->Out, news.Domains->AsOf);
+  }
+  Changed = true;
 }
 
-void Node::takePicture(const store::Picture &picture) {
+void Node::fillNews(fleet::News &news, fleet::Part part) const {
+  const Instant now = readClock();
+  switch (part) {
+  case fleet::Part::Configuration:
+    news.Config = Known.Config;
+    return;
+  case fleet::Part::Upstreams:
+    news.Upstreams.emplace();
+    news.Upstreams->AsOf = Known.UpstreamsAsOf;
+    for (const auto &[id, it] : Known.Upstreams.Entries) {
+      news.Upstreams->All.push_back({currentOf(it, now), it.Revision});
+    }
+    return;
+  case fleet::Part::Domains:
+    news.Domains = {Known.DomainsOut, Known.DomainsAsOf};
+    return;
+  case fleet::Part::Members:
+    news.Fleet = {Peers.live(), Peers.known()};
+    return;
+  }
+}
+
+void Node::takeStoreChange(platform::Kind kind) {
+  switch (kind) {
+  case platform::Kind::Configuration:
+    if (Known.Config) {
+      Peers.publish(fleet::Part::Configuration);
+      logVersion();
+    }
+    break;
+  case platform::Kind::Upstreams:
+    Peers.publish(fleet::Part::Upstreams);
+    break;
+  case platform::Kind::Evacuations:
+    Peers.publish(fleet::Part::Domains);
+    break;
+  case platform::Kind::Instances:
+    Peers.learnRecorded(Store.recorded());
+    break;
+  }
+  Changed = true;
+}
+
+void Node::logVersion() {
+  if (Known.Config->Version != LoggedVersion) {
+    LoggedVersion = Known.Config->Version;
+    logEvent(EventId::DocumentInForce,
+             "version " + std::to_string(LoggedVersion));
+  }
+}
+
+void Node::takeLive() {
+  if (Peers.duty() == Duty::Read) {
+    std::vector<Instance> live;
+    for (const Member &it : Peers.live()) {
+      live.push_back(it.Record);
+    }
+    Store.setPosition(Peers.position());
+    Store.wantRecorded(std::move(live));
+  }
+  Changed = true;
+}
+
+void Node::refresh() {
+  Changed = false;
   auto fleet = std::make_shared<Fleet>();
-  fleet->Config = picture.Config;
-  fleet->Upstreams = picture.Upstreams;
-  fleet->DomainsOut = picture.DomainsOut;
-  fleet->Live = picture.Instances;
-  fleet->Known = std::max<std::size_t>(picture.Instances.size(), 1);
-  Complete = Complete || picture.Complete;
-  Current = fleet;
+  fleet->Config = Known.Config;
+  fleet->Upstreams = upstreamsOf(Known.Upstreams, readClock());
+  for (const auto &[domain, revision] : Known.DomainsOut) {
+    fleet->DomainsOut.insert(domain);
+  }
+  fleet->Known = std::max(Peers.known(), Peers.live().size());
   if (fleet->Config) {
     Callers.setLimits(fleet->Config->Limits);
   }
   Core.onFleet(std::move(fleet));
 }
 
-bool Node::isReady() const {
-  return !Stopping && Complete && Current && Current->Config;
-}
-
-void Node::answerReady(http::ExchangeId id) {
-  Ready.answer(id, {isReady() ? Ok : Unavailable, {}, {}});
-}
+bool Node::isReady() const { return !Stopping && Complete && Known.Config; }
 
 void Node::answerResolve(http::ExchangeId id, const http::Request &request) {
   const auto question = platform::dialect().ReadResolve(request);
   if (!question) {
     return Directory.answer(id, {NotFound, {}, {}});
   }
-  if (!isReady()) {
-    return Directory.answer(id, {Unavailable, {}, {}});
-  }
-  std::vector<std::string> near;
-  std::vector<std::string> all;
-  for (const Instance &it : Current->Live) {
-    all.push_back(it.CallerAddress);
-    if (it.Domain == question->Domain) {
-      near.push_back(it.CallerAddress);
+  std::vector<std::string> addresses;
+  for (const Member &it : Peers.live()) {
+    const bool isSelf = it.Record.Id == Options.InstanceId;
+    if (!it.Record.Leaving && (!isSelf || isReady())) {
+      addresses.push_back(it.Record.CallerAddress);
     }
   }
-  Directory.answer(
-      id, platform::dialect().WriteResolved(near.size() >= 2 ? near : all,
-                                            Options.ResolveLifetime));
+  if (addresses.empty()) {
+    return Directory.answer(id, {Unavailable, {}, {}});
+  }
+  Directory.answer(id, platform::dialect().WriteResolved(
+                           addresses, Options.ResolveLifetime));
 }
 
 void Node::settle() {
+  if (Changed) {
+    refresh();
+  }
   ev_timer_stop(Loop, &WakeTimer);
-  const Instant now = readClock();
-  if (Core.nextWake() <= now) {
+  if (Core.nextWake() <= readClock()) {
     Core.onWake();
   }
   const Instant next = Core.nextWake();
@@ -240,6 +399,7 @@
   logEvent(EventId::StopBegan, Options.InstanceId);
   Stopping = true;
   StoppingSince = readClock();
+  Peers.beginStop();
   Callers.closeAfterAnswers();
   ev_timer_start(Loop, &StopTimer);
 }
@@ -252,7 +412,9 @@
     Callers.stopListening();
     Callers.closeIdle();
   }
-  if ((now >= serveUntil && Callers.openExchanges() == 0) || now >= giveUpAt) {
+  const bool done = now >= serveUntil && Callers.openExchanges() == 0;
+  if (done || now >= giveUpAt) {
+    Code = done ? ExitCode::Done : ExitCode::Failed;
     ev_break(Loop, EVBREAK_ALL);
   }
 }
@@ -268,7 +430,8 @@
                                  settings.FailureDomain + ", callers at " +
                                  settings.CallerAddress);
   const ExitCode code = node.run();
-  logEvent(EventId::Stopped, settings.InstanceId);
+  logEvent(code == ExitCode::Done ? EventId::Stopped : EventId::StopCutShort,
+           settings.InstanceId);
   return code;
 }
 
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -59,6 +59,9 @@
      "The instance reads documents from the platform."},
     {EventId::ReadingEnded, "reading-ended", EventLevel::Info,
      "The instance hears of documents from peers; others read them."},
+    {EventId::DutyChanged, "duty-changed", EventLevel::Info,
+     "The instance reads the platform's store for its failure domain, follows "
+     "another that does, or waits for one."},
     {EventId::AttemptBroken, "attempt-broken", EventLevel::Debug,
      "An attempt that was sent came to no whole answer of its own."},
     {EventId::HomeUnreachable, "home-unreachable", EventLevel::Warn,
--- /dev/null
+++ b/src/fleet/Codec.cpp
@@ -0,0 +1,300 @@
+#include "fleet/Codec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <capnp/serialize.h>
+
+#include "fleet.capnp.h"
+
+namespace zinniarail::fleet {
+
+namespace {
+
+namespace wire = zinniarail::wire::fleet;
+
+std::string textOf(capnp::Text::Reader text) {
+  return {text.cStr(), text.size()};
+}
+
+void write(wire::Member::Builder out, const Member &it) {
+  out.setId(it.Record.Id);
+  out.setDomain(it.Record.Domain);
+  out.setCallers(it.Record.CallerAddress);
+  out.setPeers(it.Record.PeerAddress);
+  out.setBoot(it.Boot);
+  out.setWeight(it.Weight);
+  out.setLeaving(it.Record.Leaving);
+  out.setReading(it.Reading);
+  out.setHealthy(it.Healthy);
+}
+
+Member read(wire::Member::Reader in) {
+  Member out;
+  out.Record.Id = textOf(in.getId());
+  out.Record.Domain = textOf(in.getDomain());
+  out.Record.CallerAddress = textOf(in.getCallers());
+  out.Record.PeerAddress = textOf(in.getPeers());
+  out.Record.Leaving = in.getLeaving();
+  out.Boot = in.getBoot();
+  out.Weight = in.getWeight();
+  out.Reading = in.getReading();
+  out.Healthy = in.getHealthy();
+  return out;
+}
+
+void write(wire::Route::Builder out, const Route &it) {
+  out.setName(it.Name);
+  out.setHost(it.Host);
+  out.setPathPrefix(it.PathPrefix);
+  out.setIdempotent(it.Idempotent);
+  out.setPriority(it.Priority);
+  out.setMaxAttempts(it.MaxAttempts);
+  out.setTimeoutUs(it.Timeout.count());
+  out.setTargetUs(it.TargetLatency.count());
+  auto parts =
+      out.initDestinations(static_cast<unsigned>(it.Destinations.size()));
+  unsigned n = 0;
+  for (const Destination &destination : it.Destinations) {
+    parts[n].setService(destination.Service);
+    parts[n++].setWeight(destination.Weight);
+  }
+}
+
+Route read(wire::Route::Reader in) {
+  Route out;
+  out.Name = textOf(in.getName());
+  out.Host = textOf(in.getHost());
+  out.PathPrefix = textOf(in.getPathPrefix());
+  out.Idempotent = in.getIdempotent();
+  out.Priority = in.getPriority();
+  out.MaxAttempts = in.getMaxAttempts();
+  out.Timeout = Duration(in.getTimeoutUs());
+  out.TargetLatency = Duration(in.getTargetUs());
+  for (const auto it : in.getDestinations()) {
+    out.Destinations.push_back({textOf(it.getService()), it.getWeight()});
+  }
+  return out;
+}
+
+void write(wire::Configuration::Builder out, const Configuration &it) {
+  out.setVersion(it.Version);
+  auto routes = out.initRoutes(static_cast<unsigned>(it.Routes.size()));
+  for (unsigned n = 0; n < routes.size(); ++n) {
+    write(routes[n], it.Routes[n]);
+  }
+  auto services = out.initServices(static_cast<unsigned>(it.Services.size()));
+  for (unsigned n = 0; n < services.size(); ++n) {
+    const ServiceConfig &service = it.Services[n];
+    services[n].setName(service.Name);
+    services[n].setHealthPath(service.HealthPath);
+    services[n].setConnectionLimit(service.ConnectionLimit);
+    services[n].setWarmupUs(service.Warmup.count());
+    services[n].setWarmupPerSecond(service.WarmupPerSecond);
+  }
+  out.setHeadBytes(it.Limits.HeadBytes);
+  out.setBodyBytes(it.Limits.BodyBytes);
+  out.setHeadTimeUs(it.Limits.HeadTime.count());
+  out.setIdleTimeUs(it.Limits.IdleTime.count());
+}
+
+Configuration read(wire::Configuration::Reader in) {
+  Configuration out;
+  out.Version = in.getVersion();
+  for (const auto it : in.getRoutes()) {
+    out.Routes.push_back(read(it));
+  }
+  for (const auto it : in.getServices()) {
+    out.Services.push_back({textOf(it.getName()), textOf(it.getHealthPath()),
+                            it.getConnectionLimit(), Duration(it.getWarmupUs()),
+                            it.getWarmupPerSecond()});
+  }
+  out.Limits = {in.getHeadBytes(), in.getBodyBytes(),
+                Duration(in.getHeadTimeUs()), Duration(in.getIdleTimeUs())};
+  return out;
+}
+
+void write(wire::Upstreams::Builder out, const News::UpstreamList &it) {
+  out.setAsOf(it.AsOf);
+  auto all = out.initAll(static_cast<unsigned>(it.All.size()));
+  for (unsigned n = 0; n < all.size(); ++n) {
+    const Upstream &upstream = it.All[n].Record;
+    all[n].setId(upstream.Id);
+    all[n].setAddress(upstream.Address);
+    all[n].setService(upstream.Service);
+    all[n].setDomain(upstream.Domain);
+    all[n].setSlots(upstream.Slots);
+    all[n].setDraining(upstream.Draining);
+    all[n].setColdForUs(upstream.ColdFor.count());
+    all[n].setStartedMs(upstream.StartedMs);
+    all[n].setRevision(it.All[n].Revision);
+  }
+}
+
+News::UpstreamList read(wire::Upstreams::Reader in) {
+  News::UpstreamList out;
+  out.AsOf = in.getAsOf();
+  for (const auto it : in.getAll()) {
+    store::ListedUpstream &listed = out.All.emplace_back();
+    listed.Revision = it.getRevision();
+    listed.Record = {textOf(it.getId()),
+                     textOf(it.getAddress()),
+                     textOf(it.getService()),
+                     textOf(it.getDomain()),
+                     it.getSlots(),
+                     it.getDraining(),
+                     Duration(it.getColdForUs()),
+                     it.getStartedMs()};
+  }
+  return out;
+}
+
+void write(wire::DomainsOut::Builder out, const News::DomainList &it) {
+  out.setAsOf(it.AsOf);
+  auto all = out.initAll(static_cast<unsigned>(it.Out.size()));
+  unsigned n = 0;
+  for (const auto &[name, revision] : it.Out) {
+    all[n].setName(name);
+    all[n++].setRevision(revision);
+  }
+}
+
+News::DomainList read(wire::DomainsOut::Reader in) {
+  News::DomainList out;
+  out.AsOf = in.getAsOf();
+  for (const auto it : in.getAll()) {
+    out.Out.emplace(textOf(it.getName()), it.getRevision());
+  }
+  return out;
+}
+
+void write(wire::Members::Builder out, const News::MemberList &it) {
+  out.setKnown(static_cast<unsigned>(it.Known));
+  auto live = out.initLive(static_cast<unsigned>(it.Live.size()));
+  for (unsigned n = 0; n < live.size(); ++n) {
+    write(live[n], it.Live[n]);
+  }
+}
+
+News::MemberList read(wire::Members::Reader in) {
+  News::MemberList out;
+  out.Known = in.getKnown();
+  for (const auto it : in.getLive()) {
+    out.Live.push_back(read(it));
+  }
+  return out;
+}
+
+std::string pack(capnp::MessageBuilder &message) {
+  kj::VectorOutputStream out;
+  capnp::writePackedMessage(out, message);
+  const auto bytes = out.getArray();
+  return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+// Whatever is wrong with the bytes, the library throws.
+template <typename Function>
+auto unpack(std::string_view bytes, Function function) -> std::optional<
+    decltype(function(std::declval<capnp::MessageReader &>()))> {
+  try {
+    kj::ArrayInputStream in(kj::arrayPtr(
+        reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
+    capnp::PackedMessageReader message(in);
+    return function(message);
+  } catch (const kj::Exception &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+std::string encodeDatagram(const Datagram &datagram) {
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<wire::Datagram>();
+  if (std::holds_alternative<Datagram::Ping>(datagram.What)) {
+    root.setPing();
+  } else if (std::holds_alternative<Datagram::Pong>(datagram.What)) {
+    root.setPong();
+  } else {
+    const auto &prints =
+        std::get<Datagram::Condemned>(datagram.What).Fingerprints;
+    auto out = root.initCondemned(static_cast<unsigned>(prints.size()));
+    for (unsigned n = 0; n < out.size(); ++n) {
+      out.set(n, prints[n]);
+    }
+  }
+  write(root.initSender(), datagram.Sender);
+  auto members =
+      root.initMembers(static_cast<unsigned>(datagram.Others.size()));
+  for (unsigned n = 0; n < members.size(); ++n) {
+    write(members[n], datagram.Others[n]);
+  }
+  return pack(message);
+}
+
+std::optional<Datagram> decodeDatagram(std::string_view bytes) {
+  return unpack(bytes, [](capnp::MessageReader &message) {
+    const auto root = message.getRoot<wire::Datagram>();
+    Datagram out;
+    if (root.isPing()) {
+      out.What = Datagram::Ping{};
+    } else if (root.isPong()) {
+      out.What = Datagram::Pong{};
+    } else {
+      Datagram::Condemned condemned;
+      for (const auto it : root.getCondemned()) {
+        condemned.Fingerprints.push_back(it);
+      }
+      out.What = std::move(condemned);
+    }
+    out.Sender = read(root.getSender());
+    for (const auto it : root.getMembers()) {
+      out.Others.push_back(read(it));
+    }
+    return out;
+  });
+}
+
+std::string encodeNews(const News &news) {
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<wire::News>();
+  root.setBoot(news.Boot);
+  root.setSequence(news.Sequence);
+  if (news.Config) {
+    write(root.initConfiguration(), *news.Config);
+  }
+  if (news.Upstreams) {
+    write(root.initUpstreams(), *news.Upstreams);
+  }
+  if (news.Domains) {
+    write(root.initDomainsOut(), *news.Domains);
+  }
+  if (news.Fleet) {
+    write(root.initMembers(), *news.Fleet);
+  }
+  return pack(message);
+}
+
+std::optional<News> decodeNews(std::string_view bytes) {
+  return unpack(bytes, [](capnp::MessageReader &message) {
+    const auto root = message.getRoot<wire::News>();
+    News out;
+    out.Boot = root.getBoot();
+    out.Sequence = root.getSequence();
+    if (root.hasConfiguration()) {
+      out.Config =
+          std::make_shared<const Configuration>(read(root.getConfiguration()));
+    }
+    if (root.hasUpstreams()) {
+      out.Upstreams = read(root.getUpstreams());
+    }
+    if (root.hasDomainsOut()) {
+      out.Domains = read(root.getDomainsOut());
+    }
+    if (root.hasMembers()) {
+      out.Fleet = read(root.getMembers());
+    }
+    return out;
+  });
+}
+
+} // namespace zinniarail::fleet
--- /dev/null
+++ b/src/fleet/PeerTask.h
@@ -0,0 +1,132 @@
+/// \file
+/// Speaks to the other instances: by datagrams, who lives and who reads the
+/// store; over HTTP, what the reader of a failure domain passes on to those
+/// that follow it.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/json/object.hpp>
+#include <ev.h>
+
+#include "fleet/Codec.h"
+#include "http/ClientPool.h"
+#include "http/Server.h"
+#include "zinniarail/fleet/Fleet.h"
+
+namespace zinniarail::fleet {
+
+/// The parts of what a reader passes on.
+enum class Part : std::uint8_t { Configuration, Upstreams, Domains, Members };
+
+/// What the task tells its process. Called from the loop.
+struct PeerHandlers {
+  std::function<void(Duty)> DutyChanged;
+  std::function<void(const News &)> NewsCame;
+  std::function<void()> LiveChanged;
+  std::function<void(const std::vector<std::uint64_t> &)> CondemnedCame;
+  /// What is known of the store, to be passed on: the wanted part alone.
+  std::function<void(News &, Part)> Fill;
+};
+
+/// Used on one thread, that of its loop.
+class PeerTask {
+public:
+  /// \param loop outlives the task.
+  /// \param seeds peer addresses that may know others.
+  /// \param settleTime after the start, before this instance reads for others.
+  PeerTask(struct ev_loop *loop, Member self, std::vector<std::string> seeds,
+           Duration settleTime, PeerHandlers handlers);
+  ~PeerTask();
+  PeerTask(const PeerTask &) = delete;
+  PeerTask &operator=(const PeerTask &) = delete;
+
+  /// Binds the peer address, for datagrams and for HTTP.
+  bool open();
+  void start();
+
+  /// Whether the store answers this instance, while it reads.
+  void setHealthy(bool healthy);
+
+  /// A part of what is passed on has changed.
+  void publish(Part part);
+
+  /// Instances that the store has recorded.
+  void learnRecorded(const std::vector<Instance> &recorded);
+
+  void tellCondemned(std::uint64_t fingerprint);
+
+  /// Tells the others that this instance leaves.
+  void beginStop();
+
+  /// The live instances of this failure domain, this one included.
+  std::vector<Member> live() const;
+
+  /// Instances of the whole fleet that may be at work.
+  std::size_t known() const;
+
+  /// How many live members would read before this instance.
+  std::size_t position() const;
+
+  const Member &self() const { return Known.Self; }
+  Duty duty() const { return Choice.Now; }
+
+  boost::json::object describe(Instant now) const;
+
+private:
+  static constexpr std::size_t Parts = 4;
+  struct Question {
+    http::ExchangeId Id = 0;
+    std::uint64_t After = 0;
+  };
+
+  void tick();
+  void receive();
+  void hear(const Datagram &datagram, const std::string &from);
+  void settle();
+  void takeDuty();
+  void ping();
+  void greetAll();
+  void send(const std::string &address, const Datagram &datagram) const;
+  void serve(http::ExchangeId id, const http::Request &request);
+  void answer(const Question &question);
+  void ask();
+  void takeNews(http::CallId id, const http::CallResult &result);
+  void endNews();
+  void tellLive();
+
+  struct ev_loop *Loop;
+  std::vector<std::string> Seeds;
+  Duration SettleTime;
+  PeerHandlers Handlers;
+  Members Known;
+  Election Choice;
+  int Socket = -1;
+  ev_io Readable{};
+  ev_timer Timer{};
+  Instant StartedAt{};
+  Instant ReadingSince{};
+  std::size_t KnownCount = 1;
+  std::uint64_t LiveDigest = 0; ///< As last told.
+
+  // As a reader.
+  http::Server Server;
+  std::uint64_t Sequence = 0;
+  std::array<std::uint64_t, Parts> ChangedAt{}; ///< By part; 0: nothing yet.
+  std::unordered_map<http::ExchangeId, Question> Questions;
+
+  // As a follower.
+  http::ClientPool Pool;
+  http::CallId LastCall = 0;
+  bool Asking = false;
+  Instant AskAt{};
+  std::uint64_t NewsBoot = 0;
+  std::uint64_t NewsSequence = 0;
+};
+
+} // namespace zinniarail::fleet
--- a/src/registry/Registry.cpp
+++ b/src/registry/Registry.cpp
@@ -46,11 +46,18 @@
   return next;
 }
 
-std::vector<Upstream> upstreamsOf(const Registry &registry) {
+Upstream currentOf(const Registration &registration, Instant now) {
+  Upstream it = registration.Record;
+  const Duration age = now - registration.HeardAt;
+  it.ColdFor = std::max(it.ColdFor - age, Duration{0});
+  return it;
+}
+
+std::vector<Upstream> upstreamsOf(const Registry &registry, Instant now) {
   std::vector<Upstream> all;
   all.reserve(registry.Entries.size());
   for (const auto &[id, it] : registry.Entries) {
-    all.push_back(it.Record);
+    all.push_back(currentOf(it, now));
   }
   return all;
 }
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -30,6 +30,7 @@
   std::string Meaning;
   /// Stores a value. \returns what is wrong with it; empty when it is right.
   std::function<std::string(NodeSettings &, const std::string &)> Take;
+  bool MayBeEmpty = false;
 };
 
 bool isName(const std::string &text) {
@@ -106,6 +107,25 @@
       }};
 }
 
+Kind seeds() {
+  return {"seeds",
+          "",
+          "IP:PORT,...",
+          "peer addresses of instances that may know others",
+          [](NodeSettings &out, const std::string &text) -> std::string {
+            std::istringstream in(text);
+            for (std::string it; std::getline(in, it, ',');) {
+              if (parseAddress(it).Host.empty()) {
+                return "is not a list of addresses, as in "
+                       "10.0.0.1:80,10.0.0.2:80";
+              }
+              out.Seeds.push_back(it);
+            }
+            return "";
+          },
+          true};
+}
+
 Kind flagOf(const char *flag, bool NodeSettings::*target, const char *meaning) {
   return {flag, "false", "true|false", meaning,
           [target](NodeSettings &out, const std::string &text) -> std::string {
@@ -144,6 +164,10 @@
       addressOf("operator-address", &S::OperatorAddress,
                 "where operators connect"),
       addressOf("store-address", &S::StoreAddress, "the platform's store"),
+      seeds(),
+      numberOf("cores", &S::Cores, "1", 0, 1024,
+               "processor time that this instance has; one with more reads the "
+               "store for others"),
       logLevel(),
       durationOf("stop-timeout", &S::StopTimeout, "30s", 100ms, 600s,
                  "how long a graceful stop may take at most"),
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -28,6 +28,13 @@
 // not hold up the next.
 constexpr Duration PingTimeout = std::chrono::milliseconds{400};
 
+// Between two questions to a store that answers: a watch doesn't show that its
+// store has gone.
+constexpr Duration PingPause = std::chrono::milliseconds{500};
+
+// Others in line that double the pause while the store is out of reach.
+constexpr Duration::rep PositionsToDouble = 3;
+
 std::size_t indexOf(Kind kind) { return static_cast<std::size_t>(kind); }
 
 constexpr std::array<Kind, 4> AllKinds{Kind::Configuration, Kind::Upstreams,
@@ -36,8 +43,8 @@
 } // namespace
 
 StoreTask::StoreTask(struct ev_loop *loop, const std::string &address,
-                     Instance self, std::uint64_t seed, Changed changed)
-    : Loop(loop), Self(std::move(self)), Tell(std::move(changed)), Draws(seed),
+                     Mirror &mirror, std::uint64_t seed, StoreHandlers handlers)
+    : Loop(loop), Known(mirror), Handlers(std::move(handlers)), Draws(seed),
       Client(loop, address) {
   ev_timer_init(
       &Timer,
@@ -56,22 +63,40 @@
   }
 }
 
-void StoreTask::start() { advance(); }
+void StoreTask::begin() {
+  Reading = true;
+  Lost = false;
+  Ping = {};
+  for (Feed &it : Feeds) {
+    restart(it);
+  }
+  advance();
+}
+
+void StoreTask::end() {
+  Reading = false;
+  Healthy = false;
+  ++PingGeneration;
+  for (Feed &it : Feeds) {
+    restart(it);
+  }
+  ev_timer_stop(Loop, &Timer);
+}
 
 void StoreTask::advance() {
+  if (!Reading) {
+    return;
+  }
   const Instant now = readClock();
-  if (dropDue(Upstreams, now)) {
-    Dirty = true;
+  if (dropDue(Known.Upstreams, now)) {
+    Handlers.Changed(Kind::Upstreams);
   }
-  if (Lost) {
-    advancePing(now);
-  } else {
+  if (!Lost) {
     advanceFeeds(now);
-    advanceRecord(now);
-  }
-  if (Dirty) {
-    report();
+    advanceRecords(now);
   }
+  advancePing(now);
+  tellHealth();
   ev_timer_stop(Loop, &Timer);
   if (const Instant next = nextAt(); next != Instant::max()) {
     const std::chrono::duration<double> left =
@@ -97,41 +122,49 @@
   }
   Ping.Running = true;
   Client.list(Kind::Evacuations, "", Freshness::MayLag, PingTimeout,
-              [this](const platform::Reply &reply) {
+              [this, at = PingGeneration](const platform::Reply &reply) {
+                if (at != PingGeneration) {
+                  return;
+                }
+                const Instant answered = readClock();
                 if (reply.How == Outcome::Done) {
                   noteBack();
+                  Ping = {false, 0, answered + PingPause};
                 } else {
-                  noteFailure(Ping, Draws, readClock());
+                  noteLost("health check", reply);
+                  noteFailure(Ping, Draws, answered);
+                  Ping.NextAt += (Ping.NextAt - answered) *
+                                 static_cast<Duration::rep>(Position) /
+                                 PositionsToDouble;
                 }
                 advance();
               });
 }
 
 Instant StoreTask::nextAt() const {
-  Instant next = nextDrop(Upstreams);
+  Instant next = nextDrop(Known.Upstreams);
   const auto consider = [&](bool running, Instant at) {
     next = running ? next : std::min(next, at);
   };
+  consider(Ping.Running, Ping.NextAt);
   if (Lost) {
-    consider(Ping.Running, Ping.NextAt);
     return next;
   }
   for (const Feed &it : Feeds) {
     consider(it.Running, it.NextAt);
   }
-  consider(Record.Running || Recorded, Record.NextAt);
+  consider(Record.Running || nextUnrecorded() == nullptr, Record.NextAt);
   return next;
 }
 
 void StoreTask::call(Kind kind, FeedCall what) {
   Feed &feed = Feeds[indexOf(kind)];
-  // Who else is there may be known a little late.
-  const bool latest = kind != Kind::Instances && needsLatest(feed, readClock());
+  const bool latest = needsLatest(feed, readClock());
   const Freshness freshness = latest ? Freshness::Latest : Freshness::MayLag;
   noteStart(feed);
   if (what == FeedCall::List) {
     if (feed.After.empty()) {
-      Listed[kind].clear();
+      Listed[kind] = {};
     }
     Client.list(
         kind, feed.After, freshness, CallTimeout,
@@ -174,7 +207,7 @@
     return;
   }
   Lost = true;
-  Ping = {};
+  Ping.NextAt = Instant{}; // Is it back, or was that one call?
   logEvent(EventId::PlatformLost,
            what + ": " + nameOf(reply.How) + ", " + reply.Error);
 }
@@ -182,10 +215,13 @@
 // Registrations that lapsed in the outage get the time to come back. Calls that
 // still wait may have been forgotten, and are begun anew.
 void StoreTask::noteBack() {
+  if (!Lost) {
+    return;
+  }
   Lost = false;
   logEvent(EventId::PlatformBack,
            "after " + std::to_string(Ping.Failures) + " failures");
-  noteReturn(Upstreams, readClock());
+  noteReturn(Known.Upstreams, readClock());
   const auto lags = std::max_element(Feeds.begin(), Feeds.end(),
                                      [](const Feed &a, const Feed &b) {
                                        return a.LatestUntil < b.LatestUntil;
@@ -196,15 +232,24 @@
   }
 }
 
+void StoreTask::tellHealth() {
+  const bool complete = std::all_of(Feeds.begin(), Feeds.end(),
+                                    [](const Feed &it) { return it.Watches; });
+  const bool healthy = complete && !Lost;
+  if (healthy != Healthy) {
+    Healthy = healthy;
+    Handlers.HealthChanged(healthy);
+  }
+}
+
 void StoreTask::takeListed(Kind kind, const platform::Reply &reply) {
   if (failed(kind, reply)) {
     return;
   }
   Feed &feed = Feeds[indexOf(kind)];
   for (const platform::Object &it : reply.Objects) {
-    apply(kind, it);
     if (!it.Removed) {
-      Listed[kind].insert(it.Name);
+      Listed[kind][it.Name] = it;
     }
   }
   const bool more = reply.HasMore && !reply.Objects.empty();
@@ -223,11 +268,23 @@
   }
   noteWatched(Feeds[indexOf(kind)], reply.AsOf, !reply.Objects.empty(),
               readClock());
+  noteAsOf(kind, reply.AsOf);
+  if (!reply.Objects.empty()) {
+    Handlers.Changed(kind);
+  }
+}
+
+// Who follows this instance takes what is missing for removed up to here.
+void StoreTask::noteAsOf(Kind kind, std::uint64_t asOf) {
+  if (kind == Kind::Upstreams) {
+    Known.UpstreamsAsOf = std::max(Known.UpstreamsAsOf, asOf);
+  } else if (kind == Kind::Evacuations) {
+    Known.DomainsAsOf = std::max(Known.DomainsAsOf, asOf);
+  }
 }
 
 void StoreTask::apply(Kind kind, const platform::Object &object) {
   const Instant now = readClock();
-  Dirty = true;
   switch (kind) {
   case Kind::Configuration:
     return applyConfiguration(object);
@@ -235,26 +292,21 @@
     auto record =
         object.Removed ? std::nullopt : platform::decodeUpstream(object);
     if (record) {
-      put(Upstreams, std::move(*record), object.Revision, now);
+      put(Known.Upstreams, std::move(*record), object.Revision, now);
     } else {
-      remove(Upstreams, object.Name, object.Revision, now);
-      dropDue(Upstreams, now);
+      remove(Known.Upstreams, object.Name, object.Revision, now);
+      dropDue(Known.Upstreams, now);
     }
     return;
   }
   case Kind::Evacuations:
-    if (object.Removed) {
-      DomainsOut.erase(object.Name);
-    } else {
-      DomainsOut.insert(object.Name);
-    }
-    return;
+    return setOut(Known, object.Name, object.Revision, !object.Removed);
   case Kind::Instances:
     if (auto record =
             object.Removed ? std::nullopt : platform::decodeInstance(object)) {
-      Instances[object.Name] = std::move(*record);
+      Recorded[object.Name] = std::move(*record);
     } else {
-      Instances.erase(object.Name);
+      Recorded.erase(object.Name);
     }
     return;
   }
@@ -271,95 +323,96 @@
                                            ": " + read.error());
     return;
   }
-  if (Config && read.value().Version <= Config->Version) {
-    return; // Versions only rise.
-  }
-  logEvent(EventId::DocumentInForce,
-           "version " + std::to_string(read.value().Version) + ", before " +
-               std::to_string(Config ? Config->Version : 0));
-  Config = std::make_shared<const Configuration>(std::move(read.value()));
+  adopt(Known, std::make_shared<const Configuration>(std::move(read.value())));
 }
 
 // What the list lacks is gone.
 void StoreTask::finishList(Kind kind, std::uint64_t asOf) {
-  const std::set<std::string> &names = Listed[kind];
-  const auto lacks = [&](const std::string &name) {
-    return !names.contains(name);
-  };
+  const auto listed = std::exchange(Listed[kind], {});
+  const Instant now = readClock();
   switch (kind) {
   case Kind::Configuration:
+    for (const auto &[name, it] : listed) {
+      applyConfiguration(it);
+    }
     break;
   case Kind::Upstreams: {
-    const Instant now = readClock();
-    std::vector<std::string> gone;
-    for (const auto &[id, it] : Upstreams.Entries) {
-      if (lacks(id)) {
-        gone.push_back(id);
+    std::vector<ListedUpstream> all;
+    for (const auto &[name, it] : listed) {
+      if (auto record = platform::decodeUpstream(it)) {
+        all.push_back({std::move(*record), it.Revision});
       }
     }
-    for (const std::string &id : gone) {
-      remove(Upstreams, id, asOf, now);
-    }
-    dropDue(Upstreams, now);
+    putAll(Known, std::move(all), asOf, now);
     break;
   }
-  case Kind::Evacuations:
-    std::erase_if(DomainsOut, lacks);
+  case Kind::Evacuations: {
+    std::map<std::string, std::uint64_t> out;
+    for (const auto &[name, it] : listed) {
+      out.emplace(name, it.Revision);
+    }
+    setAllOut(Known, out, asOf);
     break;
+  }
   case Kind::Instances:
-    std::erase_if(Instances, [&](const auto &it) { return lacks(it.first); });
+    Recorded.clear();
+    for (const auto &[name, it] : listed) {
+      apply(kind, it);
+    }
     break;
   }
-  Dirty = true;
+  Handlers.Changed(kind);
 }
 
-void StoreTask::advanceRecord(Instant now) {
-  if (Recorded || Record.Running || now < Record.NextAt) {
-    return;
+void StoreTask::wantRecorded(std::vector<Instance> live) {
+  Wanted = std::move(live);
+  advance();
+}
+
+std::vector<Instance> StoreTask::recorded() const {
+  std::vector<Instance> all;
+  for (const auto &[id, it] : Recorded) {
+    all.push_back(it);
   }
-  Record.Running = true;
-  const auto done = [this](const platform::Reply &reply) {
-    endRecord(reply);
-    advance();
-  };
-  const auto content = platform::encodeInstance(Self);
-  if (RecordRevision == 0) {
-    Client.create(Kind::Instances, Self.Id, content, CallTimeout, done);
-  } else {
-    Client.replace(Kind::Instances, Self.Id, RecordRevision, content,
-                   CallTimeout, done);
+  return all;
+}
+
+const Instance *StoreTask::nextUnrecorded() const {
+  if (!Feeds[indexOf(Kind::Instances)].Watches) {
+    return nullptr; // Not known yet.
   }
+  const auto it =
+      std::find_if(Wanted.begin(), Wanted.end(), [&](const Instance &any) {
+        return !Recorded.contains(any.Id);
+      });
+  return it == Wanted.end() ? nullptr : &*it;
 }
 
-void StoreTask::endRecord(const platform::Reply &reply) {
-  const bool conflict = reply.How == Outcome::Conflict;
-  if (reply.How == Outcome::Done || (conflict && !reply.Objects.empty())) {
-    const auto stored = reply.Objects.empty()
-                            ? std::nullopt
-                            : platform::decodeInstance(reply.Objects.front());
-    Record = {};
-    Recorded = !conflict || (stored && *stored == Self);
-    RecordRevision = reply.AsOf;
+void StoreTask::advanceRecords(Instant now) {
+  const Instance *it = nextUnrecorded();
+  if (it == nullptr || Record.Running || now < Record.NextAt) {
     return;
   }
-  if (reply.How == Outcome::NotFound) {
-    RecordRevision = 0;
-  }
-  noteFailure(Record, Draws, readClock());
+  Record.Running = true;
+  Client.create(Kind::Instances, it->Id, platform::encodeInstance(*it),
+                CallTimeout, [this](const platform::Reply &reply) {
+                  endRecord(reply);
+                  advance();
+                });
 }
 
-void StoreTask::report() {
-  Dirty = false;
-  Picture picture;
-  picture.Config = Config;
-  picture.Upstreams = upstreamsOf(Upstreams);
-  picture.DomainsOut = DomainsOut;
-  for (const auto &[id, it] : Instances) {
-    picture.Instances.push_back(it);
-  }
-  picture.Complete = std::all_of(Feeds.begin(), Feeds.end(),
-                                 [](const Feed &it) { return it.Watches; });
-  Tell(picture);
+void StoreTask::endRecord(const platform::Reply &reply) {
+  const bool there =
+      reply.How == Outcome::Done || reply.How == Outcome::Conflict;
+  const auto stored = there && !reply.Objects.empty()
+                          ? platform::decodeInstance(reply.Objects.front())
+                          : std::nullopt;
+  if (!stored) {
+    return noteFailure(Record, Draws, readClock());
+  }
+  Record = {};
+  Recorded[stored->Id] = *stored; // The watch says so a little later.
+  Handlers.Changed(Kind::Instances);
 }
 
 boost::json::object StoreTask::describe(Instant now) const {
@@ -375,18 +428,9 @@
   for (const auto &[key, count] : Client.counts()) {
     calls[std::string(key.first) + "/" + nameOf(key.second)] = count;
   }
-  return {{"lost", Lost},
-          {"version", Config ? Config->Version : 0},
-          {"upstreams", Upstreams.Entries.size()},
-          {"instances", Instances.size()},
-          {"domainsOut", DomainsOut.size()},
-          {"nextDropInMs",
-           nextDrop(Upstreams) == Instant::max()
-               ? boost::json::value(nullptr)
-               : boost::json::value(
-                     std::chrono::duration_cast<std::chrono::milliseconds>(
-                         nextDrop(Upstreams) - now)
-                         .count())},
+  return {{"reading", Reading},
+          {"lost", Lost},
+          {"recorded", Recorded.size()},
           {"feeds", std::move(feeds)},
           {"calls", std::move(calls)}};
 }
--- a/src/store/StoreTask.h
+++ b/src/store/StoreTask.h
@@ -1,14 +1,12 @@
 /// \file
-/// Keeps this instance's picture of the configuration, the upstreams, the
-/// evacuations and the other instances current, from the platform's store, and
-/// this instance's own record in it.
+/// Reads the platform's store into the mirror while it is this instance's duty,
+/// and records the instances there.
 #pragma once
 
 #include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -17,41 +15,51 @@
 #include <ev.h>
 
 #include "platform/Platform.h"
+#include "store/Mirror.h"
 #include "zinniarail/core/Random.h"
-#include "zinniarail/intent/Configuration.h"
 #include "zinniarail/membership/Instance.h"
-#include "zinniarail/registry/Registry.h"
 #include "zinniarail/store/Feed.h"
 
 namespace zinniarail::store {
 
-/// What the store is known to hold.
-struct Picture {
-  std::shared_ptr<const Configuration> Config; ///< Null before the first.
-  std::vector<Upstream> Upstreams;
-  std::set<std::string> DomainsOut;
-  std::vector<Instance> Instances; ///< Recorded ones, alive or not.
-  bool Complete = false;           ///< Each kind was read once at least.
+/// What the task tells its process. Called from the loop.
+struct StoreHandlers {
+  /// The mirror's part that comes from objects of this kind has changed.
+  std::function<void(platform::Kind)> Changed;
+  /// Whether all was read and the store answers.
+  std::function<void(bool)> HealthChanged;
 };
 
 /// Used on one thread, that of its loop.
 class StoreTask {
 public:
-  using Changed = std::function<void(const Picture &)>;
-
-  /// \param loop outlives the task.
-  /// \param changed called from the loop whenever the picture changed.
-  StoreTask(struct ev_loop *loop, const std::string &address, Instance self,
-            std::uint64_t seed, Changed changed);
-
-  /// Uses no reads that may lag for a while: it is not known what the store has
-  /// been through. Before start.
-  void distrustCheapReads();
+  /// \param loop outlives the task, and so does \p mirror.
+  /// \param address "ip:port" of the store.
+  StoreTask(struct ev_loop *loop, const std::string &address, Mirror &mirror,
+            std::uint64_t seed, StoreHandlers handlers);
   ~StoreTask();
   StoreTask(const StoreTask &) = delete;
   StoreTask &operator=(const StoreTask &) = delete;
 
-  void start();
+  /// Uses no reads that may lag for a while: it is not known what the store has
+  /// been through.
+  void distrustCheapReads();
+
+  /// Reads all anew and follows the changes from then on.
+  void begin();
+
+  /// Reads no more. Answers to calls that still run are passed over.
+  void end();
+
+  /// Instances that must be recorded.
+  void wantRecorded(std::vector<Instance> live);
+
+  /// How many others would read before this instance. While the store is out of
+  /// reach it asks the less often the more there are.
+  void setPosition(std::size_t position) { Position = position; }
+
+  /// The instances that are recorded, alive or not.
+  std::vector<Instance> recorded() const;
 
   boost::json::object describe(Instant now) const;
 
@@ -61,7 +69,7 @@
   void advance();
   void advanceFeeds(Instant now);
   void advancePing(Instant now);
-  void advanceRecord(Instant now);
+  void advanceRecords(Instant now);
   Instant nextAt() const;
   void call(platform::Kind kind, FeedCall what);
   void takeListed(platform::Kind kind, const platform::Reply &reply);
@@ -69,30 +77,31 @@
   bool failed(platform::Kind kind, const platform::Reply &reply);
   void noteLost(const std::string &what, const platform::Reply &reply);
   void noteBack();
+  void noteAsOf(platform::Kind kind, std::uint64_t asOf);
+  void tellHealth();
   void apply(platform::Kind kind, const platform::Object &object);
   void applyConfiguration(const platform::Object &object);
   void finishList(platform::Kind kind, std::uint64_t asOf);
+  const Instance *nextUnrecorded() const;
   void endRecord(const platform::Reply &reply);
-  void report();
 
   struct ev_loop *Loop;
-  Instance Self;
-  Changed Tell;
+  Mirror &Known;
+  StoreHandlers Handlers;
   Random Draws;
   platform::StoreClient Client;
   ev_timer Timer{};
+  bool Reading = false;
+  bool Healthy = false; ///< As last told.
+  std::size_t Position = 0;
   std::array<Feed, Kinds> Feeds;
-  std::map<platform::Kind, std::set<std::string>> Listed; ///< Of this list.
-  Registry Upstreams;
-  std::shared_ptr<const Configuration> Config;
-  std::set<std::string> DomainsOut;
-  std::map<std::string, Instance> Instances;
+  std::map<platform::Kind, std::map<std::string, platform::Object>> Listed;
+  std::map<std::string, Instance> Recorded;
+  std::vector<Instance> Wanted;
   bool Lost = false; ///< The store failed; it is asked whether it is back.
   Retry Ping;
-  Retry Record; ///< Writing of this instance's own record.
-  std::uint64_t RecordRevision = 0;
-  bool Recorded = false;
-  bool Dirty = false;
+  unsigned PingGeneration = 0;
+  Retry Record;
 };
 
 } // namespace zinniarail::store
