--- /dev/null
+++ b/tests/fleet/PeerTaskTest.cpp
@@ -0,0 +1,198 @@
+#include <boost/test/unit_test.hpp>
+
+#include "../http/Wire.h"
+#include "fleet/PeerTask.h"
+
+using namespace zinniarail;
+using namespace zinniarail::fleet;
+using namespace std::chrono_literals;
+
+namespace peer_test {
+
+/// One instance without a store: what it would read is set by the test.
+struct Peer {
+  Peer(struct ev_loop *loop, unsigned number, std::vector<std::string> seeds)
+      : Id("i" + std::to_string(number)), Address(addressOf(number)),
+        Task(std::make_unique<PeerTask>(loop, describe(number), seeds, 50ms,
+                                        handlers())) {}
+
+  static std::string addressOf(unsigned number) {
+    return standins::loopbackAddress("11." + std::to_string(number) + ":23000");
+  }
+
+  Member describe(unsigned number) const {
+    Member it;
+    it.Record = {Id, "a", Address, Address, "", false};
+    it.Boot = 1000 + number;
+    it.Weight = 100 - number; // The first ones lead.
+    return it;
+  }
+
+  PeerHandlers handlers() {
+    return {[](Duty) {},
+            [this](const News &news) {
+              if (news.Config) {
+                Version = news.Config->Version;
+              }
+            },
+            [] {},
+            [this](const std::vector<std::uint64_t> &prints) {
+              Condemned = prints;
+            },
+            [this](News &news, Part part) {
+              if (part == Part::Configuration) {
+                Configuration config;
+                config.Version = Version;
+                news.Config = std::make_shared<const Configuration>(config);
+              } else if (part == Part::Members) {
+                news.Fleet = {Task->live(), Task->known()};
+              }
+            }};
+  }
+
+  /// As if the store had been read.
+  void read(std::uint64_t version) {
+    Version = version;
+    Task->setHealthy(true);
+    Task->publish(Part::Configuration);
+  }
+
+  std::string Id;
+  std::string Address;
+  std::uint64_t Version = 0;
+  std::vector<std::uint64_t> Condemned;
+  std::unique_ptr<PeerTask> Task;
+};
+
+/// A few instances of one failure domain; the first is everybody's seed.
+struct Domain {
+  explicit Domain(unsigned count) {
+    for (unsigned n = 1; n <= count; ++n) {
+      Peers.push_back(std::make_unique<Peer>(
+          Turns.Loop, n, std::vector<std::string>{Peer::addressOf(1)}));
+      BOOST_REQUIRE(Peers.back()->Task->open());
+    }
+    for (auto &it : Peers) {
+      it->Task->start();
+    }
+  }
+
+  Peer *reader() {
+    for (auto &it : Peers) {
+      if (it && it->Task->duty() == Duty::Read) {
+        return it.get();
+      }
+    }
+    return nullptr;
+  }
+
+  bool allKnow(std::uint64_t version) {
+    return Turns.until([&] {
+      return std::all_of(Peers.begin(), Peers.end(), [&](const auto &it) {
+        return !it || it->Version == version;
+      });
+    });
+  }
+
+  bool allSee(std::size_t live) {
+    return Turns.until([&] {
+      return std::all_of(Peers.begin(), Peers.end(), [&](const auto &it) {
+        return !it || it->Task->live().size() == live;
+      });
+    });
+  }
+
+  bool hasReader() {
+    return Turns.until([&] { return reader() != nullptr; });
+  }
+
+  http::TestLoop Turns;
+  std::vector<std::unique_ptr<Peer>> Peers;
+};
+
+} // namespace peer_test
+using namespace peer_test;
+
+BOOST_AUTO_TEST_CASE(oneReadsAndTheOthersHearOfEachChange) {
+  Domain it(6);
+  BOOST_REQUIRE(it.hasReader());
+  it.reader()->read(5);
+  BOOST_TEST(it.allKnow(5));
+  BOOST_TEST(it.allSee(6));
+  it.reader()->read(6);
+  BOOST_TEST(it.allKnow(6));
+  BOOST_TEST(
+      std::count_if(it.Peers.begin(), it.Peers.end(), [](const auto &any) {
+        return any->Task->duty() == Duty::Read;
+      }) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(whenTheReaderDiesAnotherReads) {
+  Domain it(4);
+  BOOST_REQUIRE(it.hasReader());
+  it.reader()->read(5);
+  BOOST_REQUIRE(it.allKnow(5));
+  const std::string old = it.reader()->Id;
+  for (auto &peer : it.Peers) {
+    if (peer && peer->Task->duty() == Duty::Read) {
+      peer.reset();
+    }
+  }
+  BOOST_REQUIRE(it.hasReader());
+  BOOST_TEST(it.reader()->Id != old);
+  it.reader()->read(6);
+  BOOST_TEST(it.allKnow(6));
+  BOOST_TEST(it.allSee(3));
+}
+
+BOOST_AUTO_TEST_CASE(whenTheStoreFailsTheReaderAnotherReads) {
+  Domain it(3);
+  BOOST_REQUIRE(it.hasReader());
+  it.reader()->read(5);
+  BOOST_REQUIRE(it.allKnow(5));
+  Peer *sick = it.reader();
+  sick->Task->setHealthy(false);
+  BOOST_REQUIRE(it.Turns.until([&] {
+    return std::any_of(it.Peers.begin(), it.Peers.end(), [&](const auto &any) {
+      return any.get() != sick && any->Task->duty() == Duty::Read;
+    });
+  }));
+  for (auto &peer : it.Peers) {
+    if (peer.get() != sick && peer->Task->duty() == Duty::Read) {
+      peer->read(7);
+    }
+  }
+  BOOST_TEST(it.allKnow(7));
+  BOOST_TEST((sick->Task->duty() == Duty::Follow));
+}
+
+BOOST_AUTO_TEST_CASE(allHearWhatWasCondemned) {
+  Domain it(4);
+  BOOST_REQUIRE(it.hasReader());
+  it.reader()->read(5);
+  BOOST_REQUIRE(it.allSee(4));
+  it.Peers.back()->Task->tellCondemned(99);
+  BOOST_TEST(it.Turns.until([&] {
+    return std::all_of(
+        it.Peers.begin(), it.Peers.end() - 1, [](const auto &any) {
+          return any->Condemned == std::vector<std::uint64_t>{99};
+        });
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(oneThatLeavesIsKnownToLeave) {
+  Domain it(4);
+  BOOST_REQUIRE(it.hasReader());
+  it.reader()->read(5);
+  BOOST_REQUIRE(it.allSee(4));
+  it.Peers.back()->Task->beginStop();
+  BOOST_TEST(it.Turns.until([&] {
+    return std::all_of(
+        it.Peers.begin(), it.Peers.end() - 1, [&](const auto &any) {
+          const auto live = any->Task->live();
+          return std::any_of(live.begin(), live.end(), [](const Member &each) {
+            return each.Record.Leaving;
+          });
+        });
+  }));
+}
