--- a/include/zinniarail/balance/Engine.h
+++ b/include/zinniarail/balance/Engine.h
@@ -80,6 +80,9 @@
 /// Requests that wait for an upstream.
 std::size_t waitingRequests(const Engine &engine);
 
+/// Repeats that may be sent now.
+double retryTokens(const Engine &engine);
+
 /// Counts since the start.
 struct EngineCounters {
   std::uint64_t Requests = 0;
--- a/include/zinniarail/balance/Messages.h
+++ b/include/zinniarail/balance/Messages.h
@@ -114,12 +114,30 @@
 
 // Actions.
 
+/// Why a request goes to an upstream now.
+struct Choice {
+  enum class Grounds : std::uint8_t {
+    Known,      ///< A fresh report showed room and a good time.
+    Guessed,    ///< By what was known, which may be old.
+    Unreported, ///< The service tells nothing of its load.
+  };
+  Grounds By = Grounds::Known;
+  bool Hedge = false;                   ///< Beside a try that takes long.
+  bool Repeat = false;                  ///< After a try that came to nothing.
+  bool Cold = false;                    ///< The upstream is cold.
+  Duration ReportAge = Duration::max(); ///< max: there was no report.
+  double Busy = 0;                      ///< Requests expected to be there.
+  double Slowness = 1;                  ///< Expected, beside the usual time.
+  Duration Expected{0};                 ///< Time that it is expected to take.
+};
+
 /// Send the request to an upstream.
 struct StartAttempt {
   AttemptId Attempt{};
   RequestId Request{};
   std::string Upstream;
   Instant Deadline{};
+  Choice Why;
 };
 /// Cancel an attempt; its AttemptEnded still follows.
 struct CancelAttempt {
@@ -130,12 +148,25 @@
   RequestId Request{};
   AttemptId Attempt{};
 };
+/// What was known of the upstreams when a request was refused.
+struct Situation {
+  unsigned InService = 0;
+  unsigned Ejected = 0;
+  unsigned Cold = 0; ///< And had their share for now.
+  unsigned Full = 0;
+  unsigned Slow = 0;
+  unsigned Unknown = 0;    ///< Without a fresh report.
+  std::size_t Waiting = 0; ///< Requests, this one included.
+  double RetryTokens = 0;
+};
+
 /// Give the caller its final answer.
 struct Refuse {
   RequestId Request{};
   RefusalReason Reason{};
   Truth Outcome{};
   Duration RetryAfter{0}; ///< Zero: coming back does not help.
+  Situation Seen;
 };
 /// Check an upstream's health; ProbeEnded follows.
 struct SendProbe {
@@ -146,8 +177,22 @@
   std::uint64_t Fingerprint = 0;
 };
 
+/// Something is believed of an upstream from now on; for the log.
+struct Noticed {
+  enum class What : std::uint8_t { Ejected, Back, Cold };
+  std::string Upstream;
+  What Now{};
+  std::string Why;
+  Duration For{0}; ///< At least, or about.
+};
+/// A repeat was not sent, since the budget is spent; for the log.
+struct BudgetEmpty {};
+
 using Action = std::variant<StartAttempt, CancelAttempt, Deliver, Refuse,
-                            SendProbe, TellCondemned>;
+                            SendProbe, TellCondemned, Noticed, BudgetEmpty>;
 using Actions = std::vector<Action>;
 
+const char *nameOf(Choice::Grounds grounds);
+const char *nameOf(Noticed::What what);
+
 } // namespace zinniarail::balance
--- a/src/balance/Attempts.cpp
+++ b/src/balance/Attempts.cpp
@@ -2,6 +2,7 @@
 #include "balance/State.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace zinniarail::balance {
 
@@ -64,8 +65,12 @@
   }
   if (event.End != AttemptEnd::NotSent) {
     if (!maySpend(engine.Budget, 0)) {
+      if (!std::exchange(engine.BudgetTold, true)) {
+        step.Out.emplace_back(BudgetEmpty{});
+      }
       return false;
     }
+    engine.BudgetTold = false;
     spend(engine.Budget);
     ++engine.Counters.Retries;
   }
@@ -127,7 +132,7 @@
   case AttemptEnd::Answered:
     noteHarmless(engine, attempt.Fingerprint);
     if (isServerError(event)) {
-      return noteFailure(step, upstream, false);
+      return noteFailure(step, upstream, false, "answered with an error");
     }
     noteGood(upstream);
     if (!event.Report) {
@@ -145,18 +150,18 @@
     return;
   case AttemptEnd::NotSent:
     if (!attempt.Cancelled) {
-      noteFailure(step, upstream, true);
+      noteFailure(step, upstream, true, "could not be reached");
     }
     return;
   case AttemptEnd::RefusedUnrun:
-    return noteFailure(step, upstream, false);
+    return noteFailure(step, upstream, false, "refused a request");
   case AttemptEnd::Misdirected:
-    return noteFailure(step, upstream, true);
+    return noteFailure(step, upstream, true, "has another identity");
   case AttemptEnd::Broken:
     if (attempt.Cancelled) {
       return;
     }
-    noteFailure(step, upstream, false);
+    noteFailure(step, upstream, false, "broke off a response");
     if (!event.KeptAndSilent) {
       noteCrash(step, upstream.Plan.Id, attempt.Fingerprint);
     }
@@ -165,8 +170,10 @@
 
 } // namespace
 
-void startAttempt(Step step, RequestState &request, UpstreamState &upstream) {
+void startAttempt(Step step, RequestState &request, const Placement &found,
+                  bool isHedge) {
   Engine &engine = step.Self;
+  UpstreamState &upstream = *found.Upstream;
   const AttemptId id{engine.NextAttempt++};
   AttemptState attempt;
   attempt.Request = request.Id;
@@ -174,13 +181,11 @@
   attempt.Route = request.Treatment.Route;
   attempt.Fingerprint = request.Fingerprint;
   attempt.Started = step.Now;
-  attempt.Expected = expectedTime(engine, request, upstream, step.Now);
+  attempt.Expected = found.Why.Expected;
   const bool known = isFresh(upstream.Load, step.Now);
-  const double busy =
-      busyNow(upstream.Load, static_cast<unsigned>(upstream.Running.size()),
-              leastTime(engine, request), step.Now);
-  attempt.OnLastSlot =
-      upstream.Plan.Slots > 1 && known && busy + 1.5 > upstream.Plan.Slots;
+
+  attempt.OnLastSlot = upstream.Plan.Slots > 1 && known &&
+                       found.Why.Busy + 1.5 > upstream.Plan.Slots;
   if (attempt.OnLastSlot) {
     engine.LastSlotTriedAt = step.Now;
   }
@@ -203,8 +208,11 @@
     setHedge(engine, request, step.Now + delay);
   }
   engine.Attempts.emplace(numberOf(id), std::move(attempt));
-  step.Out.emplace_back(
-      StartAttempt{id, request.Id, upstream.Plan.Id, request.Deadline});
+  StartAttempt action{id, request.Id, upstream.Plan.Id, request.Deadline,
+                      found.Why};
+  action.Why.Hedge = isHedge;
+  action.Why.Repeat = !isHedge && request.Tried.size() > 1;
+  step.Out.emplace_back(std::move(action));
 }
 
 void cancelLive(Step step, RequestState &request) {
@@ -232,7 +240,7 @@
   }
   spend(engine.Budget);
   ++engine.Counters.Hedges;
-  startAttempt(step, request, *found.Upstream);
+  startAttempt(step, request, found, true);
 }
 
 void onEnded(Step step, const AttemptEnded &event) {
--- a/src/balance/Engine.cpp
+++ b/src/balance/Engine.cpp
@@ -73,6 +73,8 @@
   return engine.Queue.size();
 }
 
+double retryTokens(const Engine &engine) { return engine.Budget.Tokens; }
+
 const EngineCounters &countersOf(const Engine &engine) {
   return engine.Counters;
 }
@@ -137,6 +139,30 @@
   return "";
 }
 
+const char *nameOf(Choice::Grounds grounds) {
+  switch (grounds) {
+  case Choice::Grounds::Known:
+    return "known";
+  case Choice::Grounds::Guessed:
+    return "guessed";
+  case Choice::Grounds::Unreported:
+    return "unreported";
+  }
+  return "";
+}
+
+const char *nameOf(Noticed::What what) {
+  switch (what) {
+  case Noticed::What::Ejected:
+    return "ejected";
+  case Noticed::What::Back:
+    return "back";
+  case Noticed::What::Cold:
+    return "cold";
+  }
+  return "";
+}
+
 const char *nameOf(AttemptEnd end) {
   switch (end) {
   case AttemptEnd::Answered:
--- a/src/balance/Placing.cpp
+++ b/src/balance/Placing.cpp
@@ -74,6 +74,7 @@
   double Hoped = 0;    ///< Micros, if what is not known were good.
   double Expected = 0; ///< Micros.
   double Busy = 0;
+  double Slowness = 1;
   bool Fresh = false;
   bool Full = false;
 };
@@ -120,6 +121,7 @@
   const double hoped =
       out.Fresh ? slowness
                 : std::min(slownessNow(upstream.Load, 1, now), slowness);
+  out.Slowness = slowness;
   out.Expected = timeOf(engine, request, upstream, slowness, out.Busy, now);
   out.Hoped = timeOf(engine, request, upstream, hoped, out.Busy, now);
   out.Full =
@@ -173,6 +175,20 @@
   return best;
 }
 
+Placement send(const Outlook &chosen, Choice::Grounds grounds, Instant now) {
+  Placement out;
+  out.What = Placement::Kind::Send;
+  out.Upstream = chosen.Upstream;
+  out.Why.By = grounds;
+  const KnownLoad &load = chosen.Upstream->Load;
+  out.Why.ReportAge = load.Known ? now - load.At : Duration::max();
+  out.Why.Busy = chosen.Busy;
+  out.Why.Slowness = chosen.Slowness;
+  out.Why.Expected = Duration(static_cast<Duration::rep>(chosen.Expected));
+  out.Why.Cold = isCold(*chosen.Upstream, now);
+  return out;
+}
+
 // When an upstream may have room and be quick, by its last report.
 Instant hopefulFrom(const Engine &engine, const UpstreamState &upstream,
                     Duration usual, Instant now) {
@@ -255,7 +271,9 @@
     const bool any =
         std::any_of(engine.Upstreams.begin(), engine.Upstreams.end(),
                     [](const auto &it) { return it.second.Planned; });
-    return {any ? Placement::Kind::Wait : Placement::Kind::Never, nullptr, {}};
+    Placement none;
+    none.What = any ? Placement::Kind::Wait : Placement::Kind::Never;
+    return none;
   }
   const auto usual = static_cast<double>(leastTime(engine, request).count());
   const auto left = static_cast<double>(
@@ -271,9 +289,10 @@
   if (engine.TellsLoad) {
     const double limit = good == nullptr ? std::numeric_limits<double>::max()
                                          : good->Expected * WorthAsking;
-    Placement look{
-        Placement::Kind::Look, nullptr,
-        worthProbing(engine, all, limit, leastTime(engine, request), now)};
+    Placement look;
+    look.What = Placement::Kind::Look;
+    look.Probes =
+        worthProbing(engine, all, limit, leastTime(engine, request), now);
     const bool asked =
         std::any_of(look.Probes.begin(), look.Probes.end(),
                     [](const UpstreamState *it) { return it->ProbeOut; });
@@ -284,16 +303,45 @@
     }
   }
   if (good != nullptr) {
-    return {Placement::Kind::Send, good->Upstream, {}};
+    return send(*good, Choice::Grounds::Known, now);
   }
   const bool mayGuess = !engine.TellsLoad || engine.BadShare < GuessLimit ||
                         (lastResort && now - engine.SentAt > GuessPause);
   const Outlook *best =
       pick(engine, all, [](const Outlook &it) { return it.Expected; });
   if (best == nullptr || !mayGuess) {
-    return {Placement::Kind::Wait, nullptr, {}};
+    return {};
+  }
+  return send(*best,
+              engine.TellsLoad ? Choice::Grounds::Guessed
+                               : Choice::Grounds::Unreported,
+              now);
+}
+
+Situation describeSituation(Engine &engine, const RequestState &request,
+                            Instant now) {
+  Situation out;
+  for (auto &[id, it] : engine.Upstreams) {
+    if (!it.Planned) {
+      continue;
+    }
+    ++out.InService;
+    const Outlook seen = outlookOf(engine, request, it, now);
+    if (isEjected(it, now)) {
+      ++out.Ejected;
+    } else if (isCold(it, now) && now < it.ColdNext) {
+      ++out.Cold;
+    } else if (seen.Full) {
+      ++out.Full;
+    } else if (!seen.Fresh) {
+      ++out.Unknown;
+    } else if (isSlow(engine, it.Load.Report.Slowness)) {
+      ++out.Slow;
+    }
   }
-  return {Placement::Kind::Send, best->Upstream, {}};
+  out.Waiting = engine.Queue.size();
+  out.RetryTokens = engine.Budget.Tokens;
+  return out;
 }
 
 } // namespace zinniarail::balance
--- a/src/balance/Requests.cpp
+++ b/src/balance/Requests.cpp
@@ -157,7 +157,8 @@
   ++step.Self.Counters.Refused;
   step.Out.emplace_back(
       Refuse{request.Id, reason, truth,
-             retryAfter(step.Self, request, reason, step.Now)});
+             retryAfter(step.Self, request, reason, step.Now),
+             describeSituation(step.Self, request, step.Now)});
   forget(step.Self, request);
 }
 
@@ -208,7 +209,7 @@
     case Placement::Kind::Send:
       std::erase(engine.Queue, id);
       request.Queued = false;
-      startAttempt(step, request, *found.Upstream);
+      startAttempt(step, request, found, false);
       continue;
     case Placement::Kind::Look:
       for (UpstreamState *it : found.Probes) {
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -96,6 +96,7 @@
   Instant SentAt{};      ///< The last attempt.
   bool TellsLoad = true; ///< Until a response came without a report.
   RetryBudget Budget;
+  bool BudgetTold = false; ///< That it is spent.
   double ProbeTokens = 1;
   Instant ProbeTokensAt{};
   std::unordered_map<std::uint64_t, Suspicion> Suspects;
@@ -111,6 +112,20 @@
   Actions &Out;
 };
 
+/// What to do with a request that waits.
+struct Placement {
+  enum class Kind : std::uint8_t {
+    Send,  ///< To Upstream.
+    Look,  ///< First ask those of Probes how they are.
+    Wait,  ///< Nobody has room, or answers are due.
+    Never, ///< No upstream is in service.
+  };
+  Kind What = Kind::Wait;
+  UpstreamState *Upstream = nullptr;
+  std::vector<UpstreamState *> Probes;
+  Choice Why;
+};
+
 // Requests.cpp
 void onArrival(Step step, const RequestArrived &event);
 void onGone(Step step, const CallerGone &event);
@@ -123,7 +138,8 @@
 void drain(Step step);
 
 // Attempts.cpp
-void startAttempt(Step step, RequestState &request, UpstreamState &upstream);
+void startAttempt(Step step, RequestState &request, const Placement &found,
+                  bool isHedge);
 void onEnded(Step step, const AttemptEnded &event);
 void hedge(Step step, RequestState &request);
 void cancelLive(Step step, RequestState &request);
@@ -138,7 +154,9 @@
 bool isSlow(const Engine &engine, double slowness);
 void noteGood(UpstreamState &upstream);
 /// \param certain whether the upstream is surely out of order.
-void noteFailure(Step step, UpstreamState &upstream, bool certain);
+/// \param why for the log.
+void noteFailure(Step step, UpstreamState &upstream, bool certain,
+                 const char *why);
 void noteDrag(UpstreamState &upstream, double ratio, Instant now);
 double dragNow(const UpstreamState &upstream, Instant now);
 void probe(Step step, UpstreamState &upstream);
@@ -150,21 +168,12 @@
 void paceCold(const Engine &engine, UpstreamState &upstream, Instant now);
 
 // Placing.cpp
-/// What to do with a request that waits.
-struct Placement {
-  enum class Kind : std::uint8_t {
-    Send,  ///< To Upstream.
-    Look,  ///< First ask those of Probes how they are.
-    Wait,  ///< Nobody has room, or answers are due.
-    Never, ///< No upstream is in service.
-  };
-  Kind What = Kind::Wait;
-  UpstreamState *Upstream = nullptr;
-  std::vector<UpstreamState *> Probes;
-};
 /// \param lastResort whether those that would be late may be taken.
 Placement place(Engine &engine, const RequestState &request, bool lastResort,
                 Instant now);
+/// What is known of the upstreams, as a request of this kind meets them.
+Situation describeSituation(Engine &engine, const RequestState &request,
+                            Instant now);
 /// Requests that an upstream is given at a time.
 unsigned capacityOf(const Engine &engine, const UpstreamState &upstream,
                     Instant now);
--- a/src/balance/Upstreams.cpp
+++ b/src/balance/Upstreams.cpp
@@ -42,13 +42,19 @@
 // Beyond this many times the usual slowness an upstream counts as slow.
 constexpr double SlowFactor = 1.5;
 
-void eject(Step step, UpstreamState &upstream) {
+void eject(Step step, UpstreamState &upstream, const std::string &why) {
   Health &health = upstream.Standing;
+  const bool wasOut = isEjected(upstream, step.Now);
   health.Backoff = std::clamp(health.Backoff * 2, FirstBackoff, LongestBackoff);
   health.EjectedUntil = step.Now + health.Backoff;
   health.NeedsProbe = true;
   health.FailuresInRow = 0;
+  if (wasOut) {
+    return;
+  }
   ++step.Self.Counters.Ejections;
+  step.Out.emplace_back(
+      Noticed{upstream.Plan.Id, Noticed::What::Ejected, why, health.Backoff});
 }
 
 double probeTokens(const Engine &engine, Instant now) {
@@ -147,7 +153,8 @@
   }
 }
 
-void noteFailure(Step step, UpstreamState &upstream, bool certain) {
+void noteFailure(Step step, UpstreamState &upstream, bool certain,
+                 const char *why) {
   Health &health = upstream.Standing;
   ++health.FailuresInRow;
   health.FailureShare += (1 - health.FailureShare) * EndWeight;
@@ -156,7 +163,10 @@
                    health.FailuresInRow >= FailuresToEject ||
                    health.FailureShare > FailureShareToEject;
   if (due && !isEjected(upstream, step.Now)) {
-    eject(step, upstream);
+    eject(step, upstream,
+          std::string(why) + ", failed in a row: " +
+              std::to_string(health.FailuresInRow) + ", failed of 100: " +
+              std::to_string(std::lround(health.FailureShare * 100)));
   }
 }
 
@@ -200,6 +210,10 @@
     takeReport(step.Self, it, *event.Report, step.Now);
   }
   if (event.Reached) {
+    if (event.ColdFor > Duration{0} && !isCold(it, step.Now)) {
+      step.Out.emplace_back(Noticed{it.Plan.Id, Noticed::What::Cold,
+                                    "a health check said so", event.ColdFor});
+    }
     it.ColdUntil = event.ColdFor > Duration{0}
                        ? step.Now + event.ColdFor
                        : std::min(it.ColdUntil, step.Now);
@@ -208,12 +222,11 @@
   if (event.Reached && event.Healthy) {
     if (health.NeedsProbe && step.Now >= health.EjectedUntil) {
       health.NeedsProbe = false;
+      step.Out.emplace_back(Noticed{it.Plan.Id, Noticed::What::Back,
+                                    "a health check succeeded", Duration{0}});
     }
   } else if (!event.Reached) {
-    health.NeedsProbe = true;
-    health.Backoff =
-        std::clamp(health.Backoff * 2, FirstBackoff, LongestBackoff);
-    health.EjectedUntil = step.Now + health.Backoff;
+    eject(step, it, "did not answer a health check");
   }
   dropUnplanned(step.Self);
 }
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -5,8 +5,12 @@
 #include <random>
 
 #include <ev.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
 
+#include "daemon/BeliefLog.h"
 #include "fleet/PeerTask.h"
+#include "operator/OperatorPort.h"
 #include "platform/Platform.h"
 #include "proxy/Proxy.h"
 #include "store/StoreTask.h"
@@ -21,6 +25,7 @@
 constexpr unsigned Unavailable = 503;
 
 constexpr double StopInterval = 0.05; // seconds
+constexpr double TickSeconds = 1;     // between two looks at what is to be told
 
 // What is left of the time for a stop to write the last answers.
 constexpr Duration StopMargin = std::chrono::milliseconds{500};
@@ -37,6 +42,11 @@
   void operator()(struct ev_loop *it) const { ev_loop_destroy(it); }
 };
 
+prometheus::Family<prometheus::Gauge> &
+addGauges(prometheus::Registry &registry, const char *name, const char *help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+}
+
 std::uint64_t drawSeed() {
   std::random_device device;
   return (std::uint64_t{device()} << 32U) | device();
@@ -61,12 +71,17 @@
   fleet::PeerHandlers peerHandlers();
   store::StoreHandlers storeHandlers();
 
+  OperatorSources operatorSources();
+  std::string stateName() const;
+  boost::json::object dump() const;
+  void measure();
+  void tick();
+
   void takeDuty(Duty duty);
   void takeNews(const fleet::News &news);
   void fillNews(fleet::News &news, fleet::Part part) const;
   void takeStoreChange(platform::Kind kind);
   void takeLive();
-  void logVersion();
   void refresh();
   void answerResolve(http::ExchangeId id, const http::Request &request);
   void settle();
@@ -85,9 +100,15 @@
   ev_prepare BeforeWait{};
   ev_timer WakeTimer{};
   ev_timer StopTimer{};
+  ev_timer SecondTimer{};
   ev_signal Terminate{};
   ev_signal Reload{};
+  prometheus::Registry Registry;
+  prometheus::Family<prometheus::Gauge> &BeliefAge;
+  prometheus::Family<prometheus::Gauge> &Numbers;
+  prometheus::Family<prometheus::Gauge> &StoreCalls;
   store::Mirror Known;
+  BeliefLog Beliefs;
   http::ClientPool Pool;
   proxy::Proxy Core;
   http::Server Callers;
@@ -95,9 +116,10 @@
   http::Server Directory;
   store::StoreTask Store;
   fleet::PeerTask Peers;
+  OperatorPort Operators;
+  Instant ConfirmedAt{}; ///< When what is known of the store was last current.
   bool Changed = false;  ///< What the proxy is to be told.
   bool Complete = false; ///< Upstreams were heard of once at least.
-  std::uint64_t LoggedVersion = 0;
   bool Stopping = false;
   Instant StoppingSince{};
   ExitCode Code = ExitCode::Done;
@@ -131,20 +153,30 @@
 
 Node::Node(NodeSettings settings)
     : Options(withSeed(std::move(settings))), Owned(ev_loop_new(EVFLAG_AUTO)),
-      Loop(Owned.get()), Pool(Loop,
-                              [this](http::CallId id, http::CallResult result) {
-                                Core.onCallEnded(id, std::move(result));
-                              }),
-      Core(makeContext(Options), proxyOutlets()),
+      Loop(Owned.get()),
+      BeliefAge(addGauges(Registry, "zinniarail_belief_age_seconds",
+                          "Since what is believed was last known to be so")),
+      Numbers(addGauges(Registry, "zinniarail_state",
+                        "Counts of what this process knows and holds")),
+      StoreCalls(addGauges(Registry, "zinniarail_store_calls",
+                           "Calls to the platform's store since the start")),
+      Pool(Loop,
+           [this](http::CallId id, http::CallResult result) {
+             Core.onCallEnded(id, std::move(result));
+           }),
+      Core(makeContext(Options), proxyOutlets(), Registry),
       Callers(Loop, callerHandlers()), Ready(Loop, readyHandlers()),
       Directory(Loop, directoryHandlers()),
       Store(Loop, Options.StoreAddress, Known, Options.Seed, storeHandlers()),
       Peers(Loop, describeSelf(Options, drawSeed()), Options.Seeds,
-            Options.FirstStart ? FirstSettleTime : SettleTime, peerHandlers()) {
+            Options.FirstStart ? FirstSettleTime : SettleTime, peerHandlers()),
+      Operators(Loop, operatorSources()) {
   ev_prepare_init(&BeforeWait, (&on<&Node::settle, ev_prepare>));
   ev_timer_init(&WakeTimer, (&on<&Node::settle, ev_timer>), 0, 0);
   ev_timer_init(&StopTimer, (&on<&Node::checkStop, ev_timer>), StopInterval,
                 StopInterval);
+  ev_timer_init(&SecondTimer, (&on<&Node::tick, ev_timer>), TickSeconds,
+                TickSeconds);
   ev_signal_init(&Terminate, (&on<&Node::beginStop, ev_signal>), SIGTERM);
   ev_signal_init(
       &Reload,
@@ -152,13 +184,15 @@
         logEvent(EventId::SettingsKept, "SIGHUP");
       },
       SIGHUP);
-  BeforeWait.data = WakeTimer.data = StopTimer.data = Terminate.data = this;
+  BeforeWait.data = WakeTimer.data = StopTimer.data = SecondTimer.data =
+      Terminate.data = this;
 }
 
 Node::~Node() {
   ev_prepare_stop(Loop, &BeforeWait);
   ev_timer_stop(Loop, &WakeTimer);
   ev_timer_stop(Loop, &StopTimer);
+  ev_timer_stop(Loop, &SecondTimer);
   ev_signal_stop(Loop, &Terminate);
   ev_signal_stop(Loop, &Reload);
 }
@@ -221,11 +255,81 @@
           }};
 }
 
+OperatorSources Node::operatorSources() {
+  return {Options.InstanceId,
+          [this] { return stateName(); },
+          [this] { return Known.Config ? Known.Config->Version : 0; },
+          [this] { return dump(); },
+          [this] { measure(); },
+          [this] { beginStop(); },
+          &Registry};
+}
+
+std::string Node::stateName() const {
+  if (Stopping) {
+    return "stopping";
+  }
+  if (!Known.Config) {
+    return "no-configuration";
+  }
+  return Complete ? "ready" : "no-upstreams-known";
+}
+
+boost::json::object Node::dump() const {
+  const Instant now = readClock();
+  return {{"instance", Options.InstanceId},
+          {"state", stateName()},
+          {"proxy", Core.describe(now)},
+          {"store", Store.describe(now)},
+          {"peers", Peers.describe(now)}};
+}
+
+void Node::measure() {
+  const Instant now = readClock();
+  Core.measure();
+  const auto age = [&](Instant then) {
+    return std::chrono::duration<double>(now - then).count();
+  };
+  // While it reads, the store answers every half second; while it follows, the
+  // reader does so for it.
+  BeliefAge.Add({{"of", "store"}}).Set(age(ConfirmedAt));
+  const auto set = [&](const char *what, std::size_t value) {
+    Numbers.Add({{"what", what}}).Set(static_cast<double>(value));
+  };
+  set("configuration-version", Known.Config ? Known.Config->Version : 0);
+  set("upstreams", Known.Upstreams.Entries.size());
+  set("domains-out", Known.DomainsOut.size());
+  set("instances-live", Peers.live().size());
+  set("instances-known", Peers.known());
+  set("reads-the-store", Peers.duty() == Duty::Read ? 1 : 0);
+  set("caller-connections", Callers.connections());
+  set("upstream-connections", Pool.connections());
+  set("log-lines-dropped", droppedLines());
+  for (const auto &[key, count] : Store.calls()) {
+    StoreCalls
+        .Add({{"call", key.first}, {"result", platform::nameOf(key.second)}})
+        .Set(static_cast<double>(count));
+  }
+}
+
+void Node::tick() {
+  if (Peers.isConfirmed()) {
+    ConfirmedAt = readClock();
+  }
+  Core.tellLeftOut();
+  flushLog();
+}
+
 bool Node::open() {
   const std::pair<http::Server *, const std::string *> ports[]{
       {&Callers, &Options.CallerAddress},
       {&Ready, &Options.ReadyAddress},
       {&Directory, &Options.DirectoryAddress}};
+  if (!Operators.listen(Options.OperatorAddress)) {
+    logEvent(EventId::PortUnusable,
+             "cannot listen on " + Options.OperatorAddress);
+    return false;
+  }
   for (const auto &[server, address] : ports) {
     if (!server->listen(*address)) {
       logEvent(EventId::PortUnusable, "cannot listen on " + *address);
@@ -244,6 +348,7 @@
   ev_signal_start(Loop, &Terminate);
   ev_signal_start(Loop, &Reload);
   ev_prepare_start(Loop, &BeforeWait);
+  ev_timer_start(Loop, &SecondTimer);
   Peers.start();
   ev_run(Loop, 0);
   return Code;
@@ -262,8 +367,8 @@
 
 void Node::takeNews(const fleet::News &news) {
   const Instant now = readClock();
-  if (news.Config && adopt(Known, news.Config)) {
-    logVersion();
+  if (news.Config) {
+    adopt(Known, news.Config);
   }
   if (news.Upstreams) {
     putAll(Known, news.Upstreams->All, news.Upstreams->AsOf, now);
@@ -302,7 +407,6 @@
   case platform::Kind::Configuration:
     if (Known.Config) {
       Peers.publish(fleet::Part::Configuration);
-      logVersion();
     }
     break;
   case platform::Kind::Upstreams:
@@ -318,15 +422,8 @@
   Changed = true;
 }
 
-void Node::logVersion() {
-  if (Known.Config->Version != LoggedVersion) {
-    LoggedVersion = Known.Config->Version;
-    logEvent(EventId::DocumentInForce,
-             "version " + std::to_string(LoggedVersion));
-  }
-}
-
 void Node::takeLive() {
+  Beliefs.noteLive(Peers.live());
   if (Peers.duty() == Duty::Read) {
     std::vector<Instance> live;
     for (const Member &it : Peers.live()) {
@@ -350,6 +447,7 @@
   if (fleet->Config) {
     Callers.setLimits(fleet->Config->Limits);
   }
+  Beliefs.noteFleet(*fleet);
   Core.onFleet(std::move(fleet));
 }
 
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -1,10 +1,12 @@
 #include "zinniarail/events/Events.h"
 
+#include "events/BoundedAppender.h"
+
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <memory>
 
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
@@ -13,6 +15,14 @@
 
 namespace {
 
+// Lines that wait for a slow reader.
+constexpr std::size_t KeptBytes = std::size_t{256} << 10;
+
+constexpr double MicrosPerMillisecond = 1e3;
+
+// Owned by the logger.
+BoundedAppender *Appender = nullptr;
+
 constexpr EventKind Kinds[]{
     {EventId::Started, "started", EventLevel::Info,
      "The ports are bound. The instance serves once a document is in force."},
@@ -67,6 +77,43 @@
     {EventId::HomeUnreachable, "home-unreachable", EventLevel::Warn,
      "A request could not be handed to a home of its service; another is "
      "tried. Look at that instance when it goes on."},
+    {EventId::RequestServed, "request-served", EventLevel::Info,
+     "A request got its answer in time. Only some of these are listed under "
+     "load; see requests-not-listed."},
+    {EventId::RequestSlow, "request-slow", EventLevel::Info,
+     "A request got a good answer, but late, or not from its first try."},
+    {EventId::RequestRefused, "request-refused", EventLevel::Warn,
+     "A request was refused; it did not run. The fields say what the instance "
+     "knew of the upstreams and when the caller may come back."},
+    {EventId::RequestFailed, "request-failed", EventLevel::Warn,
+     "A request ended with an upstream's error, or without a whole answer "
+     "though it may have run."},
+    {EventId::RequestGone, "request-gone", EventLevel::Info,
+     "The caller closed its connection before the answer."},
+    {EventId::RequestsNotListed, "requests-not-listed", EventLevel::Info,
+     "So many requests-served lines were left out in the last second."},
+    {EventId::UpstreamEjected, "upstream-ejected", EventLevel::Warn,
+     "An upstream gets no requests until a health check succeeds: it failed, "
+     "or could not be reached."},
+    {EventId::UpstreamBack, "upstream-back", EventLevel::Info,
+     "A health check of an ejected upstream succeeded."},
+    {EventId::UpstreamCold, "upstream-cold", EventLevel::Info,
+     "An upstream is cold and gets few requests for a while."},
+    {EventId::BudgetSpent, "budget-spent", EventLevel::Warn,
+     "A request was not sent to a second upstream, since the budget of "
+     "repeats is spent. Told once until there is some again."},
+    {EventId::RequestsCondemned, "requests-condemned", EventLevel::Warn,
+     "Requests with this fingerprint crash the upstreams that run them and are "
+     "refused from now on."},
+    {EventId::UpstreamsChanged, "upstreams-changed", EventLevel::Info,
+     "Upstreams were registered or removed, or changed their state."},
+    {EventId::InstanceFound, "instance-found", EventLevel::Info,
+     "Another instance of the failure domain lives."},
+    {EventId::InstanceLost, "instance-lost", EventLevel::Warn,
+     "Another instance of the failure domain was silent for too long, or "
+     "leaves; callers are no longer sent there."},
+    {EventId::LinesDropped, "lines-dropped", EventLevel::Warn,
+     "So many lines were dropped before this one, since nobody took them."},
 };
 
 log4cplus::LogLevel levelOf(EventLevel level) {
@@ -94,6 +141,41 @@
   return it;
 }
 
+// Quotes a value where a reader could not tell its end.
+void appendValue(std::string &out, const std::string &value) {
+  const bool plain = !value.empty() &&
+                     value.find_first_of(" =\"\\\n\r\t") == std::string::npos;
+  if (plain) {
+    out += value;
+    return;
+  }
+  out += '"';
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      out += '\\';
+    }
+    out += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+  }
+  out += '"';
+}
+
+template <typename Fields> void write(EventId id, const Fields &fields) {
+  const EventKind &kind = kindOf(id);
+  const log4cplus::LogLevel level = levelOf(kind.Level);
+  if (!logger().isEnabledFor(level)) {
+    return;
+  }
+  std::string line = "event=" + std::to_string(static_cast<unsigned>(id)) +
+                     " name=" + kind.Name;
+  for (const Field &it : fields) {
+    line += ' ';
+    line += it.Key;
+    line += '=';
+    appendValue(line, it.Value);
+  }
+  logger().log(level, line);
+}
+
 } // namespace
 
 std::span<const EventKind> eventKinds() { return Kinds; }
@@ -103,14 +185,14 @@
                        [&](const EventKind &it) { return it.Id == id; });
 }
 
-void openLog(const std::string &level) {
+void openLog(const std::string &level, int fd) {
   log4cplus::Logger log = logger();
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(true, true));
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-      "%D{%Y-%m-%dT%H:%M:%S.%q} %p %m%n"));
+  Appender = new BoundedAppender(fd, KeptBytes);
+  const log4cplus::SharedAppenderPtr owned(Appender);
+  owned->setLayout(std::make_unique<log4cplus::PatternLayout>(
+      "time=%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n"));
   log.removeAllAppenders();
-  log.addAppender(appender);
+  log.addAppender(owned);
   log.setAdditivity(false);
   std::string upper = level;
   std::transform(upper.begin(), upper.end(), upper.begin(),
@@ -118,17 +200,41 @@
   log.setLogLevel(log4cplus::getLogLevelManager().fromString(upper));
 }
 
+void flushLog() {
+  if (Appender != nullptr) {
+    Appender->flush();
+  }
+}
+
+std::uint64_t droppedLines() {
+  return Appender == nullptr ? 0 : Appender->counts().Dropped;
+}
+
 bool isLogged(EventId id) {
   return logger().isEnabledFor(levelOf(kindOf(id).Level));
 }
 
+void logEvent(EventId id, std::initializer_list<Field> fields) {
+  write(id, fields);
+}
+
+void logEvent(EventId id, const std::vector<Field> &fields) {
+  write(id, fields);
+}
+
 void logEvent(EventId id, const std::string &text) {
-  const EventKind &kind = kindOf(id);
-  const log4cplus::LogLevel level = levelOf(kind.Level);
-  if (logger().isEnabledFor(level)) {
-    logger().log(level, std::to_string(static_cast<unsigned>(id)) + " " +
-                            kind.Name + " " + text);
-  }
+  logEvent(id, {Field("text", text)});
+}
+
+Field::Field(const char *key, Duration value)
+    : Field(key, static_cast<double>(value.count()) / MicrosPerMillisecond) {}
+
+Field::Field(const char *key, double value) : Key(key) {
+  std::array<char, 32> text;
+  constexpr int digits = 2;
+  const auto [end, ec] = std::to_chars(text.data(), text.data() + text.size(),
+                                       value, std::chars_format::fixed, digits);
+  Value.assign(text.data(), ec == std::errc{} ? end : text.data());
 }
 
 } // namespace zinniarail
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -387,6 +387,15 @@
 
 std::size_t PeerTask::known() const { return KnownCount; }
 
+bool PeerTask::isConfirmed() const {
+  if (Choice.Now == Duty::Read) {
+    return Known.Self.Healthy;
+  }
+  const auto reader = Known.Others.find(Choice.Reader);
+  return Choice.Now == Duty::Follow && reader != Known.Others.end() &&
+         isHeard(reader->second, readClock()) && reader->second.Said.Healthy;
+}
+
 std::size_t PeerTask::position() const {
   return positionOf(Known, readClock());
 }
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -74,6 +74,11 @@
   std::size_t position() const;
 
   const Member &self() const { return Known.Self; }
+  /// Whether what is known of the store is current, as far as this instance can
+  /// tell: it reads and the store answers, or it follows one for whom that
+  /// holds.
+  bool isConfirmed() const;
+
   Duty duty() const { return Choice.Now; }
 
   boost::json::object describe(Instant now) const;
--- /dev/null
+++ b/src/operator/OperatorPort.cpp
@@ -0,0 +1,69 @@
+#include "operator/OperatorPort.h"
+
+#include <boost/json.hpp>
+#include <prometheus/text_serializer.h>
+
+namespace zinniarail {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr unsigned Ok = 200;
+constexpr unsigned Accepted = 202;
+constexpr unsigned NotFound = 404;
+constexpr unsigned MethodNotAllowed = 405;
+constexpr unsigned Unavailable = 503;
+
+http::Response makeJson(unsigned status, const json::object &body) {
+  return {status,
+          {{"Content-Type", "application/json"}},
+          json::serialize(body) + "\n"};
+}
+
+} // namespace
+
+OperatorPort::OperatorPort(struct ev_loop *loop, OperatorSources sources)
+    : Sources(std::move(sources)),
+      Server(loop, {[](const http::Request &) { return true; },
+                    [this](http::ExchangeId id, const http::Request &request) {
+                      Server.answer(id, answer(request));
+                    },
+                    [](http::ExchangeId) {}}) {}
+
+http::Response OperatorPort::answer(const http::Request &request) const {
+  const std::string path(http::pathOf(request.Target));
+  const bool isDrain = path == "/drain";
+  if (request.Method != (isDrain ? "POST" : "GET")) {
+    return makeJson(MethodNotAllowed, {{"error", "method-not-allowed"}});
+  }
+  if (isDrain) {
+    Sources.Drain();
+    return makeJson(Accepted, {{"state", "stopping"}});
+  }
+  if (path == "/health") {
+    const std::string state = Sources.State();
+    return makeJson(state == "ready" ? Ok : Unavailable, {{"state", state}});
+  }
+  if (path == "/version-in-force") {
+    return makeJson(
+        Ok, {{"instance", Sources.Instance}, {"version", Sources.Version()}});
+  }
+  if (path == "/dump") {
+    return makeJson(Ok, Sources.Dump());
+  }
+  if (path == "/metrics") {
+    return showMetrics();
+  }
+  return makeJson(NotFound, {{"error", "not-found"}});
+}
+
+http::Response OperatorPort::showMetrics() const {
+  Sources.Measure();
+  const prometheus::TextSerializer serializer;
+  return {Ok,
+          {{"Content-Type", "text/plain; version=0.0.4"}},
+          serializer.Serialize(Sources.Registry->Collect())};
+}
+
+} // namespace zinniarail
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 
 #include "zinniarail/core/Hash.h"
+#include "zinniarail/events/Events.h"
 
 namespace zinniarail::proxy {
 
@@ -30,6 +31,9 @@
 // The wait that a caller is asked for while no configuration is known.
 constexpr Duration UnknownPause = std::chrono::milliseconds{300};
 
+// The longest deadline that is believed; an hour is no deadline.
+constexpr std::int64_t MostDeadlineMs = 3'600'000;
+
 constexpr unsigned BadRequest = 400;
 constexpr unsigned NotFound = 404;
 constexpr unsigned BadGateway = 502;
@@ -60,6 +64,21 @@
   return {text.data(), ec == std::errc{} ? end : text.data()};
 }
 
+http::Response makeRefusal(const RequestEnd &end) {
+  http::Response response{end.Status, {}, {}};
+  response.Fields = {{"Content-Type", "application/json"},
+                     {"X-Zinniarail-Outcome", nameOf(end.Outcome)},
+                     {"X-Zinniarail-Reason", end.Reason}};
+  // Only who has not run may come back for the same.
+  if (end.RetryAfter > Duration{0} &&
+      end.Outcome == balance::Truth::DidNotRun) {
+    response.Fields.push_back({"Retry-After", printSeconds(end.RetryAfter)});
+  }
+  response.Body = boost::json::serialize(boost::json::object{
+      {"error", end.Reason}, {"outcome", nameOf(end.Outcome)}});
+  return response;
+}
+
 unsigned statusOf(balance::RefusalReason reason, balance::Truth truth) {
   if (truth == balance::Truth::DidNotRun) {
     return Unavailable;
@@ -70,9 +89,10 @@
 
 } // namespace
 
-Proxy::Proxy(ProxyContext context, ProxyOutlets outlets)
+Proxy::Proxy(ProxyContext context, ProxyOutlets outlets,
+             prometheus::Registry &registry)
     : Context(std::move(context)), Outlets(std::move(outlets)),
-      Draws(Context.Seed, hashBytes(Context.Self)) {}
+      Counts(registry), Draws(Context.Seed, hashBytes(Context.Self)) {}
 
 void Proxy::onFleet(std::shared_ptr<const Fleet> fleet) {
   Current = std::move(fleet);
@@ -189,29 +209,37 @@
   return route.Destinations.back().Service;
 }
 
+std::optional<Instant> Proxy::deadlineOf(const http::Request &request,
+                                         const Route &route,
+                                         Instant now) const {
+  const Instant limit = now + route.Timeout;
+  const std::string *text =
+      http::findHeader(request.Fields, Context.Names->Deadline);
+  if (text == nullptr) {
+    return limit;
+  }
+  std::int64_t ms = 0;
+  const char *last = text->data() + text->size();
+  const auto [end, ec] = std::from_chars(text->data(), last, ms);
+  if (ec != std::errc{} || end != last || ms < 0 || ms > MostDeadlineMs) {
+    return std::nullopt;
+  }
+  return std::min(limit, now + Duration(std::chrono::milliseconds{ms}));
+}
+
 void Proxy::onRequest(http::ExchangeId id, http::Request request) {
   const Instant now = readClock();
   if (!Current || !Current->Config) {
-    return refuseOwn(id, Unavailable, "no-configuration",
-                     balance::Truth::DidNotRun, UnknownPause);
+    return refuseUnplaced(id, request, Unavailable, "no-configuration",
+                          UnknownPause);
   }
   const Route *route = routeOf(request);
   if (route == nullptr) {
-    return refuseOwn(id, NotFound, "no-route", balance::Truth::DidNotRun,
-                     Duration{0});
-  }
-  Instant deadline = now + route->Timeout;
-  if (const std::string *text =
-          http::findHeader(request.Fields, Context.Names->Deadline)) {
-    std::int64_t ms = 0;
-    const char *last = text->data() + text->size();
-    const auto [end, ec] = std::from_chars(text->data(), last, ms);
-    if (ec != std::errc{} || end != last || ms < 0) {
-      return refuseOwn(id, BadRequest, "bad-deadline",
-                       balance::Truth::DidNotRun, Duration{0});
-    }
-    deadline =
-        std::min(deadline, now + Duration(std::chrono::milliseconds{ms}));
+    return refuseUnplaced(id, request, NotFound, "no-route", Duration{0});
+  }
+  const auto deadline = deadlineOf(request, *route, now);
+  if (!deadline) {
+    return refuseUnplaced(id, request, BadRequest, "bad-deadline", Duration{0});
   }
   ServiceEntry &entry = entryOf(pickService(*route));
   balance::RequestArrived event;
@@ -219,11 +247,22 @@
   event.Treatment = {route->Name, route->Idempotent, route->Priority,
                      route->MaxAttempts, route->TargetLatency};
   event.Fingerprint = fingerprintOf(request);
-  event.Deadline = deadline;
+  event.Deadline = *deadline;
+  const std::string *callerId =
+      http::findHeader(request.Fields, Context.Names->RequestId);
+  RequestRecord record{callerId == nullptr ? "" : *callerId,
+                       entry.Name,
+                       route->Name,
+                       Current->Config->Version,
+                       now,
+                       route->TargetLatency,
+                       *deadline - now,
+                       {}};
   http::dropConnectionHeaders(request.Fields);
   http::dropHeader(request.Fields, Context.Names->Deadline);
   http::dropHeader(request.Fields, Context.Names->ExpectedInstance);
-  Open.emplace(id, OpenRequest{std::move(request), &entry, now, {}});
+  Open.emplace(id, OpenRequest{std::move(request), &entry, route->Idempotent,
+                               std::move(record)});
   post(entry, std::move(event));
   drain();
 }
@@ -234,18 +273,32 @@
     return;
   }
   ServiceEntry &entry = *it->second.Entry;
-  for (const http::CallId call : it->second.Calls) {
-    const auto found = Calls.find(call);
-    if (found != Calls.end() && found->second.Done) {
-      Calls.erase(found);
+  RequestEnd end;
+  end.What = RequestEnd::How::Gone;
+  const Instant now = readClock();
+  Log.write(it->second.Record, end, now);
+  Counts.noteEnd(it->second.Record, end, now);
+  forget(id);
+  post(entry, balance::CallerGone{balance::RequestId{id}});
+  drain();
+}
+
+// Drops a request and its calls that are over; those that run are dropped as
+// they end.
+void Proxy::forget(http::ExchangeId id) {
+  const auto it = Open.find(id);
+  for (const AttemptRecord &attempt : it->second.Record.Attempts) {
+    const auto call = Calls.find(attempt.Number);
+    if (call != Calls.end() && call->second.Done) {
+      Calls.erase(call);
     }
   }
   Open.erase(it);
-  post(entry, balance::CallerGone{balance::RequestId{id}});
-  drain();
 }
 
 void Proxy::onCondemned(std::uint64_t fingerprint) {
+  logEvent(EventId::RequestsCondemned,
+           {{"fingerprint", fingerprint}, {"by", "another instance"}});
   for (auto &[name, entry] : Entries) {
     post(*entry, balance::Condemned{fingerprint});
   }
@@ -313,11 +366,33 @@
           [&](const balance::Refuse &it) { refuse(it); },
           [&](const balance::SendProbe &it) { startProbe(entry, it.Upstream); },
           [&](const balance::TellCondemned &it) {
+            logEvent(EventId::RequestsCondemned,
+                     {{"service", entry.Name},
+                      {"fingerprint", it.Fingerprint},
+                      {"by", "this instance"}});
             Outlets.TellCondemned(it.Fingerprint);
+          },
+          [&](const balance::Noticed &it) { notice(entry, it); },
+          [&](const balance::BudgetEmpty &) {
+            logEvent(EventId::BudgetSpent, {{"service", entry.Name}});
           }},
       action);
 }
 
+void Proxy::notice(const ServiceEntry &entry, const balance::Noticed &it) {
+  EventId id = EventId::UpstreamBack;
+  if (it.Now == balance::Noticed::What::Ejected) {
+    id = EventId::UpstreamEjected;
+    Counts.noteEjection(entry.Name);
+  } else if (it.Now == balance::Noticed::What::Cold) {
+    id = EventId::UpstreamCold;
+  }
+  logEvent(id, {{"service", entry.Name},
+                {"upstream", it.Upstream},
+                {"why", it.Why},
+                {"for_ms", it.For}});
+}
+
 void Proxy::startAttempt(ServiceEntry &entry,
                          const balance::StartAttempt &wanted) {
   const auto found = Open.find(balance::numberOf(wanted.Request));
@@ -327,12 +402,15 @@
     return;
   }
   OpenRequest &request = found->second;
+  const Instant now = readClock();
   const http::CallId id = balance::numberOf(wanted.Attempt);
-  request.Calls.push_back(id);
+  request.Record.Attempts.push_back(
+      {id, wanted.Upstream, wanted.Why, now, false, {}, 0, {}, {}});
+  Counts.noteStart(entry.Name, wanted.Why, now - request.Record.Arrived);
   Calls[id] = {&entry, found->first, wanted.Upstream, {}, false};
   using std::chrono::floor;
   using std::chrono::milliseconds;
-  const auto left = floor<milliseconds>(wanted.Deadline - readClock()).count();
+  const auto left = floor<milliseconds>(wanted.Deadline - now).count();
   const Dialect &names = *Context.Names;
   http::Call call;
   call.Id = id;
@@ -347,9 +425,7 @@
     call.EchoName = names.RequestId;
     call.EchoValue = *echo;
   }
-  const Route *route = routeOf(request.Content);
-  call.LongestRest =
-      route != nullptr && route->Idempotent ? UsualRest : SureRest;
+  call.LongestRest = request.Idempotent ? UsualRest : SureRest;
   call.ConnectTimeout = ConnectTimeout;
   Outlets.Start(std::move(call));
 }
@@ -360,6 +436,7 @@
     post(entry, balance::ProbeEnded{upstream});
     return;
   }
+  Counts.noteProbe(entry.Name);
   const http::CallId id = FirstProbe + ++LastProbe;
   Calls[id] = {&entry, 0, upstream, {}, false};
   http::Call call;
@@ -427,11 +504,22 @@
 void Proxy::endAttempt(http::CallId id, UpstreamCall &call) {
   balance::AttemptEnded event = judge(call.Result);
   event.Attempt = balance::AttemptId{id};
+  Counts.noteAttempt(call.Entry->Name, event.End);
   post(*call.Entry, event);
-  if (Open.contains(call.Request)) {
-    call.Done = true;
-  } else {
+  const auto request = Open.find(call.Request);
+  if (request == Open.end()) {
     Calls.erase(id);
+    return;
+  }
+  call.Done = true;
+  for (AttemptRecord &it : request->second.Record.Attempts) {
+    if (it.Number == id) {
+      it.Over = true;
+      it.End = event.End;
+      it.Status = event.Status;
+      it.Took = readClock() - it.Started;
+      it.Error = call.Result.Error;
+    }
   }
 }
 
@@ -457,50 +545,76 @@
   }
   http::Response response = std::move(call->second.Result.Response);
   http::dropConnectionHeaders(response.Fields);
-  finish(balance::numberOf(wanted.Request), std::move(response));
+  RequestEnd end;
+  end.Status = response.Status;
+  finish(balance::numberOf(wanted.Request), std::move(response), end);
 }
 
 void Proxy::refuse(const balance::Refuse &wanted) {
-  refuseOwn(balance::numberOf(wanted.Request),
-            statusOf(wanted.Reason, wanted.Outcome),
-            balance::nameOf(wanted.Reason), wanted.Outcome, wanted.RetryAfter);
+  RequestEnd end;
+  end.What = RequestEnd::How::Refused;
+  end.Status = statusOf(wanted.Reason, wanted.Outcome);
+  end.Reason = balance::nameOf(wanted.Reason);
+  end.Outcome = wanted.Outcome;
+  end.RetryAfter = wanted.RetryAfter;
+  end.Seen = &wanted.Seen;
+  finish(balance::numberOf(wanted.Request), makeRefusal(end), end);
 }
 
-void Proxy::refuseOwn(http::ExchangeId id, unsigned status, const char *reason,
-                      balance::Truth truth, Duration retryAfter) {
-  http::Response response{status, {}, {}};
-  response.Fields = {{"Content-Type", "application/json"},
-                     {"X-Zinniarail-Outcome", balance::nameOf(truth)},
-                     {"X-Zinniarail-Reason", reason}};
-  if (retryAfter > Duration{0} && truth == balance::Truth::DidNotRun) {
-    response.Fields.push_back({"Retry-After", printSeconds(retryAfter)});
+// A request that no engine was told of.
+void Proxy::refuseUnplaced(http::ExchangeId id, const http::Request &request,
+                           unsigned status, const char *reason,
+                           Duration retryAfter) {
+  const std::string *callerId =
+      http::findHeader(request.Fields, Context.Names->RequestId);
+  RequestRecord record;
+  record.Id = callerId == nullptr ? "" : *callerId;
+  record.Version = Current && Current->Config ? Current->Config->Version : 0;
+  record.Arrived = readClock();
+  RequestEnd end;
+  end.What = RequestEnd::How::Refused;
+  end.Status = status;
+  end.Reason = reason;
+  end.Outcome = balance::Truth::DidNotRun;
+  end.RetryAfter = retryAfter;
+  Log.write(record, end, record.Arrived);
+  Counts.noteEnd(record, end, record.Arrived);
+  http::Response response = makeRefusal(end);
+  if (callerId != nullptr) {
+    response.Fields.push_back({Context.Names->RequestId, *callerId});
   }
-  response.Body = boost::json::serialize(boost::json::object{
-      {"error", reason}, {"outcome", balance::nameOf(truth)}});
-  finish(id, std::move(response));
+  Outlets.Answer(id, std::move(response));
 }
 
-void Proxy::finish(http::ExchangeId id, http::Response response) {
+void Proxy::finish(http::ExchangeId id, http::Response response,
+                   const RequestEnd &end) {
   const auto it = Open.find(id);
-  if (it != Open.end()) {
-    if (const std::string *echo = http::findHeader(it->second.Content.Fields,
-                                                   Context.Names->RequestId);
-        echo != nullptr &&
-        http::findHeader(response.Fields, Context.Names->RequestId) ==
-            nullptr) {
-      response.Fields.push_back({Context.Names->RequestId, *echo});
-    }
-    for (const http::CallId call : it->second.Calls) {
-      const auto found = Calls.find(call);
-      if (found != Calls.end() && found->second.Done) {
-        Calls.erase(found);
-      }
-    }
-    Open.erase(it);
+  if (it == Open.end()) {
+    return;
   }
+  const RequestRecord &record = it->second.Record;
+  const std::string &name = Context.Names->RequestId;
+  if (!record.Id.empty() &&
+      http::findHeader(response.Fields, name) == nullptr) {
+    response.Fields.push_back({name, record.Id});
+  }
+  const Instant now = readClock();
+  Log.write(record, end, now);
+  Counts.noteEnd(record, end, now);
+  forget(id);
   Outlets.Answer(id, std::move(response));
 }
 
+void Proxy::tellLeftOut() { Log.tellLeftOut(readClock()); }
+
+void Proxy::measure() {
+  for (const auto &[name, entry] : Entries) {
+    Counts.show(name, balance::openRequests(*entry->Engine),
+                balance::waitingRequests(*entry->Engine),
+                balance::retryTokens(*entry->Engine));
+  }
+}
+
 boost::json::object Proxy::describe(Instant now) const {
   boost::json::array services;
   for (const auto &[name, entry] : Entries) {
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -18,6 +19,8 @@
 #include "http/ClientPool.h"
 #include "http/Server.h"
 #include "proxy/Dialect.h"
+#include "proxy/Metrics.h"
+#include "proxy/RequestLog.h"
 #include "zinniarail/balance/Engine.h"
 #include "zinniarail/membership/Fleet.h"
 
@@ -54,7 +57,9 @@
 /// the clock anew.
 class Proxy {
 public:
-  Proxy(ProxyContext context, ProxyOutlets outlets);
+  /// \param registry outlives this.
+  Proxy(ProxyContext context, ProxyOutlets outlets,
+        prometheus::Registry &registry);
 
   void onFleet(std::shared_ptr<const Fleet> fleet);
   void onRequest(http::ExchangeId id, http::Request request);
@@ -71,6 +76,12 @@
 
   std::size_t openRequests() const { return Open.size(); }
 
+  /// Brings the gauges up to date.
+  void measure();
+
+  /// Logs how many lines were left out; to be called about once a second.
+  void tellLeftOut();
+
   boost::json::object describe(Instant now) const;
 
 private:
@@ -84,8 +95,8 @@
   struct OpenRequest {
     http::Request Content;
     ServiceEntry *Entry = nullptr;
-    Instant Arrived{};
-    std::vector<http::CallId> Calls;
+    bool Idempotent = false;
+    RequestRecord Record;
   };
   struct UpstreamCall {
     ServiceEntry *Entry = nullptr;
@@ -101,8 +112,10 @@
   std::map<std::string, std::string>
   addressesOf(const std::string &service) const;
   const std::string &pickService(const Route &route);
-  void refuseOwn(http::ExchangeId id, unsigned status, const char *reason,
-                 balance::Truth truth, Duration retryAfter);
+  void refuseUnplaced(http::ExchangeId id, const http::Request &request,
+                      unsigned status, const char *reason, Duration retryAfter);
+  std::optional<Instant> deadlineOf(const http::Request &request,
+                                    const Route &route, Instant now) const;
   void post(ServiceEntry &entry, balance::Event event);
   void drain();
   void note(ServiceEntry &entry);
@@ -113,11 +126,16 @@
   void refuse(const balance::Refuse &wanted);
   void endAttempt(http::CallId id, UpstreamCall &call);
   void endProbe(const UpstreamCall &call, const http::CallResult &result);
-  void finish(http::ExchangeId id, http::Response response);
+  void notice(const ServiceEntry &entry, const balance::Noticed &it);
+  void finish(http::ExchangeId id, http::Response response,
+              const RequestEnd &end);
+  void forget(http::ExchangeId id);
   balance::AttemptEnded judge(const http::CallResult &result) const;
 
   ProxyContext Context;
   ProxyOutlets Outlets;
+  Metrics Counts;
+  RequestLog Log;
   Random Draws;
   std::shared_ptr<const Fleet> Current;
   std::map<std::string, std::unique_ptr<ServiceEntry>> Entries;
--- a/src/store/StoreTask.h
+++ b/src/store/StoreTask.h
@@ -61,6 +61,8 @@
   /// The instances that are recorded, alive or not.
   std::vector<Instance> recorded() const;
 
+  const platform::CallCounts &calls() const { return Client.counts(); }
+
   boost::json::object describe(Instant now) const;
 
 private:
--- a/tests/balance/World.cpp
+++ b/tests/balance/World.cpp
@@ -203,6 +203,7 @@
                      request.RetryAfter = it.RetryAfter;
                    },
                    [&](const SendProbe &it) { probe(instance, it.Upstream); },
+                   [](const Noticed &) {}, [](const BudgetEmpty &) {},
                    [&](const TellCondemned &it) {
                      ++Condemnations;
                      const Condemned word{it.Fingerprint};
