--- a/examples/embedding/main.cpp
+++ b/examples/embedding/main.cpp
@@ -1,58 +1,66 @@
 #include <iostream>
-#include <memory>
 #include <variant>
 
-#include <zinniarail/dispatch/Engine.h>
-#include <zinniarail/homes/Homes.h>
+#include <zinniarail/balance/Balance.h>
 
-// One instance that feeds one service with two upstreams, played by hand: the
-// decisions come from the library, the clock and the sockets would be yours.
+// The engine of one service with two upstreams, fed by hand: it decides, the
+// clock and the sockets would be yours.
 
 using namespace zinniarail;
 using namespace std::chrono_literals;
 
 namespace {
 
-View makeView(Instant now) {
-  auto document = std::make_shared<Document>();
-  document->Domains = {{"north", "region", true}};
-  ServiceSpec service{.Name = "records"};
-  service.Classes = {{.Name = "lookup"}};
+balance::ServicePlan makePlan() {
+  balance::ServicePlan plan;
+  plan.Service = "records";
+  plan.Domain = "north";
   for (const char *it : {"u1", "u2"}) {
-    service.Upstreams.push_back(
-        {.Id = it, .Address = "127.0.0.1", .Port = 8080, .Domain = "north"});
+    plan.Targets.push_back({.Id = it, .Domain = "north", .Slots = 4});
   }
-  document->Services = {service};
-  View view;
-  view.Intent = document;
-  view.Version = 1;
-  view.Instances = {{.Id = "me", .Domain = "north"}};
-  view.ValidUntil = now + 3s;
-  return view;
+  return plan;
 }
 
-unsigned countStarted(const Actions &actions) {
-  unsigned n = 0;
-  for (const Action &it : actions) {
-    if (const auto *start = std::get_if<StartAttempt>(&it)) {
+balance::RequestArrived makeRequest(Instant now) {
+  return {.Request = balance::RequestId{1},
+          .Treatment = {.Route = "lookup",
+                        .Idempotent = true,
+                        .MaxAttempts = 2,
+                        .Target = 200ms},
+          .Fingerprint = 7,
+          .Deadline = now + 1s};
+}
+
+/// Answers each health check as an idle upstream would.
+/// \returns whether the request was sent.
+bool perform(balance::Engine &engine, const balance::Actions &actions,
+             Instant now) {
+  bool sent = false;
+  for (const balance::Action &it : actions) {
+    if (const auto *probe = std::get_if<balance::SendProbe>(&it)) {
+      std::cout << "ask " << probe->Upstream << " how it is\n";
+      balance::Actions next;
+      handle(engine,
+             balance::ProbeEnded{.Upstream = probe->Upstream,
+                                 .Reached = true,
+                                 .Healthy = true,
+                                 .Report = balance::LoadReport{.Slots = 4}},
+             now, next);
+      sent = perform(engine, next, now) || sent;
+    } else if (const auto *start = std::get_if<balance::StartAttempt>(&it)) {
       std::cout << "send to " << start->Upstream << '\n';
-      ++n;
+      sent = true;
     }
   }
-  return n;
+  return sent;
 }
 
 } // namespace
 
 int main() {
   const Instant now = readClock();
-  const View view = makeView(now);
-  const ServiceSpec &service = view.Intent->Services.front();
-  const auto state =
-      makeService(planService(view, service, "me", RoutingPolicy::Homes),
-                  view.ValidUntil, Random(1), 1);
-  Actions actions;
-  handle(*state, RequestArrived{RequestId{1}, "lookup", "", 7, now + 1s}, now,
-         actions);
-  return countStarted(actions) == 1 ? 0 : 1;
+  const auto engine = balance::makeEngine(makePlan(), Random(1), 1, now);
+  balance::Actions actions;
+  handle(*engine, makeRequest(now), now, actions);
+  return perform(*engine, actions, now) ? 0 : 1;
 }
--- a/include/zinniarail/balance/Messages.h
+++ b/include/zinniarail/balance/Messages.h
@@ -102,6 +102,15 @@
 struct CallerGone {
   RequestId Request{};
 };
+/// A request that was in flight where an upstream crashed.
+struct Suspect {
+  std::uint64_t Fingerprint = 0;
+  std::string Upstream;
+};
+/// Another instance saw an upstream crash with requests like this in flight.
+struct Suspected {
+  Suspect Which;
+};
 /// Another instance found that requests like this crash upstreams.
 struct Condemned {
   std::uint64_t Fingerprint = 0;
@@ -110,7 +119,7 @@
 struct Woken {};
 
 using Event = std::variant<RequestArrived, AttemptEnded, ProbeEnded, CallerGone,
-                           Condemned, Woken>;
+                           Suspected, Condemned, Woken>;
 
 // Actions.
 
@@ -172,6 +181,10 @@
 struct SendProbe {
   std::string Upstream;
 };
+/// Tell the other instances of a request that may have crashed an upstream.
+struct TellSuspected {
+  Suspect Which;
+};
 /// Tell the other instances that requests like this crash upstreams.
 struct TellCondemned {
   std::uint64_t Fingerprint = 0;
@@ -188,8 +201,9 @@
 /// A repeat was not sent, since the budget is spent; for the log.
 struct BudgetEmpty {};
 
-using Action = std::variant<StartAttempt, CancelAttempt, Deliver, Refuse,
-                            SendProbe, TellCondemned, Noticed, BudgetEmpty>;
+using Action =
+    std::variant<StartAttempt, CancelAttempt, Deliver, Refuse, SendProbe,
+                 TellSuspected, TellCondemned, Noticed, BudgetEmpty>;
 using Actions = std::vector<Action>;
 
 const char *nameOf(Choice::Grounds grounds);
--- a/include/zinniarail/fleet/Members.h
+++ b/include/zinniarail/fleet/Members.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "zinniarail/core/Time.h"
-#include "zinniarail/membership/Instance.h"
+#include "zinniarail/fleet/Instance.h"
 
 namespace zinniarail {
 
--- a/include/zinniarail/membership/Fleet.h
+++ b/include/zinniarail/fleet/View.h
@@ -1,6 +1,7 @@
 /// \file
 /// What an instance acts on: the configuration in force, the upstreams that are
-/// registered, the failure domains out of service and the instances that live.
+/// registered, the failure domains out of service and how many instances share
+/// what is bounded.
 #pragma once
 
 #include <memory>
@@ -9,18 +10,18 @@
 #include <vector>
 
 #include "zinniarail/intent/Configuration.h"
-#include "zinniarail/membership/Instance.h"
+
 #include "zinniarail/registry/Upstream.h"
 
 namespace zinniarail {
 
 /// An immutable snapshot. A later one replaces it whole.
-struct Fleet {
+struct View {
   std::shared_ptr<const Configuration> Config; ///< Null before the first.
   std::vector<Upstream> Upstreams;             ///< By id.
   std::set<std::string> DomainsOut; ///< Their upstreams get no new work.
-  std::vector<Instance> Live;       ///< Instances that callers may be sent to.
-  std::size_t Known = 1;            ///< Instances that may be at work.
+
+  std::size_t Known = 1; ///< Instances that may be at work.
 };
 
 } // namespace zinniarail
--- a/include/zinniarail/settings/Settings.h
+++ b/include/zinniarail/settings/Settings.h
@@ -1,41 +1,44 @@
 /// \file
-/// What a process learns at its start, from flags and environment variables.
+/// What an instance learns at its start, from flags, environment variables and
+/// a settings file.
 #pragma once
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "zinniarail/core/Result.h"
 #include "zinniarail/core/Time.h"
-#include "zinniarail/dispatch/Engine.h"
 
 namespace zinniarail {
 
-/// The daemon's settings. Each is a flag (--failure-domain) and a variable
-/// (ZINNIARAIL_FAILURE_DOMAIN); the flag wins.
+/// An instance's settings. Each is a flag (--failure-domain), a variable
+/// (ZINNIARAIL_FAILURE_DOMAIN) and a line of the settings file
+/// (failure-domain = a); the flag goes before the variable, that before the
+/// file.
 struct Settings {
   std::string InstanceId;
   std::string FailureDomain;
-  std::string Environment;
-  std::string CallerAddress;   ///< "ip:port"
-  std::string PeerAddress;     ///< "ip:port"
-  std::string OperatorAddress; ///< "ip:port"
-  std::string PlatformAddress; ///< "ip:port"
-  std::string LogLevel = "info";
-  RoutingPolicy Policy = RoutingPolicy::Homes;
-  /// How long a proof that the version is current lasts.
-  Duration ViewLifetime = std::chrono::seconds{3};
-  /// Silence after which a peer counts as lost.
-  Duration PeerTimeout = std::chrono::milliseconds{1000};
-  /// How often an instance speaks to its peers.
-  Duration PeerInterval = std::chrono::milliseconds{250};
-  /// How long a graceful stop may take at most.
-  Duration StopTimeout = std::chrono::seconds{30};
-  std::uint64_t Seed = 0; ///< 0: drawn at the start.
-  /// Memory for the trace of each service; 0: nothing is recorded.
-  std::size_t TraceBytes = 0;
+  std::string CallerAddress;      ///< "ip:port"
+  std::string ReadyAddress;       ///< "ip:port"
+  std::string DirectoryAddress;   ///< "ip:port"
+  std::string PeerAddress;        ///< "ip:port"
+  std::string OperatorAddress;    ///< "ip:port"
+  std::string StoreAddress;       ///< "ip:port"
+  std::vector<std::string> Seeds; ///< Peer addresses that may know others.
+  double Cores = 0;               ///< Processor time that this instance has.
+  std::string LogLevel;
+  Duration StopTimeout{};     ///< A graceful stop ends by then.
+  Duration ResolveLifetime{}; ///< How long callers may keep an answer.
+  double RetryRatio = 0;      ///< Repeats for each request, over all instances.
+  double ExtraRetries = 0;    ///< Beyond that in one window, over all.
+  double ColdOvershoot = 0;   ///< Times the rate that a cold upstream bears.
+  double ColdSlack = 0;       ///< Requests a second beyond that.
+  double ProbesPerSecond = 0; ///< To one upstream, over all instances.
+  bool FirstStart = false;    ///< No instance of the system ran before.
+  std::uint64_t Seed = 0;     ///< Of random draws; 0: drawn at the start.
 };
 
 /// The exit codes of the daemon.
@@ -61,13 +64,16 @@
 /// \returns null when it is not set.
 using ReadVariable = std::function<const char *(const char *name)>;
 
-/// Reads the settings from flags and environment variables, and checks them
-/// all before it returns.
+/// Reads a file.
+/// \returns its text, none when it can't be read.
+using ReadFile = std::function<std::optional<std::string>(const std::string &)>;
+
+/// Reads the settings and checks them all before it returns.
 /// \param arguments the command line without the program's name.
 /// \returns the settings, or every error at once.
 Result<Invocation, SettingErrors>
 readSettings(const std::vector<std::string> &arguments,
-             const ReadVariable &variable);
+             const ReadVariable &variable, const ReadFile &file);
 
 /// One setting, as the program takes it.
 struct SettingKind {
@@ -80,17 +86,7 @@
 /// Every setting, in the order of --help.
 std::vector<SettingKind> settingKinds();
 
-/// The text of --help: each setting with its variable and default.
+/// The text of --help.
 std::string describeSettings();
 
-/// An address, taken apart.
-struct SocketAddress {
-  std::string Host; ///< IPv4 number.
-  std::uint16_t Port = 0;
-};
-
-/// Takes "ip:port" apart.
-/// \returns an empty host when it is not an IPv4 number and a port from 1 on.
-SocketAddress parseAddress(const std::string &text);
-
 } // namespace zinniarail
--- a/include/zinniarail/store/Feed.h
+++ b/include/zinniarail/store/Feed.h
@@ -24,18 +24,21 @@
 /// cost one call.
 constexpr Duration GatherPause = std::chrono::milliseconds{100};
 
+/// Between two lists: a change whose history is lost between two watches shows
+/// in a list only.
+constexpr Duration RelistPause = std::chrono::seconds{15};
+
 /// What one feed knows.
 struct Feed {
   bool Watches = false; ///< Its list is complete.
   bool Running = false;
   /// Answers to calls that began before count no more.
   unsigned Generation = 0;
-  /// The next call must be current: what was heard before may have gaps.
-  bool NeedsLatest = true;
-  Instant LatestUntil{}; ///< And so must all calls until then.
+  Instant LatestUntil{}; ///< All calls must be current until then.
   std::uint64_t AsOf = 0;
   std::string After; ///< The last name of a page; empty: from the first.
   Instant NextAt{};
+  Instant RelistAt{};
 };
 
 enum class FeedCall : std::uint8_t { None, List, Watch };
@@ -43,14 +46,16 @@
 /// What to call now. Mark it with noteStart.
 FeedCall nextCall(const Feed &feed, Instant now);
 
-/// Whether the next call must be current.
+/// Whether the next call must be current. A list always is: what was heard
+/// before may have gaps.
 bool needsLatest(const Feed &feed, Instant now);
 
 void noteStart(Feed &feed);
 
 /// A page of the list came.
 /// \param last the name of its last object, if there are more.
-void noteListed(Feed &feed, std::uint64_t asOf, const std::string &last);
+void noteListed(Feed &feed, std::uint64_t asOf, const std::string &last,
+                Instant now);
 
 /// A watch ended.
 /// \param any whether it brought changes.
--- a/programs/zinniaraild/main.cpp
+++ b/programs/zinniaraild/main.cpp
@@ -1,14 +1,31 @@
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
-#include "zinniarail/daemon/Daemon.h"
+#include "daemon/Daemon.h"
 #include "zinniarail/events/Events.h"
 
 using namespace zinniarail;
 
+namespace {
+
+std::optional<std::string> readFile(const std::string &path) {
+  std::ifstream in(path);
+  if (!in) {
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+} // namespace
+
 int main(int argc, char **argv) {
-  const auto read = readSettings({argv + 1, argv + argc},
-                                 [](const char *name) { return getenv(name); });
+  const auto read = readSettings(
+      {argv + 1, argv + argc}, [](const char *name) { return getenv(name); },
+      readFile);
   if (!read) {
     for (const std::string &it : read.error()) {
       std::cerr << "zinniaraild: " << it << '\n';
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -17,13 +17,21 @@
   leaving @6 :Bool;
   reading @7 :Bool;             # It reads the store.
   healthy @8 :Bool;             # And the store answers it.
+  operators @9 :Text;           # Its operator address, "ip:port".
+}
+
+# A request that was in flight where an upstream crashed.
+struct Suspect {
+  fingerprint @0 :UInt64;
+  upstream @1 :Text;
 }
 
 struct Datagram {
   union {
     ping @0 :Void;              # Asks for an answer.
     pong @1 :Void;
-    condemned @2 :List(UInt64); # Fingerprints that crash upstreams.
+    condemned @2 :UInt64;       # A fingerprint that crashes upstreams.
+    suspected @5 :Suspect;
   }
   sender @3 :Member;
   members @4 :List(Member);     # Others of the receiver's failure domain.
--- a/src/balance/Attempts.cpp
+++ b/src/balance/Attempts.cpp
@@ -18,6 +18,10 @@
 // Repeats that hedges leave for failures.
 constexpr double HedgeReserve = 1;
 
+// How long a request waits at most to hear whether it crashed its upstream: an
+// answer takes a millisecond or two.
+constexpr Duration VerdictTime = std::chrono::milliseconds{20};
+
 // Upstreams that may break under one request; it may be what breaks them.
 constexpr unsigned MostBroken = 2;
 
@@ -82,6 +86,8 @@
   std::erase(request.Live, event.Attempt);
   if (event.End == AttemptEnd::Broken) {
     ++request.Broke;
+    request.VerdictFrom = request.Tried.back();
+    request.VerdictUntil = step.Now + VerdictTime;
   }
   const bool good = event.End == AttemptEnd::Answered && !isServerError(event);
   if (good) {
@@ -163,7 +169,7 @@
     }
     noteFailure(step, upstream, false, "broke off a response");
     if (!event.KeptAndSilent) {
-      noteCrash(step, upstream.Plan.Id, attempt.Fingerprint);
+      suspectCrash(step, upstream, attempt.Fingerprint);
     }
   }
 }
@@ -229,7 +235,8 @@
   Engine &engine = step.Self;
   if (request.Live.size() != 1 || !engine.Queue.empty() ||
       request.Sent >= request.Treatment.MaxAttempts ||
-      !maySpend(engine.Budget, HedgeReserve)) {
+      !maySpend(engine.Budget, HedgeReserve) ||
+      isSuspect(engine, request.Fingerprint, step.Now)) {
     return;
   }
   const Placement found = place(engine, request, true, step.Now);
--- a/src/balance/Crashes.cpp
+++ b/src/balance/Crashes.cpp
@@ -1,62 +1,72 @@
-// Requests that crash the upstreams that run them.
+// Requests that crash the upstreams that run them. A connection that breaks off
+// is no proof of a crash: the upstream is asked at once, and only when it is
+// gone do the requests that broke there become suspect.
 #include "balance/State.h"
 
+#include <utility>
+
 namespace zinniarail::balance {
 
 namespace {
 
-// Different upstreams that must break under a request before it is refused.
-constexpr std::size_t CrashesToCondemn = 2;
+constexpr QuarantineLimits Limits;
 
-// How long suspicion and refusal last after the last evidence.
-constexpr Duration Lifetime = std::chrono::minutes{5};
+} // namespace
 
-// Fingerprints kept.
-constexpr std::size_t MostSuspects = 4096;
+bool isCondemned(const Engine &engine, std::uint64_t fingerprint, Instant now) {
+  const Handling handling = judge(engine.Dangerous, fingerprint, now);
+  return handling == Handling::Refuse || handling == Handling::Hold;
+}
 
-void condemn(Engine &engine, std::uint64_t fingerprint, Instant now) {
-  if (engine.CondemnedUntil.size() >= MostSuspects) {
-    std::erase_if(engine.CondemnedUntil,
-                  [&](const auto &it) { return it.second <= now; });
-  }
-  engine.CondemnedUntil[fingerprint] = now + Lifetime;
+bool isSuspect(const Engine &engine, std::uint64_t fingerprint, Instant now) {
+  return judge(engine.Dangerous, fingerprint, now) != Handling::Normal;
 }
 
-} // namespace
+bool awaitsVerdict(const Engine &engine, const RequestState &request,
+                   Instant now) {
+  const auto it = engine.Upstreams.find(request.VerdictFrom);
+  return now < request.VerdictUntil && it != engine.Upstreams.end() &&
+         !it->second.BrokenPrints.empty();
+}
 
-bool isCondemned(const Engine &engine, std::uint64_t fingerprint, Instant now) {
-  const auto it = engine.CondemnedUntil.find(fingerprint);
-  return it != engine.CondemnedUntil.end() && now < it->second;
+Duration condemnedFor(const Engine &engine, std::uint64_t fingerprint,
+                      Instant now) {
+  return refusedFor(engine.Dangerous, fingerprint, now);
+}
+
+void suspectCrash(Step step, UpstreamState &upstream,
+                  std::uint64_t fingerprint) {
+  upstream.BrokenPrints.push_back(fingerprint);
+  probe(step, upstream);
 }
 
-void noteCrash(Step step, const std::string &upstream,
-               std::uint64_t fingerprint) {
-  Engine &engine = step.Self;
-  if (fingerprint == 0) {
+void settleCrash(Step step, UpstreamState &upstream, bool lives) {
+  const auto prints = std::exchange(upstream.BrokenPrints, {});
+  if (lives || prints.empty()) {
     return;
   }
-  if (engine.Suspects.size() >= MostSuspects) {
-    std::erase_if(engine.Suspects,
-                  [&](const auto &it) { return it.second.Until <= step.Now; });
+  for (const std::uint64_t it : prints) {
+    step.Out.emplace_back(TellSuspected{{it, upstream.Plan.Id}});
   }
-  Suspicion &it = engine.Suspects[fingerprint];
-  it.Upstreams.insert(upstream);
-  it.Until = step.Now + Lifetime;
-  if (it.Upstreams.size() < CrashesToCondemn ||
-      isCondemned(engine, fingerprint, step.Now)) {
-    return;
+  const Verdicts verdicts = noteCrash(step.Self.Dangerous, Limits,
+                                      {upstream.Plan.Id, 0}, prints, step.Now);
+  for (const std::uint64_t it : verdicts.Condemned) {
+    ++step.Self.Counters.Condemned;
+    step.Out.emplace_back(TellCondemned{it});
   }
-  condemn(engine, fingerprint, step.Now);
-  ++engine.Counters.Condemned;
-  step.Out.emplace_back(TellCondemned{fingerprint});
 }
 
 void noteHarmless(Engine &engine, std::uint64_t fingerprint) {
-  engine.Suspects.erase(fingerprint);
+  noteFinished(engine.Dangerous, fingerprint);
+}
+
+void onSuspected(Step step, const Suspected &event) {
+  noteSuspected(step.Self.Dangerous, Limits, event.Which.Fingerprint,
+                {event.Which.Upstream, 0}, step.Now);
 }
 
 void onCondemned(Step step, const Condemned &event) {
-  condemn(step.Self, event.Fingerprint, step.Now);
+  noteCondemned(step.Self.Dangerous, Limits, event.Fingerprint, step.Now);
 }
 
 } // namespace zinniarail::balance
--- a/src/balance/Engine.cpp
+++ b/src/balance/Engine.cpp
@@ -15,6 +15,7 @@
 void on(Step step, const AttemptEnded &event) { onEnded(step, event); }
 void on(Step step, const ProbeEnded &event) { onProbe(step, event); }
 void on(Step step, const CallerGone &event) { onGone(step, event); }
+void on(Step step, const Suspected &event) { onSuspected(step, event); }
 void on(Step step, const Condemned &event) { onCondemned(step, event); }
 void on(Step, const Woken &) {}
 
--- a/src/balance/Placing.cpp
+++ b/src/balance/Placing.cpp
@@ -54,6 +54,17 @@
                    upstream.Plan.Id) != request.Tried.end();
 }
 
+// Of two requests that may crash upstreams, side by side, it would not be known
+// which one did.
+bool runsSuspect(const Engine &engine, const UpstreamState &upstream,
+                 Instant now) {
+  return std::any_of(
+      upstream.Running.begin(), upstream.Running.end(), [&](AttemptId id) {
+        return isSuspect(engine, engine.Attempts.at(numberOf(id)).Fingerprint,
+                         now);
+      });
+}
+
 // How much longer than expected the oldest attempt there has been running.
 double overdueOf(const Engine &engine, const UpstreamState &upstream,
                  Instant now) {
@@ -134,7 +145,11 @@
   std::vector<Outlook> open;
   std::vector<Outlook> ejected;
   std::vector<Outlook> tried;
+  const bool apart = isSuspect(engine, request.Fingerprint, now);
   for (auto &[id, it] : engine.Upstreams) {
+    if (apart && runsSuspect(engine, it, now)) {
+      continue;
+    }
     if (!it.Planned || (isCold(it, now) && now < it.ColdNext)) {
       continue;
     }
--- a/src/balance/Requests.cpp
+++ b/src/balance/Requests.cpp
@@ -52,8 +52,7 @@
   case RefusalReason::Quarantined:
     break;
   }
-  const auto it = engine.CondemnedUntil.find(request.Fingerprint);
-  return it == engine.CondemnedUntil.end() ? Duration{0} : it->second - now;
+  return condemnedFor(engine, request.Fingerprint, now);
 }
 
 std::size_t slotsInService(const Engine &engine) {
@@ -202,6 +201,14 @@
     if (refusedHopeless(step, request)) {
       continue;
     }
+    if (isCondemned(engine, request.Fingerprint, step.Now)) {
+      refuse(step, request, RefusalReason::Quarantined);
+      continue;
+    }
+    if (awaitsVerdict(engine, request, step.Now)) {
+      engine.LookAgainAt = std::min(engine.LookAgainAt, request.VerdictUntil);
+      continue;
+    }
     const Instant goodUntil = latestStart(engine, request);
     const Placement found =
         place(engine, request, step.Now >= goodUntil, step.Now);
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -12,6 +12,7 @@
 
 #include "zinniarail/balance/Engine.h"
 #include "zinniarail/balance/Forecast.h"
+#include "zinniarail/quarantine/Quarantine.h"
 
 namespace zinniarail::balance {
 
@@ -36,6 +37,8 @@
   Instant DragAt{};
   Instant ColdUntil{};
   Instant ColdNext{}; ///< The next request that it may get while cold.
+  /// Requests that broke off there, until it is known whether it lives.
+  std::vector<std::uint64_t> BrokenPrints;
   bool ProbeOut = false;
   Instant ProbedAt{};
   Instant JoinedAt{};
@@ -55,6 +58,9 @@
   std::vector<AttemptId> Live;
   Truth Past = Truth::DidNotRun; ///< What its ended attempts leave known.
   unsigned Broke = 0;            ///< Attempts that broke off.
+  /// Where the last one did, while it is asked whether that was a crash.
+  std::string VerdictFrom;
+  Instant VerdictUntil{};
   Instant HedgeAt = Instant::max();
 };
 
@@ -71,12 +77,6 @@
   bool Cancelled = false;
 };
 
-/// A fingerprint that was in flight where an upstream seemed to crash.
-struct Suspicion {
-  std::set<std::string> Upstreams;
-  Instant Until{};
-};
-
 struct Engine {
   ServicePlan Plan;
   Random Draws;
@@ -99,8 +99,7 @@
   bool BudgetTold = false; ///< That it is spent.
   double ProbeTokens = 1;
   Instant ProbeTokensAt{};
-  std::unordered_map<std::uint64_t, Suspicion> Suspects;
-  std::unordered_map<std::uint64_t, Instant> CondemnedUntil;
+  Quarantine Dangerous;
   Instant LookAgainAt = Instant::max(); ///< At what is queued.
   EngineCounters Counters;
 };
@@ -184,9 +183,21 @@
 
 // Crashes.cpp
 bool isCondemned(const Engine &engine, std::uint64_t fingerprint, Instant now);
-void noteCrash(Step step, const std::string &upstream,
-               std::uint64_t fingerprint);
+/// Whether requests like it may have crashed an upstream.
+bool isSuspect(const Engine &engine, std::uint64_t fingerprint, Instant now);
+/// Whether a request waits to hear if it crashed an upstream.
+bool awaitsVerdict(const Engine &engine, const RequestState &request,
+                   Instant now);
+/// For how long requests like it are refused.
+Duration condemnedFor(const Engine &engine, std::uint64_t fingerprint,
+                      Instant now);
+/// A request broke off at an upstream, which is asked whether it lives.
+void suspectCrash(Step step, UpstreamState &upstream,
+                  std::uint64_t fingerprint);
+/// The answer to that.
+void settleCrash(Step step, UpstreamState &upstream, bool lives);
 void noteHarmless(Engine &engine, std::uint64_t fingerprint);
+void onSuspected(Step step, const Suspected &event);
 void onCondemned(Step step, const Condemned &event);
 
 } // namespace zinniarail::balance
--- a/src/balance/Upstreams.cpp
+++ b/src/balance/Upstreams.cpp
@@ -206,6 +206,7 @@
   }
   UpstreamState &it = at->second;
   it.ProbeOut = false;
+  settleCrash(step, it, event.Reached);
   if (event.Reached && event.Report) {
     takeReport(step.Self, it, *event.Report, step.Now);
   }
--- a/src/core/HttpClient.cpp
+++ b/src/core/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <map>
+#include <utility>
 
 #include "core/CurlLoop.h"
 
@@ -27,6 +28,7 @@
   HttpRequest Request;
   HttpReply Reply;
   HttpClient::Callback Done;
+  bool Sent = false; ///< A byte may have left.
   std::unique_ptr<CURL, EasyDelete> Easy;
   std::unique_ptr<curl_slist, HeadersDelete> Headers;
 };
@@ -61,6 +63,15 @@
   return size;
 }
 
+// On a kept connection that broke libcurl would send the request again by
+// itself: a write that took effect would come back as a conflict, and a watch
+// that was cut would seem to go on.
+int refuseSecondSend(void *user, char *, char *, int, int) {
+  auto &it = *static_cast<Transfer *>(user);
+  return std::exchange(it.Sent, true) ? CURL_PREREQFUNC_ABORT
+                                      : CURL_PREREQFUNC_OK;
+}
+
 void ensureCurl() {
   static const CURLcode Ready = curl_global_init(CURL_GLOBAL_ALL);
   (void)Ready;
@@ -90,11 +101,8 @@
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &it);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, takeHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &it);
-  if (it.Request.Method != "GET") {
-    // On a kept connection that broke libcurl would send the request again by
-    // itself, and a write that took effect would come back as a conflict.
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-  }
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &refuseSecondSend);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &it);
   if (it.Request.Method == "PUT" || it.Request.Method == "POST") {
     curl_easy_setopt(easy, CURLOPT_POSTFIELDS, it.Request.Body.c_str());
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -108,10 +116,8 @@
   }
   if (code != CURLE_OK) {
     it.Reply.TimedOut = code == CURLE_OPERATION_TIMEDOUT;
-    long sent = 0;
-    curl_easy_getinfo(it.Easy.get(), CURLINFO_REQUEST_SIZE, &sent);
     it.Reply.How =
-        sent == 0 ? HttpReply::Ending::NotSent : HttpReply::Ending::Lost;
+        it.Sent ? HttpReply::Ending::Lost : HttpReply::Ending::NotSent;
     return;
   }
   long status = 0;
--- a/src/daemon/BeliefLog.cpp
+++ b/src/daemon/BeliefLog.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-void BeliefLog::noteFleet(const Fleet &fleet) {
+void BeliefLog::noteFleet(const View &fleet) {
   const std::uint64_t version = fleet.Config ? fleet.Config->Version : 0;
   if (version != Version) {
     logEvent(EventId::DocumentInForce,
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,119 +1,529 @@
-#include "zinniarail/daemon/Daemon.h"
+#include "daemon/Daemon.h"
 
 #include <csignal>
+#include <memory>
+#include <random>
 
+#include <ev.h>
+#include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 
-#include "zinniarail/control/ControlTask.h"
+#include "daemon/BeliefLog.h"
+#include "fleet/PeerTask.h"
+#include "operator/OperatorPort.h"
+#include "platform/Platform.h"
+#include "proxy/Proxy.h"
+#include "store/StoreTask.h"
 #include "zinniarail/events/Events.h"
-#include "zinniarail/gateway/GatewayTask.h"
-#include "zinniarail/operator/OperatorTask.h"
-#include "zinniarail/peers/PeersTask.h"
 
 namespace zinniarail {
 
 namespace {
 
-/// The tasks of one process. Control and peers post to the gateway, so they
-/// end before it does.
-struct Tasks {
-  Tasks(const Settings &settings, prometheus::Registry &registry)
-      : Gateway(
-            settings,
-            {[this](control::Message it) {
-               Control.inbox().post(std::move(it));
-             },
-             [this](peers::Message it) { Peers.inbox().post(std::move(it)); }},
-            registry),
-        Peers(
-            settings,
-            [this](gateway::Message it) {
-              Gateway.inbox().post(std::move(it));
-            },
-            [this](control::Message it) {
-              Control.inbox().post(std::move(it));
-            }),
-        Control(settings, {[this](gateway::Message it) {
-                             Gateway.inbox().post(std::move(it));
-                           },
-                           [this](peers::Message it) {
-                             Peers.inbox().post(std::move(it));
-                           }}) {}
-
-  gateway::GatewayTask Gateway;
-  PeersTask Peers;
-  control::ControlTask Control;
+constexpr unsigned Ok = 200;
+constexpr unsigned NotFound = 404;
+constexpr unsigned Unavailable = 503;
+
+constexpr double StopInterval = 0.05; // seconds
+constexpr double TickSeconds = 1;     // between two looks at what is to be told
+
+// What is left of the time for a stop to write the last answers.
+constexpr Duration StopMargin = std::chrono::milliseconds{500};
+
+// How long an instance listens for others before it reads the store for itself.
+// Where all start at once they need longer to hear of each other, and nobody
+// waits for them yet.
+constexpr Duration SettleTime = std::chrono::milliseconds{25};
+constexpr Duration FirstSettleTime = std::chrono::milliseconds{600};
+
+constexpr double MilliPerCore = 1000;
+
+struct LoopDelete {
+  void operator()(struct ev_loop *it) const { ev_loop_destroy(it); }
+};
+
+prometheus::Family<prometheus::Gauge> &
+addGauges(prometheus::Registry &registry, const char *name, const char *help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+}
+
+std::uint64_t drawSeed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32U) | device();
+}
+
+/// The tasks of one process, and what they tell each other.
+class Daemon {
+public:
+  explicit Daemon(Settings settings);
+  ~Daemon();
+  Daemon(const Daemon &) = delete;
+  Daemon &operator=(const Daemon &) = delete;
+
+  bool open();
+  ExitCode run();
+
+private:
+  http::ServerHandlers callerHandlers();
+  http::ServerHandlers readyHandlers();
+  http::ServerHandlers directoryHandlers();
+  proxy::ProxyOutlets proxyOutlets();
+  fleet::PeerHandlers peerHandlers();
+  store::StoreHandlers storeHandlers();
+
+  OperatorSources operatorSources();
+  std::string stateName() const;
+  boost::json::object dump() const;
+  void measure();
+  void tick();
+
+  void takeDuty(Duty duty);
+  void takeNews(const fleet::News &news);
+  void fillNews(fleet::News &news, fleet::Part part) const;
+  void takeStoreChange(platform::Kind kind);
+  void takeLive();
+  void refresh();
+  void answerResolve(http::ExchangeId id, const http::Request &request);
+  void settle();
+  void beginStop();
+  void checkStop();
+  bool isReady() const;
+
+  template <auto Method, typename Watcher>
+  static void on(struct ev_loop *, Watcher *it, int) {
+    (static_cast<Daemon *>(it->data)->*Method)();
+  }
+
+  Settings Options;
+  std::unique_ptr<struct ev_loop, LoopDelete> Owned;
+  struct ev_loop *Loop;
+  ev_prepare BeforeWait{};
+  ev_timer WakeTimer{};
+  ev_timer StopTimer{};
+  ev_timer SecondTimer{};
+  ev_signal Terminate{};
+  ev_signal Reload{};
+  prometheus::Registry Registry;
+  prometheus::Family<prometheus::Gauge> &BeliefAge;
+  prometheus::Family<prometheus::Gauge> &Numbers;
+  prometheus::Family<prometheus::Gauge> &StoreCalls;
+  store::Mirror Known;
+  BeliefLog Beliefs;
+  http::ClientPool Pool;
+  proxy::Proxy Core;
+  http::Server Callers;
+  http::Server Ready;
+  http::Server Directory;
+  store::StoreTask Store;
+  fleet::PeerTask Peers;
+  OperatorPort Operators;
+  Instant ConfirmedAt{}; ///< When what is known of the store was last current.
+  bool Changed = false;  ///< What the proxy is to be told.
+  bool Complete = false; ///< Upstreams were heard of once at least.
+  bool Stopping = false;
+  Instant StoppingSince{};
+  ExitCode Code = ExitCode::Done;
 };
 
-OperatorSources makeSources(const Settings &settings, Tasks &tasks,
-                            prometheus::Registry &registry) {
-  OperatorSources sources;
-  sources.Instance = settings.InstanceId;
-  sources.Environment = settings.Environment;
-  sources.Current = [&tasks] { return tasks.Gateway.status().Current; };
-  sources.Stopping = [&tasks] { return tasks.Gateway.status().Stopping; };
-  sources.Drain = [&tasks] {
-    tasks.Gateway.inbox().post(gateway::StopWanted{});
+Member describeSelf(const Settings &settings, std::uint64_t boot) {
+  Member self;
+  self.Record = {settings.InstanceId,      settings.FailureDomain,
+                 settings.CallerAddress,   settings.PeerAddress,
+                 settings.OperatorAddress, false};
+  self.Boot = boot;
+  self.Weight = static_cast<unsigned>(settings.Cores * MilliPerCore);
+  return self;
+}
+
+proxy::ProxyContext makeContext(const Settings &settings) {
+  return {settings.InstanceId,
+          settings.FailureDomain,
+          settings.Seed,
+          {settings.RetryRatio, settings.ExtraRetries, settings.ColdOvershoot,
+           settings.ColdSlack, settings.ProbesPerSecond},
+          &platform::dialect()};
+}
+
+Settings withSeed(Settings settings) {
+  if (settings.Seed == 0) {
+    settings.Seed = drawSeed();
+  }
+  return settings;
+}
+
+Daemon::Daemon(Settings settings)
+    : Options(withSeed(std::move(settings))), Owned(ev_loop_new(EVFLAG_AUTO)),
+      Loop(Owned.get()),
+      BeliefAge(addGauges(Registry, "zinniarail_belief_age_seconds",
+                          "Since what is believed was last known to be so")),
+      Numbers(addGauges(Registry, "zinniarail_state",
+                        "Counts of what this process knows and holds")),
+      StoreCalls(addGauges(Registry, "zinniarail_store_calls",
+                           "Calls to the platform's store since the start")),
+      Pool(Loop,
+           [this](http::CallId id, http::CallResult result) {
+             Core.onCallEnded(id, std::move(result));
+           }),
+      Core(makeContext(Options), proxyOutlets(), Registry),
+      Callers(Loop, callerHandlers()), Ready(Loop, readyHandlers()),
+      Directory(Loop, directoryHandlers()),
+      Store(Loop, Options.StoreAddress, Known, Options.Seed, storeHandlers()),
+      Peers(Loop, describeSelf(Options, drawSeed()), Options.Seeds,
+            Options.FirstStart ? FirstSettleTime : SettleTime, peerHandlers()),
+      Operators(Loop, operatorSources()) {
+  ev_prepare_init(&BeforeWait, (&on<&Daemon::settle, ev_prepare>));
+  ev_timer_init(&WakeTimer, (&on<&Daemon::settle, ev_timer>), 0, 0);
+  ev_timer_init(&StopTimer, (&on<&Daemon::checkStop, ev_timer>), StopInterval,
+                StopInterval);
+  ev_timer_init(&SecondTimer, (&on<&Daemon::tick, ev_timer>), TickSeconds,
+                TickSeconds);
+  ev_signal_init(&Terminate, (&on<&Daemon::beginStop, ev_signal>), SIGTERM);
+  ev_signal_init(
+      &Reload,
+      [](struct ev_loop *, ev_signal *, int) {
+        logEvent(EventId::SettingsKept, "SIGHUP");
+      },
+      SIGHUP);
+  BeforeWait.data = WakeTimer.data = StopTimer.data = SecondTimer.data =
+      Terminate.data = this;
+}
+
+Daemon::~Daemon() {
+  ev_prepare_stop(Loop, &BeforeWait);
+  ev_timer_stop(Loop, &WakeTimer);
+  ev_timer_stop(Loop, &StopTimer);
+  ev_timer_stop(Loop, &SecondTimer);
+  ev_signal_stop(Loop, &Terminate);
+  ev_signal_stop(Loop, &Reload);
+}
+
+proxy::ProxyOutlets Daemon::proxyOutlets() {
+  return {[this](http::ExchangeId id, const http::Response &response) {
+            Callers.answer(id, response);
+          },
+          [this](http::Call call) { Pool.start(std::move(call)); },
+          [this](http::CallId id) { Pool.cancel(id); },
+          [this](const std::string &address) { Pool.closeIdle(address); },
+          [this](const balance::Suspect &it) { Peers.tellSuspected(it); },
+          [this](std::uint64_t it) { Peers.tellCondemned(it); }};
+}
+
+http::ServerHandlers Daemon::callerHandlers() {
+  return {[this](const http::Request &it) { return Core.mayOvertake(it); },
+          [this](http::ExchangeId id, http::Request request) {
+            Core.onRequest(id, std::move(request));
+          },
+          [this](http::ExchangeId id) { Core.onCallerGone(id); }};
+}
+
+http::ServerHandlers Daemon::readyHandlers() {
+  return {[](const http::Request &) { return true; },
+          [this](http::ExchangeId id, const http::Request &request) {
+            const bool asked = platform::dialect().IsReadyQuestion(request);
+            const unsigned status = isReady() ? Ok : Unavailable;
+            Ready.answer(id, {asked ? status : NotFound, {}, {}});
+          },
+          [](http::ExchangeId) {}};
+}
+
+http::ServerHandlers Daemon::directoryHandlers() {
+  return {[](const http::Request &) { return true; },
+          [this](http::ExchangeId id, const http::Request &it) {
+            answerResolve(id, it);
+          },
+          [](http::ExchangeId) {}};
+}
+
+fleet::PeerHandlers Daemon::peerHandlers() {
+  return {
+      [this](Duty duty) { takeDuty(duty); },
+      [this](const fleet::News &news) { takeNews(news); },
+      [this] { takeLive(); },
+      [this](const balance::Event &word) { Core.onWord(word); },
+      [this](fleet::News &news, fleet::Part part) { fillNews(news, part); }};
+}
+
+store::StoreHandlers Daemon::storeHandlers() {
+  return {[this](platform::Kind kind) { takeStoreChange(kind); },
+          [this](bool healthy) {
+            Complete = Complete || healthy;
+            Peers.setHealthy(healthy);
+          }};
+}
+
+OperatorSources Daemon::operatorSources() {
+  return {Options.InstanceId,
+          [this] { return stateName(); },
+          [this] { return Known.Config ? Known.Config->Version : 0; },
+          [this] { return dump(); },
+          [this] { measure(); },
+          [this] { beginStop(); },
+          &Registry};
+}
+
+std::string Daemon::stateName() const {
+  if (Stopping) {
+    return "stopping";
+  }
+  if (!Known.Config) {
+    return "no-configuration";
+  }
+  return Complete ? "ready" : "no-upstreams-known";
+}
+
+boost::json::object Daemon::dump() const {
+  const Instant now = readClock();
+  return {{"instance", Options.InstanceId},
+          {"state", stateName()},
+          {"proxy", Core.describe(now)},
+          {"store", Store.describe(now)},
+          {"peers", Peers.describe(now)}};
+}
+
+void Daemon::measure() {
+  const Instant now = readClock();
+  Core.measure();
+  const auto age = [&](Instant then) {
+    return std::chrono::duration<double>(now - then).count();
   };
-  sources.Dumps = {
-      {"gateway",
-       [&tasks](TakeDump it) {
-         tasks.Gateway.inbox().post(gateway::DumpWanted{std::move(it)});
-       }},
-      {"peers",
-       [&tasks](TakeDump it) {
-         tasks.Peers.inbox().post(peers::DumpWanted{std::move(it)});
-       }},
-      {"control", [&tasks](TakeDump it) {
-         tasks.Control.inbox().post(control::DumpWanted{std::move(it)});
-       }}};
-  sources.Trace = [&tasks](const std::string &service, TakeTrace answer) {
-    tasks.Gateway.inbox().post(
-        gateway::TraceWanted{service, std::move(answer)});
+  // While it reads, the store answers every half second; while it follows, the
+  // reader does so for it.
+  BeliefAge.Add({{"of", "store"}}).Set(age(ConfirmedAt));
+  const auto set = [&](const char *what, std::size_t value) {
+    Numbers.Add({{"what", what}}).Set(static_cast<double>(value));
   };
-  sources.Metrics = &registry;
-  return sources;
+  set("configuration-version", Known.Config ? Known.Config->Version : 0);
+  set("upstreams", Known.Upstreams.Entries.size());
+  set("domains-out", Known.DomainsOut.size());
+  set("instances-live", Peers.live().size());
+  set("instances-known", Peers.known());
+  set("reads-the-store", Peers.duty() == Duty::Read ? 1 : 0);
+  set("caller-connections", Callers.connections());
+  set("upstream-connections", Pool.connections());
+  set("log-lines-dropped", droppedLines());
+  for (const auto &[key, count] : Store.calls()) {
+    StoreCalls
+        .Add({{"call", key.first}, {"result", platform::nameOf(key.second)}})
+        .Set(static_cast<double>(count));
+  }
+}
+
+void Daemon::tick() {
+  if (Peers.isConfirmed()) {
+    ConfirmedAt = readClock();
+  }
+  Core.tellLeftOut();
+  flushLog();
 }
 
-// Signals are the gateway's: the other threads inherit the block.
-void blockStopSignals(int how) {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(how, &signals, nullptr);
+bool Daemon::open() {
+  const std::pair<http::Server *, const std::string *> ports[]{
+      {&Callers, &Options.CallerAddress},
+      {&Ready, &Options.ReadyAddress},
+      {&Directory, &Options.DirectoryAddress}};
+  if (!Operators.listen(Options.OperatorAddress)) {
+    logEvent(EventId::PortUnusable,
+             "cannot listen on " + Options.OperatorAddress);
+    return false;
+  }
+  for (const auto &[server, address] : ports) {
+    if (!server->listen(*address)) {
+      logEvent(EventId::PortUnusable, "cannot listen on " + *address);
+      return false;
+    }
+  }
+  if (!Peers.open()) {
+    logEvent(EventId::PortUnusable, "cannot listen on " + Options.PeerAddress);
+    return false;
+  }
+  return true;
 }
 
-} // namespace
+ExitCode Daemon::run() {
+  std::signal(SIGPIPE, SIG_IGN);
+  ev_signal_start(Loop, &Terminate);
+  ev_signal_start(Loop, &Reload);
+  ev_prepare_start(Loop, &BeforeWait);
+  ev_timer_start(Loop, &SecondTimer);
+  Peers.start();
+  ev_run(Loop, 0);
+  return Code;
+}
 
-ExitCode runDaemon(const Settings &settings) {
-  prometheus::Registry registry;
-  Tasks tasks(settings, registry);
-  if (const auto opened = tasks.Gateway.open(); !opened) {
-    logEvent(EventId::PortUnusable, opened.error().Message);
-    return ExitCode::Failed;
+void Daemon::takeDuty(Duty duty) {
+  if (duty != Duty::Read) {
+    return Store.end();
   }
-  blockStopSignals(SIG_BLOCK);
-  if (const auto started = tasks.Peers.start(); !started) {
-    logEvent(EventId::PortUnusable, started.error().Message);
-    return ExitCode::Failed;
+  if (!Options.FirstStart) {
+    Store.distrustCheapReads();
+  }
+  Store.begin();
+  takeLive();
+}
+
+void Daemon::takeNews(const fleet::News &news) {
+  const Instant now = readClock();
+  if (news.Config) {
+    adopt(Known, news.Config);
   }
-  OperatorTask operators(makeSources(settings, tasks, registry));
-  if (const auto started = operators.start(settings.OperatorAddress);
-      !started) {
-    logEvent(EventId::PortUnusable, started.error().Message);
+  if (news.Upstreams) {
+    putAll(Known, news.Upstreams->All, news.Upstreams->AsOf, now);
+    Complete = true;
+  }
+  if (news.Domains) {
+    setAllOut(Known, news.Domains->Out, news.Domains->AsOf);
+  }
+  Changed = true;
+}
+
+void Daemon::fillNews(fleet::News &news, fleet::Part part) const {
+  const Instant now = readClock();
+  switch (part) {
+  case fleet::Part::Configuration:
+    news.Config = Known.Config;
+    return;
+  case fleet::Part::Upstreams:
+    news.Upstreams.emplace();
+    news.Upstreams->AsOf = Known.UpstreamsAsOf;
+    for (const auto &[id, it] : Known.Upstreams.Entries) {
+      news.Upstreams->All.push_back({currentOf(it, now), it.Revision});
+    }
+    return;
+  case fleet::Part::Domains:
+    news.Domains = {Known.DomainsOut, Known.DomainsAsOf};
+    return;
+  case fleet::Part::Members:
+    news.Fleet = {Peers.live(), Peers.known()};
+    return;
+  }
+}
+
+void Daemon::takeStoreChange(platform::Kind kind) {
+  switch (kind) {
+  case platform::Kind::Configuration:
+    if (Known.Config) {
+      Peers.publish(fleet::Part::Configuration);
+    }
+    break;
+  case platform::Kind::Upstreams:
+    Peers.publish(fleet::Part::Upstreams);
+    break;
+  case platform::Kind::Evacuations:
+    Peers.publish(fleet::Part::Domains);
+    break;
+  case platform::Kind::Instances:
+    Peers.learnRecorded(Store.recorded());
+    break;
+  }
+  Changed = true;
+}
+
+void Daemon::takeLive() {
+  Beliefs.noteLive(Peers.live());
+  if (Peers.duty() == Duty::Read) {
+    std::vector<Instance> live;
+    for (const Member &it : Peers.live()) {
+      live.push_back(it.Record);
+    }
+    Store.setPosition(Peers.position());
+    Store.wantRecorded(std::move(live));
+  }
+  Changed = true;
+}
+
+void Daemon::refresh() {
+  Changed = false;
+  auto fleet = std::make_shared<View>();
+  fleet->Config = Known.Config;
+  fleet->Upstreams = upstreamsOf(Known.Upstreams, readClock());
+  for (const auto &[domain, revision] : Known.DomainsOut) {
+    fleet->DomainsOut.insert(domain);
+  }
+  fleet->Known = std::max(Peers.known(), Peers.live().size());
+  if (fleet->Config) {
+    Callers.setLimits(fleet->Config->Limits);
+  }
+  Beliefs.noteFleet(*fleet);
+  Core.onFleet(std::move(fleet));
+}
+
+bool Daemon::isReady() const { return !Stopping && Complete && Known.Config; }
+
+void Daemon::answerResolve(http::ExchangeId id, const http::Request &request) {
+  const auto question = platform::dialect().ReadResolve(request);
+  if (!question) {
+    return Directory.answer(id, {NotFound, {}, {}});
+  }
+  std::vector<std::string> addresses;
+  for (const Member &it : Peers.live()) {
+    const bool isSelf = it.Record.Id == Options.InstanceId;
+    if (!it.Record.Leaving && (!isSelf || isReady())) {
+      addresses.push_back(it.Record.CallerAddress);
+    }
+  }
+  if (addresses.empty()) {
+    return Directory.answer(id, {Unavailable, {}, {}});
+  }
+  Directory.answer(id, platform::dialect().WriteResolved(
+                           addresses, Options.ResolveLifetime));
+}
+
+void Daemon::settle() {
+  if (Changed) {
+    refresh();
+  }
+  ev_timer_stop(Loop, &WakeTimer);
+  if (Core.nextWake() <= readClock()) {
+    Core.onWake();
+  }
+  const Instant next = Core.nextWake();
+  if (next != Instant::max()) {
+    const std::chrono::duration<double> left =
+        std::max(next - readClock(), Duration{0});
+    ev_now_update(Loop);
+    ev_timer_set(&WakeTimer, left.count(), 0);
+    ev_timer_start(Loop, &WakeTimer);
+  }
+}
+
+void Daemon::beginStop() {
+  if (Stopping) {
+    return;
+  }
+  logEvent(EventId::StopBegan, Options.InstanceId);
+  Stopping = true;
+  StoppingSince = readClock();
+  Peers.beginStop();
+  Callers.closeAfterAnswers();
+  ev_timer_start(Loop, &StopTimer);
+}
+
+void Daemon::checkStop() {
+  const Instant now = readClock();
+  const Instant serveUntil = StoppingSince + Options.ResolveLifetime;
+  const Instant giveUpAt = StoppingSince + Options.StopTimeout - StopMargin;
+  if (now >= serveUntil) {
+    Callers.stopListening();
+    Callers.closeIdle();
+  }
+  const bool done = now >= serveUntil && Callers.openExchanges() == 0;
+  if (done || now >= giveUpAt) {
+    Code = done ? ExitCode::Done : ExitCode::Failed;
+    ev_break(Loop, EVBREAK_ALL);
+  }
+}
+
+} // namespace
+
+ExitCode runDaemon(const Settings &settings) {
+  Daemon daemon(settings);
+  if (!daemon.open()) {
     return ExitCode::Failed;
   }
-  tasks.Control.start();
-  tasks.Gateway.stopOnSignals();
-  blockStopSignals(SIG_UNBLOCK);
   logEvent(EventId::Started, settings.InstanceId + " in " +
                                  settings.FailureDomain + ", callers at " +
                                  settings.CallerAddress);
-  const ExitCode code = tasks.Gateway.run();
-  operators.stop();
-  tasks.Control.stop();
-  tasks.Peers.stop();
+  const ExitCode code = daemon.run();
   logEvent(code == ExitCode::Done ? EventId::Stopped : EventId::StopCutShort,
            settings.InstanceId);
   return code;
--- a/include/zinniarail/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -3,12 +3,12 @@
 /// its graceful stop, on one loop.
 #pragma once
 
-#include "zinniarail/settings/NodeSettings.h"
+#include "zinniarail/settings/Settings.h"
 
 namespace zinniarail {
 
 /// Runs an instance on the calling thread until a graceful stop.
 /// \returns how it ended. What went wrong is in the log.
-ExitCode runNode(const NodeSettings &settings);
+ExitCode runDaemon(const Settings &settings);
 
 } // namespace zinniarail
--- a/src/fleet/Codec.cpp
+++ b/src/fleet/Codec.cpp
@@ -21,6 +21,7 @@
   out.setDomain(it.Record.Domain);
   out.setCallers(it.Record.CallerAddress);
   out.setPeers(it.Record.PeerAddress);
+  out.setOperators(it.Record.OperatorAddress);
   out.setBoot(it.Boot);
   out.setWeight(it.Weight);
   out.setLeaving(it.Record.Leaving);
@@ -34,6 +35,7 @@
   out.Record.Domain = textOf(in.getDomain());
   out.Record.CallerAddress = textOf(in.getCallers());
   out.Record.PeerAddress = textOf(in.getPeers());
+  out.Record.OperatorAddress = textOf(in.getOperators());
   out.Record.Leaving = in.getLeaving();
   out.Boot = in.getBoot();
   out.Weight = in.getWeight();
@@ -113,7 +115,7 @@
   return out;
 }
 
-void write(wire::Upstreams::Builder out, const News::UpstreamList &it) {
+void write(wire::Upstreams::Builder out, const UpstreamList &it) {
   out.setAsOf(it.AsOf);
   auto all = out.initAll(static_cast<unsigned>(it.All.size()));
   for (unsigned n = 0; n < all.size(); ++n) {
@@ -130,8 +132,8 @@
   }
 }
 
-News::UpstreamList read(wire::Upstreams::Reader in) {
-  News::UpstreamList out;
+UpstreamList read(wire::Upstreams::Reader in) {
+  UpstreamList out;
   out.AsOf = in.getAsOf();
   for (const auto it : in.getAll()) {
     store::ListedUpstream &listed = out.All.emplace_back();
@@ -148,7 +150,7 @@
   return out;
 }
 
-void write(wire::DomainsOut::Builder out, const News::DomainList &it) {
+void write(wire::DomainsOut::Builder out, const DomainList &it) {
   out.setAsOf(it.AsOf);
   auto all = out.initAll(static_cast<unsigned>(it.Out.size()));
   unsigned n = 0;
@@ -158,8 +160,8 @@
   }
 }
 
-News::DomainList read(wire::DomainsOut::Reader in) {
-  News::DomainList out;
+DomainList read(wire::DomainsOut::Reader in) {
+  DomainList out;
   out.AsOf = in.getAsOf();
   for (const auto it : in.getAll()) {
     out.Out.emplace(textOf(it.getName()), it.getRevision());
@@ -167,7 +169,7 @@
   return out;
 }
 
-void write(wire::Members::Builder out, const News::MemberList &it) {
+void write(wire::Members::Builder out, const MemberList &it) {
   out.setKnown(static_cast<unsigned>(it.Known));
   auto live = out.initLive(static_cast<unsigned>(it.Live.size()));
   for (unsigned n = 0; n < live.size(); ++n) {
@@ -175,8 +177,8 @@
   }
 }
 
-News::MemberList read(wire::Members::Reader in) {
-  News::MemberList out;
+MemberList read(wire::Members::Reader in) {
+  MemberList out;
   out.Known = in.getKnown();
   for (const auto it : in.getLive()) {
     out.Live.push_back(read(it));
@@ -214,13 +216,12 @@
     root.setPing();
   } else if (std::holds_alternative<Datagram::Pong>(datagram.What)) {
     root.setPong();
+  } else if (const auto *it = std::get_if<balance::Suspected>(&datagram.What)) {
+    auto out = root.initSuspected();
+    out.setFingerprint(it->Which.Fingerprint);
+    out.setUpstream(it->Which.Upstream);
   } else {
-    const auto &prints =
-        std::get<Datagram::Condemned>(datagram.What).Fingerprints;
-    auto out = root.initCondemned(static_cast<unsigned>(prints.size()));
-    for (unsigned n = 0; n < out.size(); ++n) {
-      out.set(n, prints[n]);
-    }
+    root.setCondemned(std::get<balance::Condemned>(datagram.What).Fingerprint);
   }
   write(root.initSender(), datagram.Sender);
   auto members =
@@ -239,12 +240,12 @@
       out.What = Datagram::Ping{};
     } else if (root.isPong()) {
       out.What = Datagram::Pong{};
+    } else if (root.isSuspected()) {
+      const auto it = root.getSuspected();
+      out.What =
+          balance::Suspected{{it.getFingerprint(), textOf(it.getUpstream())}};
     } else {
-      Datagram::Condemned condemned;
-      for (const auto it : root.getCondemned()) {
-        condemned.Fingerprints.push_back(it);
-      }
-      out.What = std::move(condemned);
+      out.What = balance::Condemned{root.getCondemned()};
     }
     out.Sender = read(root.getSender());
     for (const auto it : root.getMembers()) {
--- a/src/fleet/Codec.h
+++ b/src/fleet/Codec.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "store/Mirror.h"
+#include "zinniarail/balance/Messages.h"
 #include "zinniarail/fleet/Members.h"
 
 namespace zinniarail::fleet {
@@ -19,11 +20,7 @@
 struct Datagram {
   struct Ping {};
   struct Pong {};
-  /// Requests with these fingerprints crash the upstreams that run them.
-  struct Condemned {
-    std::vector<std::uint64_t> Fingerprints;
-  };
-  std::variant<Ping, Pong, Condemned> What;
+  std::variant<Ping, Pong, balance::Suspected, balance::Condemned> What;
   Member Sender;
   std::vector<Member> Others; ///< Of the receiver's failure domain.
 };
@@ -33,25 +30,31 @@
 /// \returns none when it can't be read.
 std::optional<Datagram> decodeDatagram(std::string_view bytes);
 
+/// The upstreams that are registered.
+struct UpstreamList {
+  std::vector<store::ListedUpstream> All;
+  std::uint64_t AsOf = 0;
+};
+
+/// The failure domains that are out, by when they went.
+struct DomainList {
+  std::map<std::string, std::uint64_t> Out;
+  std::uint64_t AsOf = 0;
+};
+
+/// The instances that are heard of.
+struct MemberList {
+  std::vector<Member> Live;
+  std::size_t Known = 0;
+};
+
 /// What a reader tells its followers: the parts that changed.
 struct News {
   std::uint64_t Boot = 0; ///< The reader's.
   std::uint64_t Sequence = 0;
   std::shared_ptr<const Configuration> Config; ///< Null: as before.
-  struct UpstreamList {
-    std::vector<store::ListedUpstream> All;
-    std::uint64_t AsOf = 0;
-  };
   std::optional<UpstreamList> Upstreams;
-  struct DomainList {
-    std::map<std::string, std::uint64_t> Out;
-    std::uint64_t AsOf = 0;
-  };
   std::optional<DomainList> Domains;
-  struct MemberList {
-    std::vector<Member> Live;
-    std::size_t Known = 0;
-  };
   std::optional<MemberList> Fleet;
 };
 
--- a/src/fleet/Members.cpp
+++ b/src/fleet/Members.cpp
@@ -53,8 +53,9 @@
   }
   for (auto &[id, it] : members.Others) {
     const bool named =
-        std::any_of(live.begin(), live.end(),
-                    [&](const Member &any) { return any.Record.Id == id; });
+        std::any_of(live.begin(), live.end(), [&own = it](const Member &any) {
+          return any.Record.Id == own.Said.Record.Id;
+        });
     if (!named && it.VouchedAt != Instant::min()) {
       changed = changed || isLive(it, now);
       it.VouchedAt = Instant::min();
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -211,9 +211,12 @@
     std::sort(pong.Others.begin(), pong.Others.end(), leads);
     pong.Others.resize(std::min(pong.Others.size(), IntroducedCount));
     send(from, pong);
+  } else if (const auto *suspected =
+                 std::get_if<balance::Suspected>(&datagram.What)) {
+    Handlers.WordCame(*suspected);
   } else if (const auto *condemned =
-                 std::get_if<Datagram::Condemned>(&datagram.What)) {
-    Handlers.CondemnedCame(condemned->Fingerprints);
+                 std::get_if<balance::Condemned>(&datagram.What)) {
+    Handlers.WordCame(*condemned);
   }
   if (changed) {
     settle();
@@ -368,13 +371,20 @@
   }
 }
 
-void PeerTask::tellCondemned(std::uint64_t fingerprint) {
-  const Datagram datagram{Datagram::Condemned{{fingerprint}}, Known.Self, {}};
+void PeerTask::sendAll(const Datagram &datagram) const {
   for (const auto &[id, it] : Known.Others) {
     send(it.Said.Record.PeerAddress, datagram);
   }
 }
 
+void PeerTask::tellSuspected(const balance::Suspect &suspect) {
+  sendAll({balance::Suspected{suspect}, Known.Self, {}});
+}
+
+void PeerTask::tellCondemned(std::uint64_t fingerprint) {
+  sendAll({balance::Condemned{fingerprint}, Known.Self, {}});
+}
+
 void PeerTask::beginStop() {
   Known.Self.Record.Leaving = true;
   greetAll();
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -29,7 +29,7 @@
   std::function<void(Duty)> DutyChanged;
   std::function<void(const News &)> NewsCame;
   std::function<void()> LiveChanged;
-  std::function<void(const std::vector<std::uint64_t> &)> CondemnedCame;
+  std::function<void(const balance::Event &)> WordCame;
   /// What is known of the store, to be passed on: the wanted part alone.
   std::function<void(News &, Part)> Fill;
 };
@@ -59,6 +59,8 @@
   /// Instances that the store has recorded.
   void learnRecorded(const std::vector<Instance> &recorded);
 
+  /// Tells all instances of a request that crashes upstreams, or may do so.
+  void tellSuspected(const balance::Suspect &suspect);
   void tellCondemned(std::uint64_t fingerprint);
 
   /// Tells the others that this instance leaves.
@@ -97,6 +99,7 @@
   void takeDuty();
   void ping();
   void greetAll();
+  void sendAll(const Datagram &datagram) const;
   void send(const std::string &address, const Datagram &datagram) const;
   void serve(http::ExchangeId id, const http::Request &request);
   void answer(const Question &question);
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -67,16 +67,17 @@
 
 } // namespace
 
+/// One request and the place of its response.
+struct Server::Slot {
+  ExchangeId Id = 0;
+  std::optional<Request> Held; ///< Not handed on yet.
+  bool ToHead = false;
+  bool LastOne = false; ///< The connection ends behind its response.
+  std::optional<std::string> Bytes;
+};
+
 /// One caller's connection.
 struct Server::Connection {
-  /// One request and the place of its response.
-  struct Slot {
-    ExchangeId Id = 0;
-    std::optional<Request> Held; ///< Not handed on yet.
-    bool ToHead = false;
-    bool LastOne = false; ///< The connection ends behind its response.
-    std::optional<std::string> Bytes;
-  };
 
   Server *Owner = nullptr;
   int Fd = -1;
@@ -93,6 +94,11 @@
   Instant ActiveAt{};
 };
 
+Server::Slot &Server::slotOf(Connection &connection, ExchangeId id) {
+  return *std::find_if(connection.Slots.begin(), connection.Slots.end(),
+                       [&](const Slot &it) { return it.Id == id; });
+}
+
 Server::Server(struct ev_loop *loop, ServerHandlers handlers)
     : Loop(loop), Handlers(std::move(handlers)) {}
 
@@ -238,7 +244,7 @@
       }
       continue;
     }
-    Connection::Slot &slot = connection.Slots.emplace_back();
+    Slot &slot = connection.Slots.emplace_back();
     slot.Id = ++LastId;
     slot.LastOne = !connection.Parsing->keep_alive();
     slot.Held = takeRequest(*connection.Parsing);
@@ -259,7 +265,7 @@
   // The handler may answer at once and so change the list.
   std::vector<std::pair<ExchangeId, Request>> ready;
   bool first = true;
-  for (Connection::Slot &it : connection.Slots) {
+  for (Slot &it : connection.Slots) {
     if (it.Held) {
       if (!first && !Handlers.MayOvertake(*it.Held)) {
         break;
@@ -278,7 +284,7 @@
 }
 
 void Server::refuse(Connection &connection, unsigned status) {
-  Connection::Slot &slot = connection.Slots.emplace_back();
+  Slot &slot = connection.Slots.emplace_back();
   slot.LastOne = true;
   slot.Bytes = printResponse({status, {}, {}}, false, true);
   connection.Parsing.reset();
@@ -286,18 +292,26 @@
   flush(connection);
 }
 
-void Server::answer(ExchangeId id, Response response) {
+void Server::answer(ExchangeId id, const Response &response) {
+  const auto found = Waiting.find(id);
+  if (found == Waiting.end()) {
+    return;
+  }
+  const Slot &slot = slotOf(*found->second, id);
+  const bool last = slot.LastOne || Closing;
+  answerBytes(id, printResponse(response, slot.ToHead, last), last);
+}
+
+void Server::answerBytes(ExchangeId id, std::string bytes, bool close) {
   const auto found = Waiting.find(id);
   if (found == Waiting.end()) {
     return;
   }
   Connection &connection = *found->second;
   Waiting.erase(found);
-  const auto slot =
-      std::find_if(connection.Slots.begin(), connection.Slots.end(),
-                   [&](const Connection::Slot &it) { return it.Id == id; });
-  slot->LastOne = slot->LastOne || Closing;
-  slot->Bytes = printResponse(response, slot->ToHead, slot->LastOne);
+  Slot &slot = slotOf(connection, id);
+  slot.LastOne = close;
+  slot.Bytes = std::move(bytes);
   flush(connection);
 }
 
@@ -310,7 +324,7 @@
   }
   if (connection.Ending) {
     // What stands behind a closing response counts as not read.
-    for (const Connection::Slot &it : connection.Slots) {
+    for (const Slot &it : connection.Slots) {
       if (Waiting.erase(it.Id) != 0) {
         Handlers.Gone(it.Id);
       }
@@ -397,7 +411,7 @@
   ev_timer_stop(Loop, &connection.Timer);
   close(connection.Fd);
   const auto owned = std::move(Open.extract(&connection).mapped());
-  for (const Connection::Slot &it : owned->Slots) {
+  for (const Slot &it : owned->Slots) {
     if (Waiting.erase(it.Id) != 0) {
       Handlers.Gone(it.Id);
     }
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -54,7 +54,11 @@
   void setLimits(const CallerLimits &limits) { Limits = limits; }
 
   /// Gives an exchange its response.
-  void answer(ExchangeId id, Response response);
+  void answer(ExchangeId id, const Response &response);
+
+  /// Gives an exchange the bytes that are to be its response.
+  /// \param close ends the connection behind them.
+  void answerBytes(ExchangeId id, std::string bytes, bool close);
 
   /// Every response closes its connection from now on.
   void closeAfterAnswers() { Closing = true; }
@@ -68,8 +72,10 @@
   std::size_t connections() const { return Open.size(); }
 
 private:
+  struct Slot;
   struct Connection;
 
+  static Slot &slotOf(Connection &connection, ExchangeId id);
   void accept();
   void readFrom(Connection &connection);
   bool receive(Connection &connection);
--- a/src/http/Sockets.cpp
+++ b/src/http/Sockets.cpp
@@ -6,7 +6,7 @@
 
 #include <cerrno>
 
-#include "zinniarail/settings/Settings.h"
+#include "zinniarail/core/Address.h"
 
 #include <arpa/inet.h>
 
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -94,7 +94,7 @@
     : Context(std::move(context)), Outlets(std::move(outlets)),
       Counts(registry), Draws(Context.Seed, hashBytes(Context.Self)) {}
 
-void Proxy::onFleet(std::shared_ptr<const Fleet> fleet) {
+void Proxy::onFleet(std::shared_ptr<const View> fleet) {
   Current = std::move(fleet);
   const Instant now = readClock();
   balance::Actions actions;
@@ -296,11 +296,13 @@
   Open.erase(it);
 }
 
-void Proxy::onCondemned(std::uint64_t fingerprint) {
-  logEvent(EventId::RequestsCondemned,
-           {{"fingerprint", fingerprint}, {"by", "another instance"}});
+void Proxy::onWord(const balance::Event &word) {
+  if (const auto *it = std::get_if<balance::Condemned>(&word)) {
+    logEvent(EventId::RequestsCondemned,
+             {{"fingerprint", it->Fingerprint}, {"by", "another instance"}});
+  }
   for (auto &[name, entry] : Entries) {
-    post(*entry, balance::Condemned{fingerprint});
+    post(*entry, word);
   }
   drain();
 }
@@ -365,6 +367,9 @@
           [&](const balance::Deliver &it) { deliver(it); },
           [&](const balance::Refuse &it) { refuse(it); },
           [&](const balance::SendProbe &it) { startProbe(entry, it.Upstream); },
+          [&](const balance::TellSuspected &it) {
+            Outlets.TellSuspected(it.Which);
+          },
           [&](const balance::TellCondemned &it) {
             logEvent(EventId::RequestsCondemned,
                      {{"service", entry.Name},
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -22,7 +22,7 @@
 #include "proxy/Metrics.h"
 #include "proxy/RequestLog.h"
 #include "zinniarail/balance/Engine.h"
-#include "zinniarail/membership/Fleet.h"
+#include "zinniarail/fleet/View.h"
 
 namespace zinniarail::proxy {
 
@@ -50,6 +50,7 @@
   std::function<void(http::Call)> Start;
   std::function<void(http::CallId)> Cancel;
   std::function<void(const std::string &address)> Forget; ///< An upstream's.
+  std::function<void(const balance::Suspect &)> TellSuspected;
   std::function<void(std::uint64_t fingerprint)> TellCondemned;
 };
 
@@ -61,11 +62,12 @@
   Proxy(ProxyContext context, ProxyOutlets outlets,
         prometheus::Registry &registry);
 
-  void onFleet(std::shared_ptr<const Fleet> fleet);
+  void onFleet(std::shared_ptr<const View> fleet);
   void onRequest(http::ExchangeId id, http::Request request);
   void onCallerGone(http::ExchangeId id);
   void onCallEnded(http::CallId id, http::CallResult result);
-  void onCondemned(std::uint64_t fingerprint);
+  /// Another instance suspects or condemns requests that crash upstreams.
+  void onWord(const balance::Event &word);
   void onWake();
 
   /// When to call onWake next; Instant::max() when there is nothing to do.
@@ -137,7 +139,7 @@
   Metrics Counts;
   RequestLog Log;
   Random Draws;
-  std::shared_ptr<const Fleet> Current;
+  std::shared_ptr<const View> Current;
   std::map<std::string, std::unique_ptr<ServiceEntry>> Entries;
   std::unordered_map<http::ExchangeId, OpenRequest> Open;
   std::unordered_map<http::CallId, UpstreamCall> Calls;
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -1,14 +1,16 @@
 #include "zinniarail/settings/Settings.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
 #include <charconv>
 #include <map>
+#include <set>
 #include <sstream>
 
 #include <boost/program_options.hpp>
 
+#include "zinniarail/core/Address.h"
+#include "zinniarail/core/DurationText.h"
+
 namespace zinniarail {
 
 namespace {
@@ -18,75 +20,184 @@
 constexpr unsigned HelpWidth = 100; // columns
 constexpr std::size_t NameLimit = 64;
 const std::string VariablePrefix = "ZINNIARAIL_";
+const std::string FileFlag = "settings-file";
+const std::string FileVariable = "ZINNIARAIL_SETTINGS";
 
-const std::map<std::string, RoutingPolicy> Policies{
-    {"homes", RoutingPolicy::Homes},
-    {"two-choices", RoutingPolicy::TwoChoices},
-    {"random", RoutingPolicy::Random},
-    {"round-robin", RoutingPolicy::RoundRobin}};
-
-struct RawSettings {
-  Settings Values;
-  std::string Policy;
-  std::int64_t ViewLifetimeMs = 0;
-  std::int64_t PeerTimeoutMs = 0;
-  std::int64_t PeerIntervalMs = 0;
-  std::int64_t StopTimeoutMs = 0;
-  std::int64_t TraceBytes = 0;
+/// One setting: how it is named, shown and understood.
+struct Kind {
+  std::string Flag;
+  std::string Default; ///< Empty: it must be given.
+  std::string ValueName;
+  std::string Meaning;
+  /// Stores a value. \returns what is wrong with it; empty when it is right.
+  std::function<std::string(Settings &, const std::string &)> Take;
+  bool MayBeEmpty = false;
 };
 
-constexpr std::int64_t MostTraceBytes = std::int64_t{16} << 20;
+bool isName(const std::string &text) {
+  return !text.empty() && text.size() <= NameLimit &&
+         std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+         });
+}
+
+Kind nameOf(const char *flag, std::string Settings::*target,
+            const char *meaning) {
+  return {flag, "", "NAME", meaning,
+          [target](Settings &out, const std::string &text) -> std::string {
+            out.*target = text;
+            return isName(text) ? ""
+                                : "is not a name of 1 to 64 letters, digits, "
+                                  "'-', '_' and '.'";
+          }};
+}
+
+Kind addressOf(const char *flag, std::string Settings::*target,
+               const char *meaning) {
+  return {flag, "", "IP:PORT", meaning,
+          [target](Settings &out, const std::string &text) -> std::string {
+            out.*target = text;
+            return parseAddress(text).Host.empty()
+                       ? "is not an IP number and a port, as in 10.0.0.1:80"
+                       : "";
+          }};
+}
+
+Kind durationOf(const char *flag, Duration Settings::*target,
+                const char *fallback, Duration least, Duration most,
+                const char *meaning) {
+  return {flag, fallback, "TIME", meaning,
+          [=](Settings &out, const std::string &text) -> std::string {
+            const auto read = parseDuration(text);
+            if (!read || *read < least || *read > most) {
+              return "is not a time from " + printDuration(least) + " to " +
+                     printDuration(most) + ", as in 1500ms or 2s";
+            }
+            out.*target = *read;
+            return "";
+          }};
+}
+
+Kind numberOf(const char *flag, double Settings::*target, const char *fallback,
+              double least, double most, const char *meaning) {
+  return {flag, fallback, "N", meaning,
+          [=](Settings &out, const std::string &text) -> std::string {
+            double read = 0;
+            const char *last = text.data() + text.size();
+            const auto [end, ec] = std::from_chars(text.data(), last, read);
+            if (ec != std::errc{} || end != last || read < least ||
+                read > most) {
+              std::ostringstream why;
+              why << "is not a number from " << least << " to " << most;
+              return why.str();
+            }
+            out.*target = read;
+            return "";
+          }};
+}
+
+Kind logLevel() {
+  return {
+      "log-level", "info", "LEVEL", "error, warn, info or debug",
+      [](Settings &out, const std::string &text) -> std::string {
+        const std::set<std::string> levels{"error", "warn", "info", "debug"};
+        out.LogLevel = text;
+        return levels.contains(text) ? ""
+                                     : "is none of error, warn, info, debug";
+      }};
+}
+
+Kind seeds() {
+  return {"seeds",
+          "",
+          "IP:PORT,...",
+          "peer addresses of instances that may know others",
+          [](Settings &out, const std::string &text) -> std::string {
+            std::istringstream in(text);
+            for (std::string it; std::getline(in, it, ',');) {
+              if (parseAddress(it).Host.empty()) {
+                return "is not a list of addresses, as in "
+                       "10.0.0.1:80,10.0.0.2:80";
+              }
+              out.Seeds.push_back(it);
+            }
+            return "";
+          },
+          true};
+}
 
-std::int64_t toMs(Duration it) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+Kind flagOf(const char *flag, bool Settings::*target, const char *meaning) {
+  return {flag, "false", "true|false", meaning,
+          [target](Settings &out, const std::string &text) -> std::string {
+            out.*target = text == "true";
+            return text == "true" || text == "false" ? ""
+                                                     : "is not true or false";
+          }};
 }
 
-po::typed_value<std::int64_t> *milliseconds(std::int64_t &target,
-                                            Duration fallback) {
-  return po::value(&target)->default_value(toMs(fallback))->value_name("MS");
+Kind seed() {
+  return {"seed", "0", "N", "of random draws; 0: drawn at the start",
+          [](Settings &out, const std::string &text) -> std::string {
+            const char *last = text.data() + text.size();
+            const auto [end, ec] = std::from_chars(text.data(), last, out.Seed);
+            return ec == std::errc{} && end == last ? ""
+                                                    : "is not a whole number";
+          }};
 }
 
-po::options_description describeOptions(RawSettings &raw) {
-  const Settings defaults;
-  Settings &it = raw.Values;
-  const auto text = [](std::string &target, const char *name) {
-    return po::value(&target)->default_value("", "")->value_name(name);
+std::vector<Kind> allKinds() {
+  using namespace std::chrono_literals;
+  using S = Settings;
+  constexpr double mostRate = 1e6;
+  return {
+      nameOf("instance-id", &S::InstanceId,
+             "this instance's name, unique in its environment"),
+      nameOf("failure-domain", &S::FailureDomain,
+             "the failure domain it runs in"),
+      addressOf("caller-address", &S::CallerAddress, "where callers connect"),
+      addressOf("ready-address", &S::ReadyAddress,
+                "where the platform asks whether it is ready"),
+      addressOf("directory-address", &S::DirectoryAddress,
+                "where callers ask which addresses to use"),
+      addressOf("peer-address", &S::PeerAddress,
+                "where other instances send datagrams"),
+      addressOf("operator-address", &S::OperatorAddress,
+                "where operators connect"),
+      addressOf("store-address", &S::StoreAddress, "the platform's store"),
+      seeds(),
+      numberOf("cores", &S::Cores, "1", 0, 1024,
+               "processor time that this instance has; one with more reads the "
+               "store for others"),
+      logLevel(),
+      durationOf("stop-timeout", &S::StopTimeout, "30s", 100ms, 600s,
+                 "how long a graceful stop may take at most"),
+      durationOf("resolve-lifetime", &S::ResolveLifetime, "2s", 100ms, 60s,
+                 "how long callers may keep the addresses that they got"),
+      numberOf("retry-ratio", &S::RetryRatio, "0.1", 0, 1,
+               "repeats for each request, over all instances"),
+      numberOf("extra-retries", &S::ExtraRetries, "10", 0, mostRate,
+               "repeats beyond the ratio in a window, over all instances"),
+      numberOf("cold-overshoot", &S::ColdOvershoot, "1", 0, 100,
+               "times the rate that a cold upstream is said to bear"),
+      numberOf("cold-slack", &S::ColdSlack, "0", 0, mostRate,
+               "requests a second to a cold upstream beyond that"),
+      numberOf("probes-per-second", &S::ProbesPerSecond, "10", 0, mostRate,
+               "health checks of one upstream, over all instances"),
+      flagOf("first-start", &S::FirstStart,
+             "whether the whole system starts for the first time"),
+      seed(),
   };
+}
+
+po::options_description describeOptions() {
   po::options_description options("Settings", HelpWidth);
-  options.add_options()("instance-id", text(it.InstanceId, "NAME"),
-                        "this instance's name, unique in its environment")(
-      "failure-domain", text(it.FailureDomain, "NAME"),
-      "the failure domain it runs in")(
-      "environment", text(it.Environment, "NAME"), "the environment it serves")(
-      "caller-address", text(it.CallerAddress, "IP:PORT"),
-      "where callers connect")("peer-address", text(it.PeerAddress, "IP:PORT"),
-                               "where other instances connect")(
-      "operator-address", text(it.OperatorAddress, "IP:PORT"),
-      "where operators connect")(
-      "platform-address", text(it.PlatformAddress, "IP:PORT"),
-      "the platform's object API")("log-level",
-                                   po::value(&it.LogLevel)
-                                       ->default_value(defaults.LogLevel)
-                                       ->value_name("LEVEL"),
-                                   "error, warn, info or debug")(
-      "policy",
-      po::value(&raw.Policy)->default_value("homes")->value_name("NAME"),
-      "homes; two-choices, random and round-robin are for measurements")(
-      "view-lifetime-ms",
-      milliseconds(raw.ViewLifetimeMs, defaults.ViewLifetime),
-      "how long a proof that the document is current lasts")(
-      "peer-timeout-ms", milliseconds(raw.PeerTimeoutMs, defaults.PeerTimeout),
-      "silence after which an instance counts as lost")(
-      "peer-interval-ms",
-      milliseconds(raw.PeerIntervalMs, defaults.PeerInterval),
-      "how often instances speak to each other")(
-      "stop-timeout-ms", milliseconds(raw.StopTimeoutMs, defaults.StopTimeout),
-      "how long a graceful stop may take at most")(
-      "seed", po::value(&it.Seed)->default_value(0)->value_name("N"),
-      "of random draws; 0: drawn at the start")(
-      "trace-bytes",
-      po::value(&raw.TraceBytes)->default_value(0)->value_name("N"),
-      "memory for the trace of each service; 0: none");
+  for (const Kind &it : allKinds()) {
+    auto *value = po::value<std::string>()->value_name(it.ValueName);
+    if (!it.Default.empty()) {
+      value->default_value(it.Default);
+    }
+    options.add_options()(it.Flag.c_str(), value, it.Meaning.c_str());
+  }
   return options;
 }
 
@@ -94,7 +205,9 @@
   po::options_description commands("Commands", HelpWidth);
   commands.add_options()("help", "print this and exit")(
       "version", "print the version and exit")(
-      "check", "check the settings and exit: 0 when right, 2 when wrong");
+      "check", "check the settings and exit: 0 when right, 2 when wrong")(
+      FileFlag.c_str(), po::value<std::string>()->value_name("PATH"),
+      "a file of settings, one 'name = value' a line");
   return commands;
 }
 
@@ -106,121 +219,107 @@
   return name;
 }
 
-// The default as Boost.Program_options shows it: "NAME (=DEFAULT)".
-std::string defaultOf(const po::option_description &option) {
-  const std::string text = option.format_parameter();
-  const std::size_t at = text.find("(=");
-  return at == std::string::npos ? ""
-                                 : text.substr(at + 2, text.size() - at - 3);
-}
-
-// Stores one source of values; each wrong value is reported by itself, so that
-// one does not hide the next.
-void storeEach(const po::basic_parsed_options<char> &parsed,
-               po::variables_map &values, SettingErrors &errors) {
-  for (const po::option &it : parsed.options) {
-    po::parsed_options one(parsed.description);
-    one.options.push_back(it);
-    try {
-      po::store(one, values);
-    } catch (const po::error &e) {
-      errors.push_back(e.what());
-      values.erase(it.string_key); // else no default takes its place
+// Of a setting given twice in one source the first would be taken silently.
+void refuseRepeated(const std::vector<po::option> &given,
+                    const std::string &source, SettingErrors &errors) {
+  std::map<std::string, unsigned> counts;
+  for (const po::option &it : given) {
+    if (++counts[it.string_key] == 2) {
+      errors.push_back(source + it.string_key + ": is given twice");
     }
   }
-  po::store(po::parsed_options(parsed.description), values); // the defaults
 }
 
-// Of a flag given twice the first would be taken silently.
-void refuseRepeated(const std::vector<po::option> &given,
-                    SettingErrors &errors) {
-  std::map<std::string, unsigned> counts;
+using Values = std::map<std::string, std::string>;
+
+void takeOptions(const std::vector<po::option> &given, Values &values) {
   for (const po::option &it : given) {
-    ++counts[it.string_key];
-  }
-  for (const auto &[flag, count] : counts) {
-    if (count > 1) {
-      errors.push_back("--" + flag + ": is given " + std::to_string(count) +
-                       " times");
-    }
+    const std::string value = it.value.empty() ? "" : it.value.front();
+    values.emplace(it.string_key, value); // What is there goes before it.
   }
 }
 
 void readFlags(const std::vector<std::string> &arguments,
-               const po::options_description &all, po::variables_map &values,
+               const po::options_description &all, Values &values,
                SettingErrors &errors) {
   try {
-    po::parsed_options parsed =
+    const po::parsed_options parsed =
         po::command_line_parser(arguments)
             .options(all)
             .style(po::command_line_style::unix_style &
                    ~po::command_line_style::allow_guessing)
             .allow_unregistered()
             .run();
+    std::vector<po::option> known;
     for (const po::option &it : parsed.options) {
       if (it.unregistered || it.position_key != -1) {
         errors.push_back("unknown argument '" + it.original_tokens.front() +
                          "'");
+      } else {
+        known.push_back(it);
       }
     }
-    std::erase_if(parsed.options, [](const po::option &it) {
-      return it.unregistered || it.position_key != -1;
-    });
-    refuseRepeated(parsed.options, errors);
-    storeEach(parsed, values, errors);
+    refuseRepeated(known, "--", errors);
+    takeOptions(known, values);
   } catch (const po::error &e) {
     errors.push_back(e.what());
   }
 }
 
-void readVariables(const ReadVariable &variable,
-                   const po::options_description &options,
-                   po::variables_map &values, SettingErrors &errors) {
-  po::parsed_options parsed(&options);
-  for (const auto &it : options.options()) {
-    const std::string &flag = it->long_name();
-    const char *value = variable(variableOf(flag).c_str());
-    const bool given = values.count(flag) != 0 && !values[flag].defaulted();
-    if (value != nullptr && !given) {
-      parsed.options.emplace_back(flag, std::vector<std::string>{value});
+void readVariables(const ReadVariable &variable, Values &values) {
+  for (const Kind &it : allKinds()) {
+    if (const char *value = variable(variableOf(it.Flag).c_str())) {
+      values.emplace(it.Flag, value);
     }
   }
-  storeEach(parsed, values, errors);
 }
 
-bool isName(const std::string &text) {
-  return !text.empty() && text.size() <= NameLimit &&
-         std::all_of(text.begin(), text.end(), [](unsigned char c) {
-           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
-         });
+void readFile(const std::string &path, const ReadFile &file,
+              const po::options_description &options, Values &values,
+              SettingErrors &errors) {
+  const auto text = file(path);
+  if (!text) {
+    errors.push_back("settings file '" + path + "' can't be read");
+    return;
+  }
+  std::istringstream in(*text);
+  try {
+    const po::parsed_options parsed = po::parse_config_file(in, options);
+    refuseRepeated(parsed.options, path + ": ", errors);
+    takeOptions(parsed.options, values);
+  } catch (const po::error &e) {
+    errors.push_back(path + ": " + e.what());
+  }
 }
 
-void checkTexts(const RawSettings &raw, SettingErrors &errors) {
-  const Settings &it = raw.Values;
-  const std::vector<std::pair<const char *, const std::string *>> names{
-      {"instance-id", &it.InstanceId},
-      {"failure-domain", &it.FailureDomain},
-      {"environment", &it.Environment}};
-  for (const auto &[flag, value] : names) {
-    if (!isName(*value)) {
-      errors.push_back("--" + std::string(flag) + ": '" + *value +
-                       "' is not a name of 1 to 64 letters, digits, '-', '_' "
-                       "and '.'");
+Settings understand(const Values &values, SettingErrors &errors) {
+  Settings out;
+  for (const Kind &it : allKinds()) {
+    const auto given = values.find(it.Flag);
+    const std::string text = given == values.end() ? it.Default : given->second;
+    const std::string fault = it.Take(out, text);
+    if (!fault.empty()) {
+      errors.push_back("--");
+      errors.back()
+          .append(it.Flag)
+          .append(": '")
+          .append(text)
+          .append("' ")
+          .append(fault);
     }
   }
-  const std::vector<std::pair<const char *, const std::string *>> addresses{
+  return out;
+}
+
+void refuseSharedAddresses(const Settings &it, SettingErrors &errors) {
+  const std::pair<const char *, const std::string *> addresses[]{
       {"caller-address", &it.CallerAddress},
-      {"peer-address", &it.PeerAddress},
+      {"ready-address", &it.ReadyAddress},
+      {"directory-address", &it.DirectoryAddress},
       {"operator-address", &it.OperatorAddress},
-      {"platform-address", &it.PlatformAddress}};
-  for (const auto &[flag, value] : addresses) {
-    if (parseAddress(*value).Host.empty()) {
-      errors.push_back("--" + std::string(flag) + ": '" + *value +
-                       "' is not an IP number and a port, as in 10.0.0.1:80");
-    }
-  }
-  for (auto a = addresses.begin(); a != addresses.end(); ++a) {
-    for (auto b = a + 1; b != addresses.end(); ++b) {
+      {"store-address", &it.StoreAddress}};
+  for (const auto *a = std::begin(addresses); a != std::end(addresses); ++a) {
+    for (const auto *b = a + 1; b != std::end(addresses); ++b) {
       if (!a->second->empty() && *a->second == *b->second) {
         errors.push_back("--" + std::string(a->first) + " and --" + b->first +
                          " are both " + *a->second);
@@ -229,123 +328,62 @@
   }
 }
 
-void checkNumbers(const RawSettings &raw, SettingErrors &errors) {
-  struct Range {
-    const char *Flag;
-    std::int64_t Value, Least, Most; // in the unit that the flag names
-  };
-  const std::vector<Range> ranges{
-      {"view-lifetime-ms", raw.ViewLifetimeMs, 100, 60'000},
-      {"peer-timeout-ms", raw.PeerTimeoutMs, 50, 60'000},
-      {"peer-interval-ms", raw.PeerIntervalMs, 10, 10'000},
-      {"stop-timeout-ms", raw.StopTimeoutMs, 100, 600'000},
-      {"trace-bytes", raw.TraceBytes, 0, MostTraceBytes}};
-  for (const Range &it : ranges) {
-    if (it.Value < it.Least || it.Value > it.Most) {
-      errors.push_back("--" + std::string(it.Flag) + ": " +
-                       std::to_string(it.Value) + " is not from " +
-                       std::to_string(it.Least) + " to " +
-                       std::to_string(it.Most));
-    }
-  }
-  if (raw.PeerIntervalMs >= raw.PeerTimeoutMs) {
-    errors.push_back("--peer-interval-ms: must be less than "
-                     "--peer-timeout-ms");
-  }
-  if (Policies.count(raw.Policy) == 0) {
-    errors.push_back("--policy: '" + raw.Policy + "' is none of homes, " +
-                     "two-choices, random, round-robin");
-  }
-  const std::vector<std::string> levels{"error", "warn", "info", "debug"};
-  if (std::find(levels.begin(), levels.end(), raw.Values.LogLevel) ==
-      levels.end()) {
-    errors.push_back("--log-level: '" + raw.Values.LogLevel +
-                     "' is none of error, warn, info, debug");
-  }
-}
-
-Settings finish(RawSettings raw) {
-  using std::chrono::milliseconds;
-  raw.Values.Policy = Policies.at(raw.Policy);
-  raw.Values.ViewLifetime = milliseconds{raw.ViewLifetimeMs};
-  raw.Values.PeerTimeout = milliseconds{raw.PeerTimeoutMs};
-  raw.Values.PeerInterval = milliseconds{raw.PeerIntervalMs};
-  raw.Values.StopTimeout = milliseconds{raw.StopTimeoutMs};
-  raw.Values.TraceBytes = static_cast<std::size_t>(raw.TraceBytes);
-  return std::move(raw.Values);
-}
-
 } // namespace
 
 Result<Invocation, SettingErrors>
 readSettings(const std::vector<std::string> &arguments,
-             const ReadVariable &variable) {
-  RawSettings raw;
+             const ReadVariable &variable, const ReadFile &file) {
   SettingErrors errors;
-  po::variables_map values;
-  const po::options_description options = describeOptions(raw);
+  Values values;
+  const po::options_description options = describeOptions();
   po::options_description all;
   all.add(options).add(describeCommands());
   readFlags(arguments, all, values, errors);
-  if (values.count("help") != 0) {
+  if (values.contains("help")) {
     return Invocation{Command::Help, {}};
   }
-  if (values.count("version") != 0) {
+  if (values.contains("version")) {
     return Invocation{Command::Version, {}};
   }
-  readVariables(variable, options, values, errors);
-  po::notify(values);
-  checkTexts(raw, errors);
-  checkNumbers(raw, errors);
+  readVariables(variable, values);
+  const char *path = variable(FileVariable.c_str());
+  if (values.contains(FileFlag)) {
+    readFile(values.at(FileFlag), file, options, values, errors);
+  } else if (path != nullptr) {
+    readFile(path, file, options, values, errors);
+  }
+  Settings settings = understand(values, errors);
+  refuseSharedAddresses(settings, errors);
   if (!errors.empty()) {
     return errors;
   }
-  const bool check = values.count("check") != 0;
-  return Invocation{check ? Command::Check : Command::Run,
-                    finish(std::move(raw))};
+  return Invocation{values.contains("check") ? Command::Check : Command::Run,
+                    std::move(settings)};
 }
 
 std::vector<SettingKind> settingKinds() {
-  RawSettings raw;
   std::vector<SettingKind> kinds;
-  const po::options_description options = describeOptions(raw);
-  for (const auto &it : options.options()) {
-    kinds.push_back({"--" + it->long_name(), variableOf(it->long_name()),
-                     defaultOf(*it), it->description()});
+  for (const Kind &it : allKinds()) {
+    kinds.push_back(
+        {"--" + it.Flag, variableOf(it.Flag), it.Default, it.Meaning});
   }
   return kinds;
 }
 
 std::string describeSettings() {
-  RawSettings raw;
   std::ostringstream out;
   out << "Usage: zinniaraild [--check] SETTINGS\n\n"
       << describeCommands() << '\n'
-      << describeOptions(raw)
+      << describeOptions()
       << "\nEach setting is also an environment variable, as in "
-         "ZINNIARAIL_FAILURE_DOMAIN\nfor --failure-domain; the flag wins.\n"
+         "ZINNIARAIL_FAILURE_DOMAIN\nfor --failure-domain, and a line of the "
+         "file that --settings-file or\n"
+      << FileVariable
+      << " names. The flag goes before the variable, that before the "
+         "file.\n"
          "Exit codes: 0 done, 1 a port could not be bound or a stop was cut "
          "short, 2 wrong\nsettings, all named on standard error.\n";
   return out.str();
 }
 
-SocketAddress parseAddress(const std::string &text) {
-  const std::size_t colon = text.find(':');
-  if (colon == std::string::npos) {
-    return {};
-  }
-  SocketAddress address{text.substr(0, colon), 0};
-  in_addr number{};
-  if (inet_pton(AF_INET, address.Host.c_str(), &number) != 1) {
-    return {};
-  }
-  const char *first = text.data() + colon + 1;
-  const char *last = text.data() + text.size();
-  const auto [end, ec] = std::from_chars(first, last, address.Port);
-  if (ec != std::errc{} || end != last || address.Port == 0) {
-    return {};
-  }
-  return address;
-}
-
 } // namespace zinniarail
--- a/src/store/Feed.cpp
+++ b/src/store/Feed.cpp
@@ -15,34 +15,39 @@
 
 void succeed(Feed &feed) {
   feed.Running = false;
-  feed.NeedsLatest = false;
   feed.NextAt = Instant{};
 }
 
+bool lists(const Feed &feed, Instant now) {
+  return !feed.Watches || !feed.After.empty() || now >= feed.RelistAt;
+}
+
 } // namespace
 
 FeedCall nextCall(const Feed &feed, Instant now) {
   if (feed.Running || now < feed.NextAt) {
     return FeedCall::None;
   }
-  return feed.Watches ? FeedCall::Watch : FeedCall::List;
+  return lists(feed, now) ? FeedCall::List : FeedCall::Watch;
 }
 
 bool needsLatest(const Feed &feed, Instant now) {
-  return feed.NeedsLatest || now < feed.LatestUntil;
+  return now < feed.LatestUntil || lists(feed, now);
 }
 
 void noteStart(Feed &feed) { feed.Running = true; }
 
-void noteListed(Feed &feed, std::uint64_t asOf, const std::string &last) {
-  const bool isLatest = feed.NeedsLatest;
+void noteListed(Feed &feed, std::uint64_t asOf, const std::string &last,
+                Instant now) {
   succeed(feed);
   // Changes between two pages must not be missed: the first page's revision
   // counts.
   feed.AsOf = feed.After.empty() ? asOf : std::min(feed.AsOf, asOf);
   feed.After = last;
-  feed.Watches = last.empty();
-  feed.NeedsLatest = isLatest && !last.empty();
+  if (last.empty()) {
+    feed.Watches = true;
+    feed.RelistAt = now + RelistPause;
+  }
 }
 
 void noteWatched(Feed &feed, std::uint64_t asOf, bool any, Instant now) {
@@ -56,7 +61,6 @@
 void noteHistoryGone(Feed &feed, Instant now) {
   feed.Running = false;
   feed.Watches = false;
-  feed.NeedsLatest = true;
   feed.LatestUntil = now + LagTime;
   feed.After.clear();
 }
@@ -74,7 +78,6 @@
   feed.Running = false;
   feed.Watches = false;
   feed.After.clear();
-  feed.NeedsLatest = true;
   feed.NextAt = Instant{};
 }
 
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -253,7 +253,8 @@
     }
   }
   const bool more = reply.HasMore && !reply.Objects.empty();
-  noteListed(feed, reply.AsOf, more ? reply.Objects.back().Name : "");
+  noteListed(feed, reply.AsOf, more ? reply.Objects.back().Name : "",
+             readClock());
   if (!more) {
     finishList(kind, feed.AsOf);
   }
--- a/src/store/StoreTask.h
+++ b/src/store/StoreTask.h
@@ -17,7 +17,7 @@
 #include "platform/Platform.h"
 #include "store/Mirror.h"
 #include "zinniarail/core/Random.h"
-#include "zinniarail/membership/Instance.h"
+#include "zinniarail/fleet/Instance.h"
 #include "zinniarail/store/Feed.h"
 
 namespace zinniarail::store {
--- a/standins/common/Process.cpp
+++ b/standins/common/Process.cpp
@@ -118,32 +118,4 @@
              : std::stoull(fields[resident]) * sysconf(_SC_PAGESIZE);
 }
 
-Reply fetch(const Call &call) {
-  struct ev_loop *loop = ev_loop_new(0);
-  Reply out;
-  {
-    HttpClient client(loop);
-    client.start(call, [&](const Reply &reply) {
-      out = reply;
-      ev_break(loop, EVBREAK_ALL);
-    });
-    ev_run(loop, 0);
-  }
-  ev_loop_destroy(loop);
-  return out;
-}
-
-bool awaitStatus(const std::string &url, long status, Duration timeout) {
-  const auto until = readClock() + timeout;
-  Call call;
-  call.Url = url;
-  while (fetch(call).Status != status) {
-    if (readClock() >= until) {
-      return false;
-    }
-    std::this_thread::sleep_for(PollInterval);
-  }
-  return true;
-}
-
 } // namespace zinniarail::standins
--- a/standins/common/Process.h
+++ b/standins/common/Process.h
@@ -1,6 +1,5 @@
 /// \file
-/// Child processes and blocking HTTP calls, for tests and benchmarks that run
-/// the programs.
+/// Child processes, for tests that run the programs.
 #pragma once
 
 #include <optional>
@@ -9,7 +8,6 @@
 
 #include <sys/types.h>
 
-#include "common/HttpClient.h"
 #include "zinniarail/core/Time.h"
 
 namespace zinniarail::standins {
@@ -50,11 +48,4 @@
   pid_t Id = 0;
 };
 
-/// Sends a call and waits for the answer. For threads without a loop.
-Reply fetch(const Call &call);
-
-/// Asks a URL until it answers with a status.
-/// \returns false when it has not within \p timeout.
-bool awaitStatus(const std::string &url, long status, Duration timeout);
-
 } // namespace zinniarail::standins
--- a/tests/balance/LoadTest.cpp
+++ b/tests/balance/LoadTest.cpp
@@ -271,13 +271,7 @@
     world.at(500ms * (n + 2),
              [&world, n] { world.ask(lookups(1), n % 6, poison, true); });
   }
-  for (unsigned n = 0; n < 60; ++n) { // What crashed is back after a while.
-    world.at(300ms * n, [&world] {
-      for (SimulatedUpstream &it : world.Upstreams) {
-        it.Alive = true;
-      }
-    });
-  }
+
   world.run(22s);
   unsigned crashes = 0;
   for (const auto &[id, it] : world.Requests) {
--- a/tests/balance/World.cpp
+++ b/tests/balance/World.cpp
@@ -204,6 +204,16 @@
                    },
                    [&](const SendProbe &it) { probe(instance, it.Upstream); },
                    [](const Noticed &) {}, [](const BudgetEmpty &) {},
+                   [&](const TellSuspected &it) {
+                     const Suspected word{it.Which};
+                     post(Clock + FarWay, [this, instance, word] {
+                       for (std::size_t n = 0; n < Instances.size(); ++n) {
+                         if (n != instance) {
+                           tell(n, word);
+                         }
+                       }
+                     });
+                   },
                    [&](const TellCondemned &it) {
                      ++Condemnations;
                      const Condemned word{it.Fingerprint};
@@ -294,7 +304,9 @@
   if (request.Poison) {
     ++request.Runs;
     ++it.Runs;
-    return kill(attempt->Upstream);
+    kill(attempt->Upstream);
+    return at(std::chrono::seconds{2},
+              [this, n = attempt->Upstream] { Upstreams[n].Alive = true; });
   }
   if (it.Running < it.Plan.Slots) {
     return begin(attempt);
@@ -386,7 +398,8 @@
   it.Running = 0;
   it.Waiting.clear();
   ++Lives[upstream];
-  for (auto &[id, attempt] : Attempts) {
+  for (const auto &entry : Attempts) {
+    const auto &attempt = entry.second;
     if (attempt->Upstream == upstream && !attempt->Over) {
       attempt->Begun = false;
       attempt->Over = true;
--- a/tests/fleet/CodecTest.cpp
+++ b/tests/fleet/CodecTest.cpp
@@ -57,12 +57,17 @@
   BOOST_TEST((read->Sender == ping.Sender));
   BOOST_TEST((read->Others == ping.Others));
 
-  const Datagram word{Datagram::Condemned{{1, 2, 3}}, someMember("x"), {}};
+  const Datagram word{balance::Condemned{123}, someMember("x"), {}};
   const auto heard = decodeDatagram(encodeDatagram(word));
   BOOST_REQUIRE(heard.has_value());
-  BOOST_TEST(std::get<Datagram::Condemned>(heard->What).Fingerprints ==
-                 (std::vector<std::uint64_t>{1, 2, 3}),
-             boost::test_tools::per_element());
+  BOOST_TEST(std::get<balance::Condemned>(heard->What).Fingerprint == 123);
+
+  const Datagram hint{balance::Suspected{{9, "u1"}}, someMember("x"), {}};
+  const auto told = decodeDatagram(encodeDatagram(hint));
+  BOOST_REQUIRE(told.has_value());
+  const auto &which = std::get<balance::Suspected>(told->What).Which;
+  BOOST_TEST(which.Fingerprint == 9);
+  BOOST_TEST(which.Upstream == "u1");
 }
 
 BOOST_AUTO_TEST_CASE(newsComeOutAsTheyWentIn) {
--- a/tests/fleet/PeerTaskTest.cpp
+++ b/tests/fleet/PeerTaskTest.cpp
@@ -11,7 +11,8 @@
 
 /// One instance without a store: what it would read is set by the test.
 struct Peer {
-  Peer(struct ev_loop *loop, unsigned number, std::vector<std::string> seeds)
+  Peer(struct ev_loop *loop, unsigned number,
+       const std::vector<std::string> &seeds)
       : Id("i" + std::to_string(number)), Address(addressOf(number)),
         Task(std::make_unique<PeerTask>(loop, describe(number), seeds, 50ms,
                                         handlers())) {}
@@ -36,8 +37,8 @@
               }
             },
             [] {},
-            [this](const std::vector<std::uint64_t> &prints) {
-              Condemned = prints;
+            [this](const balance::Event &word) {
+              Condemned = std::get<balance::Condemned>(word).Fingerprint;
             },
             [this](News &news, Part part) {
               if (part == Part::Configuration) {
@@ -60,7 +61,7 @@
   std::string Id;
   std::string Address;
   std::uint64_t Version = 0;
-  std::vector<std::uint64_t> Condemned;
+  std::uint64_t Condemned = 0;
   std::unique_ptr<PeerTask> Task;
 };
 
@@ -173,10 +174,8 @@
   BOOST_REQUIRE(it.allSee(4));
   it.Peers.back()->Task->tellCondemned(99);
   BOOST_TEST(it.Turns.until([&] {
-    return std::all_of(
-        it.Peers.begin(), it.Peers.end() - 1, [](const auto &any) {
-          return any->Condemned == std::vector<std::uint64_t>{99};
-        });
+    return std::all_of(it.Peers.begin(), it.Peers.end() - 1,
+                       [](const auto &any) { return any->Condemned == 99; });
   }));
 }
 
--- a/tests/http/ClientPoolTest.cpp
+++ b/tests/http/ClientPoolTest.cpp
@@ -32,7 +32,9 @@
   std::unique_ptr<Wire> accept() {
     std::unique_ptr<Wire> wire;
     Turns.until([&] {
-      wire = wire ? std::move(wire) : Upstream.accept();
+      if (!wire) {
+        wire = Upstream.accept();
+      }
       return wire != nullptr;
     });
     return wire;
@@ -194,7 +196,8 @@
 BOOST_AUTO_TEST_CASE(anEarlyResponseEndsAConnectionWithAHalfSentRequest) {
   Pooled it;
   Call call = it.call(1);
-  const std::string body(32'000'000, 'x');
+  std::string body;
+  body.resize(32'000'000, 'x');
   call.Bytes =
       "POST /1 HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) +
       "\r\n\r\n" + body;
--- a/tests/http/Wire.h
+++ b/tests/http/Wire.h
@@ -158,7 +158,7 @@
 /// A free address on loopback for a server of the test's own.
 template <typename Listen> std::string listenSomewhere(Listen listen) {
   for (unsigned port = 22000; port < 23000; ++port) {
-    const std::string address =
+    std::string address =
         standins::loopbackAddress("10.2:" + std::to_string(port));
     if (listen(address)) {
       return address;
--- a/tests/settings/SettingsTest.cpp
+++ b/tests/settings/SettingsTest.cpp
@@ -1,9 +1,3 @@
-#include <algorithm>
-#include <fstream>
-#include <map>
-#include <regex>
-#include <sstream>
-
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -13,176 +7,111 @@
 
 namespace {
 
-using Variables = std::map<std::string, std::string>;
-
 const std::vector<std::string> Complete{"--instance-id=i1",
-                                        "--failure-domain=serra-a",
-                                        "--environment=trial",
-                                        "--caller-address=127.0.0.1:1",
-                                        "--peer-address=127.0.0.1:2",
-                                        "--operator-address=127.0.0.1:3",
-                                        "--platform-address=127.0.0.1:4"};
+                                        "--failure-domain=a",
+                                        "--caller-address=10.0.0.1:80",
+                                        "--ready-address=10.0.0.1:81",
+                                        "--directory-address=10.0.0.1:82",
+                                        "--peer-address=10.0.0.1:83",
+                                        "--operator-address=10.0.0.1:84",
+                                        "--store-address=10.0.0.9:85"};
 
-Result<Invocation, SettingErrors> read(std::vector<std::string> more,
-                                       const Variables &variables = {}) {
-  more.insert(more.begin(), Complete.begin(), Complete.end());
-  return readSettings(more, [&](const char *name) {
-    const auto it = variables.find(name);
-    return it == variables.end() ? nullptr : it->second.c_str();
-  });
-}
+const char *noVariable(const char *) { return nullptr; }
 
-struct Wrong {
-  std::vector<std::string> Arguments;
-  std::vector<std::string> Named; ///< What each error must name, in order.
-};
+std::optional<std::string> noFile(const std::string &) { return std::nullopt; }
 
-std::ostream &operator<<(std::ostream &out, const Wrong &it) {
-  for (const auto &argument : it.Arguments) {
-    out << argument << ' ';
-  }
-  return out;
+std::vector<std::string> with(std::vector<std::string> some) {
+  some.insert(some.end(), Complete.begin(), Complete.end());
+  return some;
 }
 
-const std::vector<Wrong> WrongSettings{
-    {{"--seed=x"}, {"seed"}},
-    {{"--seed=x", "--stop-timeout-ms=y"}, {"seed", "stop-timeout-ms"}},
-    {{"--trace-bytes=-1"}, {"--trace-bytes"}},
-    {{"--trace-bytes=16777217"}, {"--trace-bytes"}},
-    {{"--policy=best"}, {"--policy"}},
-    {{"--log-level=loud"}, {"--log-level"}},
-    {{"--view-lifetime-ms=1", "--stop-timeout-ms=0", "--nonsense"},
-     {"--nonsense", "--view-lifetime-ms", "--stop-timeout-ms"}},
-    {{"--peer-interval-ms=1000"}, {"--peer-interval-ms"}},
-    {{"stray"}, {"stray"}},
-    {{"--seed=1", "--seed=2"}, {"--seed"}},
-    {{"--seed=1", "--seed=x", "--nonsense", "--instance-id=i2"},
-     {"--nonsense", "--instance-id", "--seed"}},
-};
-
 } // namespace
 
-BOOST_DATA_TEST_CASE(everyErrorIsNamedAtOnce, WrongSettings, it) {
-  const auto result = read(it.Arguments);
-  BOOST_REQUIRE(!result);
-  BOOST_REQUIRE(result.error().size() == it.Named.size());
-  for (std::size_t n = 0; n < it.Named.size(); ++n) {
-    BOOST_TEST(result.error()[n].find(it.Named[n]) != std::string::npos,
-               result.error()[n]);
-  }
-}
-
-BOOST_AUTO_TEST_CASE(nothingSetNamesEachMissingOne) {
-  const auto result =
-      readSettings({}, [](const char *) -> const char * { return nullptr; });
-  BOOST_REQUIRE(!result);
-  BOOST_TEST(result.error().size() == 7u);
-}
-
-BOOST_AUTO_TEST_CASE(theFlagWinsOverTheVariable) {
-  const Variables variables{{"ZINNIARAIL_FAILURE_DOMAIN", "serra-b"},
-                            {"ZINNIARAIL_STOP_TIMEOUT_MS", "1500"}};
-  const auto result = read({}, variables);
-  BOOST_REQUIRE(result);
-  BOOST_TEST(result.value().Values.FailureDomain == "serra-a");
-  BOOST_TEST(
-      (result.value().Values.StopTimeout == std::chrono::milliseconds{1500}));
-}
-
-BOOST_AUTO_TEST_CASE(commandsAreTold) {
-  BOOST_TEST((read({"--check"}).value().Wanted == Command::Check));
-  BOOST_TEST((read({"--help"}).value().Wanted == Command::Help));
-  BOOST_TEST((read({"--version"}).value().Wanted == Command::Version));
-  BOOST_TEST((read({"--policy=two-choices"}).value().Values.Policy ==
-              RoutingPolicy::TwoChoices));
+BOOST_AUTO_TEST_CASE(completeSettingsAreTaken) {
+  const auto read = readSettings(
+      with({"--stop-timeout=2.5s", "--extra-retries=56"}), noVariable, noFile);
+  BOOST_REQUIRE(read);
+  const Settings &it = read.value().Values;
+  BOOST_TEST(it.InstanceId == "i1");
+  BOOST_TEST(it.StopTimeout.count() == 2'500'000);
+  BOOST_TEST(it.ExtraRetries == 56);
+  BOOST_TEST(it.LogLevel == "info");
 }
 
-BOOST_DATA_TEST_CASE(brokenAddressesAreRefused,
-                     (std::vector<std::string>{"", "1.2.3.4",
-                                               "1.2.3.4:", "1.2.3.4:0",
-                                               "1.2.3.4:70000", "localhost:80",
-                                               "1.2.3:80", "1.2.3.4:80x"}),
-                     text) {
-  BOOST_TEST(parseAddress(text).Host.empty());
+BOOST_DATA_TEST_CASE(wrongSettingsAreRefusedByName,
+                     (std::vector<std::string>{
+                         "--stop-timeout=5", "--stop-timeout=1ms",
+                         "--stop-timeout=-1s", "--retry-ratio=2",
+                         "--retry-ratio=x", "--extra-retries=-1",
+                         "--log-level=loud", "--seed=1.5", "--instance-id=a b",
+                         "--caller-address=here", "--resolve-lifetime=2min"}),
+                     flag) {
+  std::vector<std::string> arguments = Complete;
+  const std::string name = flag.substr(0, flag.find('='));
+  std::erase_if(arguments, [&](const std::string &it) {
+    return it.starts_with(name + "=");
+  });
+  arguments.push_back(flag);
+  const auto read = readSettings(arguments, noVariable, noFile);
+  BOOST_REQUIRE(!read);
+  BOOST_TEST(read.error().size() == 1);
+  BOOST_TEST(read.error().front().find(name) != std::string::npos);
 }
 
-namespace {
-
-std::string rowOf(const SettingKind &it) {
-  const std::string value = it.Default.empty() ? "(must be given)" : it.Default;
-  return "| `" + it.Flag + "` | `" + it.Variable + "` | " + value + " | " +
-         it.Meaning + " |";
+BOOST_AUTO_TEST_CASE(eachSettingWithoutADefaultMustBeGiven) {
+  const auto read = readSettings({}, noVariable, noFile);
+  BOOST_REQUIRE(!read);
+  for (const SettingKind &it : settingKinds()) {
+    const auto named = std::count_if(
+        read.error().begin(), read.error().end(),
+        [&](const std::string &any) { return any.starts_with(it.Flag + ":"); });
+    const bool needed = it.Default.empty() && it.Flag != "--seeds";
+    BOOST_TEST(named == (needed ? 1 : 0), it.Flag);
+  }
 }
 
-// The rows of the daemon's table, which is the first one of flags.
-std::vector<std::string> settingRows() {
-  std::ifstream file(ZINNIARAIL_SOURCE_DIR "/docs/OPERATING.md");
-  std::vector<std::string> rows;
-  for (std::string line; std::getline(file, line);) {
-    if (line.starts_with("| `--")) {
-      rows.push_back(line);
-    } else if (!rows.empty()) {
-      break;
+BOOST_AUTO_TEST_CASE(theFlagGoesBeforeTheVariableAndThatBeforeTheFile) {
+  const auto variable = [](const char *name) -> const char * {
+    const std::string it = name;
+    if (it == "ZINNIARAIL_SETTINGS") {
+      return "/settings";
     }
-  }
-  return rows;
+    if (it == "ZINNIARAIL_RETRY_RATIO" || it == "ZINNIARAIL_EXTRA_RETRIES") {
+      return "0.5";
+    }
+    return nullptr;
+  };
+  const auto file = [](const std::string &path) -> std::optional<std::string> {
+    BOOST_TEST(path == "/settings");
+    return "# a comment\nretry-ratio = 0.25\nextra-retries = 1\n"
+           "cold-slack = 5\n";
+  };
+  const auto read = readSettings(with({"--retry-ratio=0.75"}), variable, file);
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read.value().Values.RetryRatio == 0.75);
+  BOOST_TEST(read.value().Values.ExtraRetries == 0.5);
+  BOOST_TEST(read.value().Values.ColdSlack == 5);
 }
 
-} // namespace
-
-BOOST_AUTO_TEST_CASE(thePageListsEachSettingAndNoOther) {
-  std::vector<std::string> rows;
-  for (const SettingKind &it : settingKinds()) {
-    rows.push_back(rowOf(it));
-  }
-  BOOST_TEST(rows == settingRows(), boost::test_tools::per_element());
+BOOST_DATA_TEST_CASE(wrongFilesAreErrors,
+                     (std::vector<std::string>{"no-such-setting = 1\n",
+                                               "seed = 1\nseed = 2\n",
+                                               "seed\n"}),
+                     text) {
+  const auto read = readSettings(
+      with({"--settings-file=f"}), noVariable,
+      [&](const std::string &) -> std::optional<std::string> { return text; });
+  BOOST_TEST(!read);
 }
 
-BOOST_AUTO_TEST_CASE(theHelpListsEachSettingAndNoOther) {
-  const std::string help = describeSettings();
-  const std::string part = help.substr(help.find("Settings:"));
-  const std::regex line("\n  (--[a-z-]+) [A-Z:]+( \\(=([^)]*)\\))? ");
-  std::vector<std::string> listed;
-  for (std::sregex_iterator it(part.begin(), part.end(), line), end; it != end;
-       ++it) {
-    listed.push_back((*it)[1].str() + "=" + (*it)[3].str());
-  }
-  std::vector<std::string> kinds;
-  for (const SettingKind &it : settingKinds()) {
-    kinds.push_back(it.Flag + "=" + it.Default);
-  }
-  BOOST_TEST(listed == kinds, boost::test_tools::per_element());
+BOOST_AUTO_TEST_CASE(aFileThatCannotBeReadIsAnError) {
+  BOOST_TEST(!readSettings(with({"--settings-file=f"}), noVariable, noFile));
 }
 
-// Both the flag and the variable are read: a value that is wrong for any of
-// them is refused by its name. The default, given, is the same as none.
-BOOST_AUTO_TEST_CASE(eachSettingIsReadByItsFlagItsVariableAndItsDefault) {
-  for (const SettingKind &it : settingKinds()) {
-    std::vector<std::string> arguments = Complete;
-    std::erase_if(arguments, [&](const std::string &each) {
-      return each.starts_with(it.Flag + "=");
-    });
-    const auto readWith = [&](const std::string &value, bool asFlag) {
-      std::vector<std::string> given = arguments;
-      if (asFlag) {
-        given.push_back(it.Flag + "=" + value);
-      }
-      return readSettings(given, [&](const char *name) {
-        return !asFlag && name == it.Variable ? value.c_str() : nullptr;
-      });
-    };
-    for (const bool asFlag : {true, false}) {
-      const auto wrong = readWith("?", asFlag);
-      BOOST_REQUIRE_MESSAGE(!wrong, it.Flag);
-      BOOST_TEST(wrong.error().front().find(it.Flag.substr(2)) !=
-                     std::string::npos,
-                 wrong.error().front());
-      BOOST_TEST(it.Default.empty() == !readWith(it.Default, asFlag), it.Flag);
-    }
-    BOOST_TEST(
-        it.Default.empty() ==
-            !readSettings(arguments,
-                          [](const char *) -> const char * { return nullptr; }),
-        it.Flag);
-  }
+BOOST_AUTO_TEST_CASE(twoPortsAtOneAddressAreRefused) {
+  std::vector<std::string> arguments = Complete;
+  arguments[3] = "--ready-address=10.0.0.1:80";
+  const auto read = readSettings(arguments, noVariable, noFile);
+  BOOST_REQUIRE(!read);
+  BOOST_TEST(read.error().size() == 1);
 }
--- a/tests/store/FeedTest.cpp
+++ b/tests/store/FeedTest.cpp
@@ -14,7 +14,7 @@
 Feed watching(std::uint64_t asOf) {
   Feed feed;
   noteStart(feed);
-  noteListed(feed, asOf, "");
+  noteListed(feed, asOf, "", Start);
   return feed;
 }
 
@@ -26,7 +26,7 @@
   BOOST_TEST(needsLatest(feed, Start));
   noteStart(feed);
   BOOST_TEST((nextCall(feed, Start) == FeedCall::None));
-  noteListed(feed, 7, "");
+  noteListed(feed, 7, "", Start);
   BOOST_TEST((nextCall(feed, Start) == FeedCall::Watch));
   BOOST_TEST(feed.AsOf == 7);
   BOOST_TEST(!needsLatest(feed, Start));
@@ -35,12 +35,12 @@
 BOOST_AUTO_TEST_CASE(aWatchBeginsAtTheFirstPagesRevision) {
   Feed feed;
   noteStart(feed);
-  noteListed(feed, 7, "m");
+  noteListed(feed, 7, "m", Start);
   BOOST_TEST((nextCall(feed, Start) == FeedCall::List));
   BOOST_TEST(feed.After == "m");
   BOOST_TEST(needsLatest(feed, Start));
   noteStart(feed);
-  noteListed(feed, 9, "");
+  noteListed(feed, 9, "", Start);
   BOOST_TEST(feed.AsOf == 7);
 }
 
@@ -55,6 +55,22 @@
   BOOST_TEST((nextCall(feed, Start + GatherPause) == FeedCall::Watch));
 }
 
+BOOST_AUTO_TEST_CASE(aListIsReadAgainForWhatAWatchMissed) {
+  Feed feed = watching(7);
+  const Instant due = Start + RelistPause;
+  BOOST_TEST((nextCall(feed, due - 1ms) == FeedCall::Watch));
+  BOOST_TEST((nextCall(feed, due) == FeedCall::List));
+  BOOST_TEST(needsLatest(feed, due));
+  noteStart(feed);
+  noteListed(feed, 9, "m", due);
+  BOOST_TEST(feed.Watches); // The picture stays complete meanwhile.
+  BOOST_TEST((nextCall(feed, due) == FeedCall::List));
+  noteStart(feed);
+  noteListed(feed, 10, "", due);
+  BOOST_TEST(feed.AsOf == 9);
+  BOOST_TEST((nextCall(feed, due) == FeedCall::Watch));
+}
+
 BOOST_AUTO_TEST_CASE(aRevisionNeverGoesBack) {
   Feed feed = watching(7);
   noteStart(feed);
@@ -69,7 +85,7 @@
   BOOST_TEST((nextCall(feed, Start) == FeedCall::List));
   BOOST_TEST(needsLatest(feed, Start));
   noteStart(feed);
-  noteListed(feed, 20, "");
+  noteListed(feed, 20, "", Start + LagTime - 2ms);
   BOOST_TEST(needsLatest(feed, Start + LagTime - 1ms));
   BOOST_TEST(!needsLatest(feed, Start + LagTime));
 }
@@ -86,7 +102,7 @@
   BOOST_TEST((nextCall(feed, Start) == FeedCall::List));
   BOOST_TEST(needsLatest(feed, Start));
   noteStart(feed);
-  noteListed(feed, 9, "");
+  noteListed(feed, 9, "", Start);
   // A store that cuts a watch may have dropped its history.
   BOOST_TEST(needsLatest(feed, Start) == cut);
 }
--- a/tests/store/StoreTaskTest.cpp
+++ b/tests/store/StoreTaskTest.cpp
@@ -2,7 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "../http/Wire.h"
-#include "FakeStore.h"
+#include "store/Store.h"
 #include "store/StoreTask.h"
 
 using namespace zinniarail;
@@ -50,10 +50,12 @@
 /// A store and a task beside it on one loop.
 struct Bench {
   Bench()
-      : Store(Turns.Loop), Task(Turns.Loop, Store.Address, Known, 1,
-                                {[](platform::Kind) {},
-                                 [this](bool healthy) { Healthy = healthy; }}) {
-  }
+      : Store(Turns.Loop), Address(http::listenSomewhere([&](const auto &it) {
+          return Store.listen(it);
+        })),
+        Task(Turns.Loop, Address, Known, 1,
+             {[](platform::Kind) {},
+              [this](bool healthy) { Healthy = healthy; }}) {}
 
   template <typename Condition> bool until(Condition holds) {
     return Turns.until(holds);
@@ -72,7 +74,8 @@
   }
 
   http::TestLoop Turns;
-  FakeStore Store;
+  standins::Store Store;
+  std::string Address;
   Mirror Known;
   bool Healthy = false;
   StoreTask Task;
@@ -138,15 +141,15 @@
 
 BOOST_DATA_TEST_CASE(anOutageOfAnyKindIsAskedAboutWithPauses,
                      (std::vector<int>{
-                         static_cast<int>(FakeStore::Outages::NotFound),
-                         static_cast<int>(FakeStore::Outages::TooMany),
-                         static_cast<int>(FakeStore::Outages::Unavailable),
-                         static_cast<int>(FakeStore::Outages::Reset),
-                         static_cast<int>(FakeStore::Outages::Silence)}),
+                         static_cast<int>(standins::Outage::NotFound),
+                         static_cast<int>(standins::Outage::TooMany),
+                         static_cast<int>(standins::Outage::Unavailable),
+                         static_cast<int>(standins::Outage::Garbage),
+                         static_cast<int>(standins::Outage::Silence)}),
                      kind) {
   Bench it;
   it.Store.put("config", "main", configuration(1));
-  it.Store.Outage = static_cast<FakeStore::Outages>(kind);
+  it.Store.Faults.Out = static_cast<standins::Outage>(kind);
   it.Task.begin();
   it.Turns.runFor(3s);
   // Four first calls and a question whether the store is there, and then one
@@ -155,7 +158,7 @@
   const unsigned most = 5 + 4 + 3'000 / 250;
   BOOST_TEST(it.Store.calls() <= most);
   BOOST_TEST(it.Store.calls() >= 4);
-  it.Store.Outage = FakeStore::Outages::None;
+  it.Store.Faults.Out = standins::Outage::None;
   BOOST_TEST(it.untilHealthy());
 }
 
@@ -167,10 +170,10 @@
   it.Task.begin();
   BOOST_REQUIRE(it.untilHealthy());
   // The store stops answering; what waits there is never answered.
-  it.Store.Outage = FakeStore::Outages::Silence;
-  it.Store.removeSilently("servers", "u1");
+  it.Store.Faults.Out = standins::Outage::Silence;
+  it.Store.remove("servers", "u1");
   it.Turns.runFor(5s);
-  it.Store.Outage = FakeStore::Outages::None;
+  it.Store.Faults.Out = standins::Outage::None;
   BOOST_TEST(it.until([&] { return !it.has("u1"); }));
   BOOST_TEST(it.has("u2"));
 }
@@ -180,10 +183,10 @@
   it.Store.put("config", "main", configuration(1));
   it.Task.begin();
   BOOST_REQUIRE(it.untilHealthy());
-  it.Store.HistoryGone = true;
+  BOOST_REQUIRE(it.until([&] { return it.Store.waiting() == 4; }));
   it.Store.put("config", "main", configuration(2));
+  it.Store.forgetHistory();
   BOOST_REQUIRE(it.until([&] { return it.version() == 2; }));
-  it.Store.HistoryGone = false;
   it.Turns.runFor(300ms);
   const unsigned before = it.Store.LatestReads;
   it.Store.put("config", "main", configuration(3));
