--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -319,6 +319,9 @@
   if (Peers.isConfirmed()) {
     ConfirmedAt = readClock();
   }
+  if (Peers.duty() == Duty::Read) {
+    Store.wantRecorded(Options.FailureDomain, Peers.ofOwnDomain());
+  }
   Core.tellLeftOut();
   flushLog();
 }
@@ -437,14 +440,7 @@
 
 void Daemon::takeLive() {
   Beliefs.noteLive(Peers.live());
-  if (Peers.duty() == Duty::Read) {
-    std::vector<Instance> live;
-    for (const Member &it : Peers.live()) {
-      live.push_back(it.Record);
-    }
-    Store.setPosition(Peers.position());
-    Store.wantRecorded(std::move(live));
-  }
+  Store.setPosition(Peers.position());
   Changed = true;
 }
 
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -415,6 +415,18 @@
   ping();
 }
 
+std::vector<Instance> PeerTask::ofOwnDomain() const {
+  std::vector<Instance> all{Known.Self.Record};
+  for (const auto &[id, it] : Known.Others) {
+    if (it.Said.Record.Domain == Known.Self.Record.Domain) {
+      all.push_back(it.Said.Record);
+    }
+  }
+  std::sort(all.begin(), all.end(),
+            [](const Instance &a, const Instance &b) { return a.Id < b.Id; });
+  return all;
+}
+
 std::vector<Member> PeerTask::live() const {
   return liveMembers(Known, readClock());
 }
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -67,6 +67,10 @@
   /// Tells the others that this instance leaves.
   void beginStop();
 
+  /// The instances of this failure domain that are live or may be back, this
+  /// one included, by id.
+  std::vector<Instance> ofOwnDomain() const;
+
   /// The live instances of this failure domain, this one included.
   std::vector<Member> live() const;
 
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -32,6 +32,9 @@
 // store has gone.
 constexpr Duration PingPause = std::chrono::milliseconds{500};
 
+// Between two writes of the record: instances come and go in groups.
+constexpr Duration RecordPause = std::chrono::milliseconds{1000};
+
 std::size_t indexOf(Kind kind) { return static_cast<std::size_t>(kind); }
 
 constexpr std::array<Kind, 4> AllKinds{Kind::Configuration, Kind::Upstreams,
@@ -152,7 +155,7 @@
   for (const Feed &it : Feeds) {
     consider(it.Running, it.NextAt);
   }
-  consider(Record.Running || nextUnrecorded() == nullptr, Record.NextAt);
+  consider(Record.Running || !recordIsDue(), Record.NextAt);
   return next;
 }
 
@@ -302,13 +305,7 @@
   case Kind::Evacuations:
     return setOut(Known, object.Name, object.Revision, !object.Removed);
   case Kind::Instances:
-    if (auto record =
-            object.Removed ? std::nullopt : platform::decodeInstance(object)) {
-      Recorded[object.Name] = std::move(*record);
-    } else {
-      Recorded.erase(object.Name);
-    }
-    return;
+    return applyRecord(object);
   }
 }
 
@@ -364,54 +361,77 @@
   Handlers.Changed(kind);
 }
 
-void StoreTask::wantRecorded(std::vector<Instance> live) {
-  Wanted = std::move(live);
+void StoreTask::applyRecord(const platform::Object &object) {
+  const auto known = Recorded.find(object.Name);
+  if (known != Recorded.end() && object.Revision < known->second.Revision) {
+    return;
+  }
+  if (auto instances =
+          object.Removed ? std::nullopt : platform::decodeInstances(object)) {
+    Recorded[object.Name] = {std::move(*instances), object.Revision};
+  } else {
+    Recorded.erase(object.Name);
+  }
+}
+
+void StoreTask::wantRecorded(const std::string &domain,
+                             std::vector<Instance> instances) {
+  WantedDomain = domain;
+  Wanted = std::move(instances);
+  for (Instance &it : Wanted) {
+    it.Leaving = false; // That is over soon, one way or the other.
+  }
   advance();
 }
 
 std::vector<Instance> StoreTask::recorded() const {
   std::vector<Instance> all;
-  for (const auto &[id, it] : Recorded) {
-    all.push_back(it);
+  for (const auto &[domain, it] : Recorded) {
+    all.insert(all.end(), it.Instances.begin(), it.Instances.end());
   }
   return all;
 }
 
-const Instance *StoreTask::nextUnrecorded() const {
-  if (!Feeds[indexOf(Kind::Instances)].Watches) {
-    return nullptr; // Not known yet.
+bool StoreTask::recordIsDue() const {
+  if (!Feeds[indexOf(Kind::Instances)].Watches || Wanted.empty()) {
+    return false; // Not known yet.
   }
-  const auto it =
-      std::find_if(Wanted.begin(), Wanted.end(), [&](const Instance &any) {
-        return !Recorded.contains(any.Id);
-      });
-  return it == Wanted.end() ? nullptr : &*it;
+  const auto it = Recorded.find(WantedDomain);
+  return it == Recorded.end() || it->second.Instances != Wanted;
 }
 
 void StoreTask::advanceRecords(Instant now) {
-  const Instance *it = nextUnrecorded();
-  if (it == nullptr || Record.Running || now < Record.NextAt) {
+  if (Record.Running || now < Record.NextAt || !recordIsDue()) {
     return;
   }
   Record.Running = true;
-  Client.create(Kind::Instances, it->Id, platform::encodeInstance(*it),
-                CallTimeout, [this](const platform::Reply &reply) {
-                  endRecord(reply);
-                  advance();
-                });
+  const auto done = [this](const platform::Reply &reply) {
+    endRecord(reply);
+    advance();
+  };
+  const auto it = Recorded.find(WantedDomain);
+  const auto content = platform::encodeInstances(Wanted);
+  if (it == Recorded.end()) {
+    Client.create(Kind::Instances, WantedDomain, content, CallTimeout, done);
+  } else {
+    Client.replace(Kind::Instances, WantedDomain, it->second.Revision, content,
+                   CallTimeout, done);
+  }
 }
 
+// Where another instance wrote it first, what it wrote is seen here.
 void StoreTask::endRecord(const platform::Reply &reply) {
   const bool there =
       reply.How == Outcome::Done || reply.How == Outcome::Conflict;
-  const auto stored = there && !reply.Objects.empty()
-                          ? platform::decodeInstance(reply.Objects.front())
-                          : std::nullopt;
-  if (!stored) {
+  if (reply.How == Outcome::NotFound) {
+    Recorded.erase(WantedDomain);
+  }
+  if (!there || reply.Objects.empty()) {
     return noteFailure(Record, Draws, readClock());
   }
   Record = {};
-  Recorded[stored->Id] = *stored; // The watch says so a little later.
+  Record.NextAt = readClock() + RecordPause;
+  applyRecord(reply.Objects.front()); // The watch says so a little later.
   Handlers.Changed(Kind::Instances);
 }
 
--- a/src/store/StoreTask.h
+++ b/src/store/StoreTask.h
@@ -51,14 +51,15 @@
   /// Reads no more. Answers to calls that still run are passed over.
   void end();
 
-  /// Instances that must be recorded.
-  void wantRecorded(std::vector<Instance> live);
+  /// What the record of this failure domain is to say from now on.
+  /// \param instances by id.
+  void wantRecorded(const std::string &domain, std::vector<Instance> instances);
 
   /// How many others would read before this instance. While the store is out of
   /// reach it asks the less often the more there are.
   void setPosition(std::size_t position) { Position = position; }
 
-  /// The instances that are recorded, alive or not.
+  /// The instances of all failure domains that are recorded, alive or not.
   std::vector<Instance> recorded() const;
 
   const platform::CallCounts &calls() const { return Client.counts(); }
@@ -84,7 +85,8 @@
   void apply(platform::Kind kind, const platform::Object &object);
   void applyConfiguration(const platform::Object &object);
   void finishList(platform::Kind kind, std::uint64_t asOf);
-  const Instance *nextUnrecorded() const;
+  void applyRecord(const platform::Object &object);
+  bool recordIsDue() const;
   void endRecord(const platform::Reply &reply);
 
   struct ev_loop *Loop;
@@ -98,7 +100,12 @@
   std::size_t Position = 0;
   std::array<Feed, Kinds> Feeds;
   std::map<platform::Kind, std::map<std::string, platform::Object>> Listed;
-  std::map<std::string, Instance> Recorded;
+  struct DomainRecord {
+    std::vector<Instance> Instances;
+    std::uint64_t Revision = 0;
+  };
+  std::map<std::string, DomainRecord> Recorded; ///< By failure domain.
+  std::string WantedDomain;
   std::vector<Instance> Wanted;
   bool Answers = false; ///< It answered a first question.
   bool Lost = false;    ///< It failed; it is asked whether it is back.
--- a/tests/store/StoreTaskTest.cpp
+++ b/tests/store/StoreTaskTest.cpp
@@ -92,8 +92,6 @@
   BOOST_TEST(it.version() == 3);
   BOOST_TEST(it.Known.Config->Routes.size() == 1);
   BOOST_TEST(it.has("u1"));
-  it.Task.wantRecorded({{"i1", "a", "127.0.0.1:1", "127.0.0.1:2", "", false}});
-  BOOST_TEST(it.until([&] { return it.Task.recorded().size() == 1; }));
 
   it.Store.put("servers", "u2", registration("s", "draining"));
   BOOST_REQUIRE(it.until([&] { return it.has("u2"); }));
@@ -212,3 +210,62 @@
   it.Turns.runFor(300ms);
   BOOST_TEST(it.Store.LatestReads > before);
 }
+
+namespace {
+
+Instance instance(const std::string &id, const std::string &domain = "a") {
+  return {id, domain, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", false};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(theInstancesOfADomainAreOneRecord) {
+  Bench it;
+  it.Store.put("config", "main", configuration(1));
+  it.Task.wantRecorded("a", {instance("i1"), instance("i2")});
+  it.Task.begin();
+  BOOST_REQUIRE(it.untilHealthy());
+  BOOST_TEST(it.until([&] { return it.Task.recorded().size() == 2; }));
+  BOOST_TEST(it.Store.Calls["POST"] == 1);
+  it.Turns.runFor(100ms);
+  BOOST_TEST(it.Store.Calls["PUT"] == 0);
+
+  it.Task.wantRecorded("a", {instance("i2"), instance("i3"), instance("i4")});
+  BOOST_TEST(it.until([&] { return it.Task.recorded().size() == 3; }));
+  it.Turns.runFor(100ms);
+  BOOST_TEST(it.Store.Calls["PUT"] == 1);
+  BOOST_TEST((it.Task.recorded().front() == instance("i2")));
+}
+
+// Another reader of the domain, or of another one, wrote in between.
+BOOST_AUTO_TEST_CASE(recordsOfOthersAreSeenAndKept) {
+  Bench it;
+  it.Store.put("config", "main", configuration(1));
+  it.Store.put("zinniarail-instances", "b",
+               platform::encodeInstances({instance("i9", "b")}));
+  it.Task.begin();
+  BOOST_REQUIRE(it.untilHealthy());
+  BOOST_TEST(
+      (it.Task.recorded() == std::vector<Instance>{instance("i9", "b")}));
+  it.Store.put("zinniarail-instances", "a",
+               platform::encodeInstances({instance("i1")}));
+  it.Task.wantRecorded("a", {instance("i1"), instance("i2")});
+  BOOST_TEST(it.until([&] { return it.Task.recorded().size() == 3; }));
+  it.Turns.runFor(100ms);
+  const auto *stored = it.Store.find("zinniarail-instances", "a");
+  BOOST_REQUIRE(stored != nullptr);
+  BOOST_TEST(
+      (*stored == platform::encodeInstances({instance("i1"), instance("i2")})));
+}
+
+BOOST_AUTO_TEST_CASE(aRecordWhoseAnswerIsLostIsWrittenOnce) {
+  Bench it;
+  it.Store.put("config", "main", configuration(1));
+  it.Task.begin();
+  BOOST_REQUIRE(it.untilHealthy());
+  it.Store.Faults.LoseAnswers = 1;
+  it.Task.wantRecorded("a", {instance("i1")});
+  it.Turns.runFor(300ms);
+  it.Store.Faults.LoseAnswers = 0;
+  BOOST_TEST(it.until([&] { return it.Task.recorded().size() == 1; }));
+}
