A second try asks other upstreams first instead of being given up

When one was due and no fresh report told of another upstream, placing asked for health checks; the second try neither sent them nor was due again. Change: the checks are sent and the request is looked at again after 10 ms, also while others wait or the budget is spent.

--- a/src/balance/Attempts.cpp
+++ b/src/balance/Attempts.cpp
@@ -15,6 +15,10 @@
 constexpr double HedgeFactor = 2.5;
 constexpr Duration HedgeMargin = std::chrono::milliseconds{20};
 
+// Between two looks for an upstream that could take a second try; those that
+// were asked how they are answer within it.
+constexpr Duration HedgePause = std::chrono::milliseconds{10};
+
 // Repeats that hedges leave for failures.
 constexpr double HedgeReserve = 1;
 
@@ -233,17 +237,22 @@
 
 void hedge(Step step, RequestState &request) {
   Engine &engine = step.Self;
-  if (request.Live.size() != 1 || !engine.Queue.empty() ||
+  if (request.Live.size() != 1 ||
       request.Sent >= request.Treatment.MaxAttempts ||
-      !maySpend(engine.Budget, HedgeReserve) ||
       isSuspect(engine, request.Fingerprint, step.Now)) {
     return;
   }
-  const Placement found = place(engine, request, true, step.Now);
+  Placement found;
+  if (engine.Queue.empty() && maySpend(engine.Budget, HedgeReserve)) {
+    found = place(engine, request, true, step.Now);
+  }
   if (found.What != Placement::Kind::Send ||
       std::find(request.Tried.begin(), request.Tried.end(),
                 found.Upstream->Plan.Id) != request.Tried.end()) {
-    return;
+    for (UpstreamState *it : found.Probes) {
+      probe(step, *it);
+    }
+    return setHedge(engine, request, step.Now + HedgePause);
   }
   spend(engine.Budget);
   ++engine.Counters.Hedges;
--- a/tests/balance/LoadTest.cpp
+++ b/tests/balance/LoadTest.cpp
@@ -228,6 +228,19 @@
   BOOST_TEST(world.tally(3s, 14s).inTime() >= 0.96);
 }
 
+// Where nothing was heard of the others for a while, they are asked first.
+BOOST_AUTO_TEST_CASE(aRequestThatTakesLongIsTriedElsewhereToo) {
+  World world(1, UpstreamKind{}, 47);
+  world.load(lookups(50), 2s);
+  world.run(4s);
+  const std::uint64_t before = world.Repeats;
+  Kind stuck = lookups(1);
+  stuck.Work = 10s;
+  world.ask(stuck, 0);
+  world.run(500ms);
+  BOOST_TEST(world.Repeats == before + 1);
+}
+
 BOOST_AUTO_TEST_CASE(withoutAnyUpstreamRequestsAreRefusedAtOnce) {
   World world(2, noisy(), 1);
   world.Upstreams.clear();
