An instance that knows nothing asks others, and is not named to callers

From 22.8 to 26.0 s the callers of one failure domain were refused: 337 requests, 139 of them for good. The log of its three instances: started, 'reads the store', 'platform-lost: health check: refused, status 503', then request-refused with reason no-configuration until the store was back. Cause: the instances of a failure domain were restarted in turn while the store turned them away. Who starts follows only an instance that reads with success, and there was none; what the others still knew was asked by nobody. Resolutions went on naming the instances that knew nothing. Ruled out: the stop (drained, 2 s), the election (duty within 25 ms). Change: each instance says whether it is informed, and tells all that it knows at /knowledge of its peer port; one that knows nothing 25 ms after it took its duty asks the informed ones in turn, its own failure domain first. Half a second after the start it is no longer named while it knows nothing. The caller of a request that meets such an instance comes back after 100 ms in place of 300.

--- a/include/zinniarail/events/Events.h
+++ b/include/zinniarail/events/Events.h
@@ -38,6 +38,7 @@
   ReadingBegan = 210,
   ReadingEnded = 211,
   DutyChanged = 212,
+  CaughtUp = 213,
   AttemptBroken = 300,
   HomeUnreachable = 301,
   RequestServed = 310,
--- a/include/zinniarail/fleet/Members.h
+++ b/include/zinniarail/fleet/Members.h
@@ -32,6 +32,9 @@
   unsigned Format = 0;  ///< Of the news that it writes and reads.
   bool Reading = false; ///< It reads the store.
   bool Healthy = false; ///< And the store answers it.
+  /// It knows a configuration and the upstreams, however old.
+  bool Informed = false;
+  bool Ready = true; ///< It serves callers, or is about to.
 
   bool operator==(const Member &) const = default;
 };
@@ -86,6 +89,10 @@
 std::vector<Member> leadingOf(const Members &members, std::size_t count,
                               Instant now);
 
+/// Those that were heard lately and can tell what the store held, of this
+/// instance's failure domain first.
+std::vector<Member> informedOf(const Members &members, Instant now);
+
 /// The live members of this instance's failure domain, itself included, by id.
 std::vector<Member> liveMembers(const Members &members, Instant now);
 
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -19,6 +19,8 @@
   healthy @8 :Bool;             # And the store answers it.
   operators @9 :Text;           # Its operator address, "ip:port".
   format @10 :UInt32;           # Of the news that it writes and reads.
+  informed @11 :Bool;           # It can tell what the store held.
+  unready @12 :Bool;            # Callers are better sent to others.
 }
 
 # A request that was in flight where an upstream crashed.
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -457,6 +457,7 @@
     Callers.setLimits(fleet->Config->Limits);
   }
   Beliefs.noteFleet(*fleet);
+  Peers.setInformed(Complete && fleet->Config != nullptr);
   Core.onFleet(std::move(fleet));
 }
 
@@ -470,7 +471,7 @@
   std::vector<std::string> addresses;
   for (const Member &it : Peers.live()) {
     const bool isSelf = it.Record.Id == Options.InstanceId;
-    if (!it.Record.Leaving && (!isSelf || isReady())) {
+    if (!it.Record.Leaving && (isSelf ? isReady() : it.Ready)) {
       addresses.push_back(it.Record.CallerAddress);
     }
   }
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -72,6 +72,8 @@
     {EventId::DutyChanged, "duty-changed", EventLevel::Info,
      "The instance reads the platform's store for its failure domain, follows "
      "another that does, or waits for one."},
+    {EventId::CaughtUp, "caught-up", EventLevel::Info,
+     "The instance knew nothing and got what another one knows."},
     {EventId::AttemptBroken, "attempt-broken", EventLevel::Debug,
      "An attempt that was sent came to no whole answer of its own."},
     {EventId::HomeUnreachable, "home-unreachable", EventLevel::Warn,
--- a/src/fleet/Codec.cpp
+++ b/src/fleet/Codec.cpp
@@ -32,6 +32,8 @@
   out.setReading(it.Reading);
   out.setHealthy(it.Healthy);
   out.setFormat(it.Format);
+  out.setInformed(it.Informed);
+  out.setUnready(!it.Ready);
 }
 
 Member read(wire::Member::Reader in) {
@@ -47,6 +49,8 @@
   out.Reading = in.getReading();
   out.Healthy = in.getHealthy();
   out.Format = in.getFormat();
+  out.Informed = in.getInformed();
+  out.Ready = !in.getUnready();
   return out;
 }
 
--- a/src/fleet/Members.cpp
+++ b/src/fleet/Members.cpp
@@ -53,9 +53,11 @@
     introduce(members, member, now);
     KnownMember &it = members.Others.at(member.Record.Id);
     changed = changed || !isLive(it, now) ||
-              it.Said.Record.Leaving != member.Record.Leaving;
+              it.Said.Record.Leaving != member.Record.Leaving ||
+              it.Said.Ready != member.Ready;
     if (!isHeard(it, now)) {
       it.Said.Record = member.Record;
+      it.Said.Ready = member.Ready;
     }
     it.VouchedAt = now;
   }
@@ -116,6 +118,19 @@
   return some;
 }
 
+std::vector<Member> informedOf(const Members &members, Instant now) {
+  std::vector<Member> some;
+  for (const auto &[id, it] : members.Others) {
+    if (it.Said.Informed && isHeard(it, now)) {
+      some.push_back(it.Said);
+    }
+  }
+  std::stable_partition(some.begin(), some.end(), [&](const Member &it) {
+    return it.Record.Domain == members.Self.Record.Domain;
+  });
+  return some;
+}
+
 std::vector<Member> liveMembers(const Members &members, Instant now) {
   std::vector<Member> live;
   for (const auto &[id, it] : members.Others) {
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -39,6 +39,14 @@
 constexpr Duration EarlyTick = PingInterval / 16;
 constexpr Duration WaitingTick = StepTime / 5;
 
+// An instance that knows nothing asks others so long after it took a duty in
+// which the store, or whom it follows, could have told it.
+constexpr Duration CatchUpDelay = std::chrono::milliseconds{25};
+
+// An instance that knows nothing so long after its start is named to callers
+// no more.
+constexpr Duration ReadyTime = std::chrono::milliseconds{500};
+
 constexpr std::size_t MostDatagramBytes = 8192;
 constexpr const char *NewsPath = "/news";
 
@@ -76,6 +84,7 @@
                       serve(id, request);
                     },
                     [this](http::ExchangeId id) { Questions.erase(id); }}),
+      Others(loop, [this](const News &news) { Handlers.NewsCame(news); }),
       Pool(loop, [this](http::CallId id, const http::CallResult &result) {
         takeNews(id, result);
       }) {
@@ -133,8 +142,9 @@
   if (Choice.Now == Duty::Follow && !Asking && now >= AskAt) {
     ask();
   }
+  catchUp();
   tellLive();
-  const bool waits = Choice.Now == Duty::Wait;
+  const bool waits = Choice.Now == Duty::Wait || !Known.Self.Informed;
   const std::chrono::duration<double> seconds = early   ? EarlyTick
                                                 : waits ? WaitingTick
                                                         : PingInterval;
@@ -142,6 +152,27 @@
   ev_timer_start(Loop, &Timer);
 }
 
+void PeerTask::catchUp() {
+  const Instant now = readClock();
+  Known.Self.Ready = Known.Self.Informed || now - StartedAt < ReadyTime;
+  const bool due =
+      now - std::max(StartedAt + SettleTime, DutySince) >= CatchUpDelay;
+  if (!Known.Self.Informed && due) {
+    Others.advance(Known, now);
+  }
+}
+
+void PeerTask::setInformed(bool informed) {
+  if (Known.Self.Informed == informed) {
+    return;
+  }
+  Known.Self.Informed = informed;
+  if (informed) {
+    Known.Self.Ready = true;
+    Others.end();
+  }
+}
+
 void PeerTask::ping() {
   const Instant now = readClock();
   PingedAt = now;
@@ -260,7 +291,7 @@
 void PeerTask::takeDuty() {
   Known.Self.Reading = Choice.Now == Duty::Read;
   Known.Self.Healthy = false;
-  ReadingSince = readClock();
+  ReadingSince = DutySince = readClock();
   if (Choice.Now != Duty::Read) {
     clear(Board);
     for (const auto &[id, it] : std::exchange(Questions, {})) {
@@ -294,7 +325,19 @@
   }
 }
 
+std::string PeerTask::knowledge() const {
+  News news;
+  news.Boot = Known.Self.Boot;
+  for (const Part it : {Part::Configuration, Part::Upstreams, Part::Domains}) {
+    Handlers.Fill(news, it);
+  }
+  return encodeNews(news);
+}
+
 void PeerTask::serve(http::ExchangeId id, const http::Request &request) {
+  if (Known.Self.Informed && http::pathOf(request.Target) == KnowledgePath) {
+    return Server.answer(id, {Ok, {}, knowledge()});
+  }
   if (Choice.Now != Duty::Read || http::pathOf(request.Target) != NewsPath) {
     return Server.answer(id, {NotFound, {}, {}});
   }
@@ -453,9 +496,9 @@
   }
   std::uint64_t digest = 0;
   for (const Member &it : liveMembers(Known, now)) {
-    digest =
-        hashCombine(digest, hashBytes(it.Record.Id + it.Record.CallerAddress) +
-                                (it.Record.Leaving ? 1 : 0));
+    digest = hashCombine(digest,
+                         hashBytes(it.Record.Id + it.Record.CallerAddress) +
+                             (it.Record.Leaving ? 1 : 0) + (it.Ready ? 2 : 0));
   }
   if (digest == LiveDigest) {
     return;
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -14,6 +14,7 @@
 #include <boost/json/object.hpp>
 #include <ev.h>
 
+#include "fleet/CatchUp.h"
 #include "fleet/Codec.h"
 #include "fleet/NewsBoard.h"
 #include "http/ClientPool.h"
@@ -54,6 +55,9 @@
   /// Whether the store answers this instance, while it reads.
   void setHealthy(bool healthy);
 
+  /// Whether this instance knows a configuration and the upstreams.
+  void setInformed(bool informed);
+
   /// A part of what is passed on has changed.
   void publish(Part part);
 
@@ -101,11 +105,13 @@
   void hear(const Datagram &datagram, const std::string &from);
   void settle();
   void takeDuty();
+  void catchUp();
   void ping();
   void greetAll();
   void sendAll(const Datagram &datagram) const;
   void send(const std::string &address, const Datagram &datagram) const;
   void serve(http::ExchangeId id, const http::Request &request);
+  std::string knowledge() const;
   void answer(const Question &question);
   void ask();
   void takeNews(http::CallId id, const http::CallResult &result);
@@ -133,6 +139,10 @@
   NewsBoard Board;
   std::unordered_map<http::ExchangeId, Question> Questions;
 
+  // While it knows nothing.
+  CatchUp Others;
+  Instant DutySince{};
+
   // As a follower.
   http::ClientPool Pool;
   http::CallId LastCall = 0;
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -28,8 +28,9 @@
 constexpr Duration SureRest = std::chrono::milliseconds{200};
 constexpr Duration UsualRest = std::chrono::seconds{60};
 
-// The wait that a caller is asked for while no configuration is known.
-constexpr Duration UnknownPause = std::chrono::milliseconds{300};
+// The wait that a caller is asked for while no configuration is known: about
+// what an instance needs from its start until it knows one.
+constexpr Duration UnknownPause = std::chrono::milliseconds{100};
 
 // The longest deadline that is believed; an hour is no deadline.
 constexpr std::int64_t MostDeadlineMs = 3'600'000;
--- a/tests/fleet/ElectionTest.cpp
+++ b/tests/fleet/ElectionTest.cpp
@@ -49,6 +49,22 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_CASE(thoseOfTheOwnDomainAreAskedFirst) {
+  Members members = alone();
+  const auto informed = [](Member it) {
+    it.Informed = true;
+    return it;
+  };
+  hearMember(members, informed(member("elsewhere", 20, "b")), Start);
+  hearMember(members, informed(member("near", 5)), Start);
+  hearMember(members, member("knows-nothing", 30), Start);
+  hearMember(members, informed(member("silent", 40)), Start - 2s);
+  const std::vector<Member> some = informedOf(members, Start);
+  BOOST_REQUIRE(some.size() == 2);
+  BOOST_TEST(some[0].Record.Id == "near");
+  BOOST_TEST(some[1].Record.Id == "elsewhere");
+}
+
 BOOST_AUTO_TEST_CASE(whoIsAloneReadsOnceItHasLookedAround) {
   Election election;
   Members members = alone();
--- a/tests/fleet/PeerTaskTest.cpp
+++ b/tests/fleet/PeerTaskTest.cpp
@@ -34,6 +34,7 @@
             [this](const News &news) {
               if (news.Config) {
                 Version = decodeConfiguration(*news.Config)->Version;
+                Task->setInformed(true);
               }
             },
             [] {},
@@ -55,6 +56,7 @@
   /// As if the store had been read.
   void read(std::uint64_t version) {
     Version = version;
+    Task->setInformed(true);
     Task->setHealthy(true);
     Task->publish(Part::Configuration);
   }
@@ -104,6 +106,15 @@
     });
   }
 
+  /// A process ends and another takes its place.
+  void restart(unsigned number) {
+    Peers[number - 1].reset();
+    Peers[number - 1] = std::make_unique<Peer>(
+        Turns.Loop, number, std::vector<std::string>{Peer::addressOf(1)});
+    BOOST_REQUIRE(Peers[number - 1]->Task->open());
+    Peers[number - 1]->Task->start();
+  }
+
   bool hasReader() {
     return Turns.until([&] { return reader() != nullptr; });
   }
@@ -196,3 +207,33 @@
         });
   }));
 }
+
+// The store fails all of them just as one starts anew.
+BOOST_AUTO_TEST_CASE(whoStartsWhileTheStoreIsAwayLearnsFromTheOthers) {
+  Domain it(4);
+  BOOST_REQUIRE(it.hasReader());
+  it.reader()->read(5);
+  BOOST_REQUIRE(it.allKnow(5));
+  it.reader()->Task->setHealthy(false);
+  it.restart(3);
+  BOOST_TEST(it.Peers[2]->Version == 0);
+  BOOST_TEST(it.allKnow(5));
+}
+
+BOOST_AUTO_TEST_CASE(whoKnowsNothingIsNotNamedToCallers) {
+  Domain it(3);
+  BOOST_REQUIRE(it.hasReader());
+  const auto isReady = [&](unsigned peer) {
+    const auto live = it.Peers[0]->Task->live();
+    const auto at =
+        std::find_if(live.begin(), live.end(), [&](const Member &any) {
+          return any.Record.Id == it.Peers[peer - 1]->Id;
+        });
+    return at != live.end() && at->Ready;
+  };
+  BOOST_REQUIRE(it.allSee(3));
+  BOOST_TEST(isReady(2)); // It has just begun.
+  BOOST_TEST(it.Turns.until([&] { return !isReady(2); }));
+  it.Peers[1]->Task->setInformed(true);
+  BOOST_TEST(it.Turns.until([&] { return isReady(2); }));
+}
