An ejected upstream that says it is ill is asked again later

Cause: an upstream that was ejected is asked as soon as its time is over. One that answered that it is out of order was neither put back nor ejected anew, so it was asked again at once, as fast as it answered. Ruled out: the probes that placing sends, which pay from their budget.

--- a/src/balance/Upstreams.cpp
+++ b/src/balance/Upstreams.cpp
@@ -220,14 +220,15 @@
                        : std::min(it.ColdUntil, step.Now);
   }
   Health &health = it.Standing;
-  if (event.Reached && event.Healthy) {
-    if (health.NeedsProbe && step.Now >= health.EjectedUntil) {
-      health.NeedsProbe = false;
-      step.Out.emplace_back(Noticed{it.Plan.Id, Noticed::What::Back,
-                                    "a health check succeeded", Duration{0}});
-    }
-  } else if (!event.Reached) {
+  const bool awaited = health.NeedsProbe && step.Now >= health.EjectedUntil;
+  if (!event.Reached) {
     eject(step, it, "did not answer a health check");
+  } else if (awaited && event.Healthy) {
+    health.NeedsProbe = false;
+    step.Out.emplace_back(Noticed{it.Plan.Id, Noticed::What::Back,
+                                  "a health check succeeded", Duration{0}});
+  } else if (awaited) {
+    eject(step, it, "says that it is out of order"); // Asked again later.
   }
   dropUnplanned(step.Self);
 }
--- a/tests/balance/LoadTest.cpp
+++ b/tests/balance/LoadTest.cpp
@@ -305,6 +305,20 @@
   BOOST_TEST(play() == play());
 }
 
+// It was out of order, and its health checks go on to say so.
+BOOST_AUTO_TEST_CASE(anUpstreamThatSaysItIsIllIsAskedRarely) {
+  World world(3, noisy(), 53);
+  world.load(lookups(100), 8s);
+  world.run(1s);
+  world.kill(0);
+  world.run(1s);
+  world.Upstreams[0].Alive = true;
+  world.Upstreams[0].SaysIll = true;
+  const unsigned before = world.Upstreams[0].Probes;
+  world.run(5s);
+  BOOST_TEST(world.Upstreams[0].Probes - before <= 3 * 5);
+}
+
 // Health checks stay below half of what the users allow for an upstream.
 BOOST_AUTO_TEST_CASE(healthChecksStayWithinTheirBudget) {
   World world(13, noisy(), 43);
--- a/tests/balance/World.cpp
+++ b/tests/balance/World.cpp
@@ -257,7 +257,7 @@
     ProbeEnded event;
     event.Upstream = id;
     event.Reached = it.Alive && !it.Silent;
-    event.Healthy = event.Reached;
+    event.Healthy = event.Reached && !it.SaysIll;
     if (event.Reached && Nature.TellsLoad) {
       event.Report = reportOf(it);
     }
--- a/tests/balance/World.h
+++ b/tests/balance/World.h
@@ -62,6 +62,7 @@
   Target Plan;
   bool Alive = true;   ///< Connections are refused when not.
   bool Silent = false; ///< Takes requests and never answers.
+  bool SaysIll = false; ///< Its health checks fail, whatever it does.
   double FailShare = 0;
   double ShedShare = 0; ///< Turned away as if full.
   double Slow = 1;      ///< Not told by its reports.
