--- a/standins/caller/Callers.cpp
+++ b/standins/caller/Callers.cpp
@@ -20,6 +20,9 @@
 
 constexpr double TickSeconds = 0.005;
 constexpr Duration ResolveTimeout = std::chrono::seconds{1};
+// From when they begin until the first request: they ask where to go first.
+constexpr Duration FirstPause = std::chrono::milliseconds{200};
+
 constexpr std::size_t MostExamples = 5;
 
 bool isPromise(unsigned status) {
@@ -48,7 +51,7 @@
 Callers::~Callers() { ev_timer_stop(Loop, &Timer); }
 
 void Callers::begin(const RequestKind &kind) {
-  Streams.push_back({kind, readClock()});
+  Streams.push_back({kind, readClock() + FirstPause});
 }
 
 void Callers::end() { Streams.clear(); }
@@ -114,7 +117,12 @@
     Addresses.emplace_back(it.as_string().c_str());
   }
   KeepUntil = readClock() + parseDuration(keep->as_string().c_str())
-                                .value_or(std::chrono::seconds{1});
+                                    .value_or(std::chrono::seconds{1}) *
+                                KeepTimes;
+}
+
+std::string Callers::connectAddress(const std::string &resolved) const {
+  return ConnectTo ? ConnectTo(resolved) : resolved;
 }
 
 std::string Callers::pickAddress() {
@@ -165,12 +173,15 @@
       request.Kind.Body};
   http::Call call;
   call.Id = request.Call = ++LastCall;
-  call.Address = request.Address;
+  call.Address = connectAddress(request.Address);
   call.Bytes = http::printRequest(message, {});
   call.ConnectTimeout = std::chrono::seconds{1};
   ByCall[call.Id] = request.Id;
   CallerRecord &record = Records[request.Id];
-  record = {request.Kind.Idempotent, 0, false, false, now, {}, request.Address};
+  record.Idempotent = request.Kind.Idempotent;
+  record.SentAt = now;
+  record.Instance = request.Address;
+  record.Path = request.Kind.Path;
   Pool.start(std::move(call));
 }
 
@@ -253,6 +264,7 @@
     const bool own = echo != nullptr && *echo == key && signature != nullptr &&
                      *signature == "s." + key &&
                      result.Response.Body.starts_with("answer to " + key + " ");
+    record.WrongAnswer = !own;
     ++(own ? Tally.Served : Tally.Wrong);
     Tally.Times.push_back(record.EndedAt - request.AskedAt);
   }
--- a/standins/caller/Callers.h
+++ b/standins/caller/Callers.h
@@ -52,7 +52,9 @@
   bool LostAnswer = false; ///< The connection ended after it was read.
   Instant SentAt{};
   Instant EndedAt{};
-  std::string Instance; ///< The address that it was sent to.
+  std::string Instance;     ///< The address that it was sent to, as resolved.
+  std::string Path;         ///< Its kind's.
+  bool WrongAnswer = false; ///< A success that is not the request's own.
 };
 
 /// Used on one thread, that of its loop.
@@ -75,10 +77,16 @@
   /// Requests under way.
   std::size_t open() const { return Requests.size(); }
 
+  /// Where to connect for an address of a resolution, when not there.
+  std::function<std::string(const std::string &)> ConnectTo;
+  /// How many times as long as told they keep a resolution.
+  unsigned KeepTimes = 1;
+
   CallerTally Tally;
   std::map<std::string, CallerRecord> Records; ///< By the request's id.
 
 private:
+  std::string connectAddress(const std::string &resolved) const;
   struct Stream {
     RequestKind Kind;
     Instant Next{};
--- a/standins/upstream/Upstream.cpp
+++ b/standins/upstream/Upstream.cpp
@@ -59,7 +59,8 @@
     Server.reset();
     return false;
   }
-  StartedAt = readClock();
+  ColdUntil = readClock() + Nature.Warmup;
+  BornMs = unixMilliseconds() + Faults.ClockAhead.count();
   ev_timer_start(Loop, &Timer);
   publish("ready");
   return true;
@@ -67,12 +68,12 @@
 
 void Upstream::publish(const char *state) {
   const Duration cold =
-      isCold() ? StartedAt + Nature.Warmup - readClock() : Duration{0};
+      isCold() ? ColdUntil - readClock() : Duration{0};
   Registry.put(
       "servers", Id,
       json::object{
-          {"address", Nature.Address},
-          {"born", unixMilliseconds()},
+          {"address", registeredAddress()},
+          {"born", BornMs},
           {"information",
            {{"service", Nature.Service},
             {"version", "v1"},
@@ -117,7 +118,7 @@
 }
 
 bool Upstream::isCold() const {
-  return readClock() < StartedAt + Nature.Warmup;
+  return readClock() < ColdUntil;
 }
 
 std::string Upstream::load() const {
@@ -142,6 +143,8 @@
   if (requestId.empty()) {
     return refuse(id, BadRequest);
   }
+  Done.Arrivals.push_back(
+      {requestId, Id, Nature.Service, Nature.Domain, readClock(), isCold()});
   if (draw(Faults.ShedShare)) {
     return refuse(id, Unavailable);
   }
@@ -149,11 +152,12 @@
 }
 
 void Upstream::answerHealth(http::ExchangeId id) {
+  ++Probes;
   http::Response response{Faults.HealthLies ? Unavailable : Ok,
                           {{"X-Instance-Id", Id}, {"X-Server-Load", load()}},
                           ""};
   if (isCold()) {
-    const auto left = StartedAt + Nature.Warmup - readClock();
+    const auto left = ColdUntil - readClock();
     response.Fields.push_back(
         {"X-Warmup-Milliseconds",
          std::to_string(
--- a/standins/upstream/Upstream.h
+++ b/standins/upstream/Upstream.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <ev.h>
 
@@ -30,14 +31,25 @@
     std::string Service;
     Instant BegunAt{};
   };
+  /// A request that reached the upstream that it was meant for, run or not.
+  struct Arrival {
+    std::string Request;
+    std::string Upstream;
+    std::string Service;
+    std::string Domain;
+    Instant At{};
+    bool Cold = false; ///< The upstream was.
+  };
   std::map<std::string, Entry> Requests;
+  std::vector<Arrival> Arrivals; ///< In the order of time.
 };
 
 /// What an upstream is.
 struct UpstreamNature {
   std::string Service;
   std::string Domain;
-  std::string Address; ///< "ip:port"
+  std::string Address;    ///< "ip:port" that it listens on.
+  std::string Registered; ///< "ip:port" that it registers; empty: Address.
   unsigned Slots = 4;
   unsigned QueueLimit = 8;
   Duration Work = std::chrono::milliseconds{20};
@@ -55,6 +67,7 @@
   double ExtraShare = 0;   ///< Answers, and answers again.
   bool Silent = false;     ///< Takes requests and never answers.
   bool HealthLies = false; ///< Says that it is ill.
+  std::chrono::milliseconds ClockAhead{0}; ///< Of the start that it tells.
 };
 
 /// Used on one thread, that of its loop.
@@ -83,6 +96,10 @@
   void leave();
 
   const std::string &id() const { return Id; }
+  const std::string &registeredAddress() const {
+    return Nature.Registered.empty() ? Nature.Address : Nature.Registered;
+  }
+  std::uint64_t probes() const { return Probes; }
   bool isAlive() const { return Server != nullptr; }
   unsigned running() const { return Running; }
   Instant lastBegun() const { return LastBegun; }
@@ -124,7 +141,9 @@
   std::deque<Run> Waiting;
   unsigned Running = 0;
   std::uint64_t Sequence = 0;
-  Instant StartedAt{};
+  std::uint64_t Probes = 0; ///< Health checks, over all its lives.
+  std::int64_t BornMs = 0;
+  Instant ColdUntil{};
   Instant LastBegun{};
 };
 
