--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -323,6 +323,7 @@
     Store.wantRecorded(Options.FailureDomain, Peers.ofOwnDomain());
   }
   Core.tellLeftOut();
+  Peers.tellUnreadable();
   flushLog();
 }
 
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -25,7 +25,8 @@
 
 constexpr EventKind Kinds[]{
     {EventId::Started, "started", EventLevel::Info,
-     "The ports are bound. The instance serves once a document is in force."},
+     "The ports are bound. The instance serves once a configuration is in "
+     "force."},
     {EventId::PortUnusable, "port-unusable", EventLevel::Error,
      "A port could not be bound; the process exits with code 1. Look for "
      "another process on it, or a wrong address."},
@@ -39,46 +40,37 @@
      "do not read."},
     {EventId::SettingsKept, "settings-kept", EventLevel::Info,
      "SIGHUP came; the settings in force stay until the process starts anew."},
-    {EventId::ViewInForce, "view-in-force", EventLevel::Info,
-     "Another version of the document, or other instances, are in force."},
-    {EventId::ViewConfirmed, "view-confirmed", EventLevel::Debug,
-     "The view in force was confirmed; nothing else changed."},
-    {EventId::ViewExpired, "view-expired", EventLevel::Warn,
-     "The instance cannot prove that its document is current and refuses "
-     "requests. Look at the platform and at the other instances; after a "
-     "pause of the process it mends by itself."},
-    {EventId::ViewValidAgain, "view-valid-again", EventLevel::Info,
-     "The view was confirmed after it had expired."},
     {EventId::DocumentInForce, "document-in-force", EventLevel::Info,
-     "Another document is in force here; its version, the one before and "
-     "its change id."},
+     "Another configuration is in force here: its version and the one before."},
     {EventId::DocumentRefused, "document-refused", EventLevel::Warn,
-     "The platform has a version that is no valid document here; the one "
-     "in force stays. Apply a valid document."},
+     "The store has a configuration that can't be used; the one in force "
+     "stays. "
+     "Write a valid one."},
     {EventId::DomainOut, "domain-out", EventLevel::Info,
      "A failure domain is out of service, in force here."},
     {EventId::DomainIn, "domain-in", EventLevel::Info,
      "A failure domain is back in service, in force here."},
     {EventId::PlatformLost, "platform-lost", EventLevel::Warn,
-     "Two reads in a row had no answer of the platform. The instance goes "
-     "on with what peers confirm; see \"When the platform is down\" in "
-     "OPERATING.md."},
+     "The store failed a call. What is known stays in force and the store is "
+     "asked again until it answers; see \"When the store is down\" in "
+     "OPERATIONS.md."},
     {EventId::PlatformBack, "platform-back", EventLevel::Info,
-     "The platform answers again."},
-    {EventId::ReadingBegan, "reading-began", EventLevel::Info,
-     "The instance reads documents from the platform."},
-    {EventId::ReadingEnded, "reading-ended", EventLevel::Info,
-     "The instance hears of documents from peers; others read them."},
+     "The store answers again; everything is read anew."},
     {EventId::DutyChanged, "duty-changed", EventLevel::Info,
      "The instance reads the platform's store for its failure domain, follows "
      "another that does, or waits for one."},
     {EventId::CaughtUp, "caught-up", EventLevel::Info,
      "The instance knew nothing and got what another one knows."},
-    {EventId::AttemptBroken, "attempt-broken", EventLevel::Debug,
-     "An attempt that was sent came to no whole answer of its own."},
-    {EventId::HomeUnreachable, "home-unreachable", EventLevel::Warn,
-     "A request could not be handed to a home of its service; another is "
-     "tried. Look at that instance when it goes on."},
+    {EventId::RegistrationUnreadable, "registration-unreadable",
+     EventLevel::Warn,
+     "An entry of the store names no upstream or instance that could be used; "
+     "it is passed over. Look at who wrote it."},
+    {EventId::MessagesUnreadable, "messages-unreadable", EventLevel::Warn,
+     "So many messages of other instances in the last second made no sense and "
+     "were dropped. Look for another version, or another program on the port."},
+    {EventId::ConnectionNotTaken, "connection-not-taken", EventLevel::Warn,
+     "A connection could not be accepted, most likely for want of "
+     "descriptors; the next turn tries again."},
     {EventId::RequestServed, "request-served", EventLevel::Info,
      "A request got its answer in time. Only some of these are listed under "
      "load; see requests-not-listed."},
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -152,6 +152,13 @@
   ev_timer_start(Loop, &Timer);
 }
 
+void PeerTask::tellUnreadable() {
+  if (Unreadable > 0) {
+    logEvent(EventId::MessagesUnreadable,
+             {{"count", std::exchange(Unreadable, 0)}});
+  }
+}
+
 void PeerTask::catchUp() {
   const Instant now = readClock();
   Known.Self.Ready = Known.Self.Informed || now - StartedAt < ReadyTime;
@@ -233,6 +240,8 @@
     if (const auto datagram =
             decodeDatagram({buffer.data(), static_cast<std::size_t>(n)})) {
       hear(*datagram, datagram->Sender.Record.PeerAddress);
+    } else {
+      ++Unreadable;
     }
   }
 }
@@ -395,6 +404,9 @@
           ? decodeNews(result.Response.Body)
           : std::nullopt;
   if (!news) {
+    const bool answered =
+        result.How == http::Ending::Answered && result.Response.Status == Ok;
+    Unreadable += answered ? 1 : 0;
     AskAt = readClock() + AskPause;
     return;
   }
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -92,6 +92,9 @@
 
   Duty duty() const { return Choice.Now; }
 
+  /// Logs how many messages made no sense; to be called about once a second.
+  void tellUnreadable();
+
   boost::json::object describe(Instant now) const;
 
 private:
@@ -131,6 +134,7 @@
   Instant PingedAt{};
   Instant StartedAt{};
   Instant ReadingSince{};
+  std::uint64_t Unreadable = 0; ///< Messages since that was told last.
   std::size_t KnownCount = 1;
   std::uint64_t LiveDigest = 0; ///< As last told.
 
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <cstring>
 #include <deque>
 #include <optional>
 #include <vector>
@@ -14,6 +15,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "http/Sockets.h"
+#include "zinniarail/events/Events.h"
 
 namespace zinniarail::http {
 
@@ -136,12 +138,26 @@
   }
 }
 
+// Without descriptors each turn of the loop fails again; one line a second
+// tells of it.
+void Server::noteNotTaken() {
+  const int error = errno;
+  const Instant now = readClock();
+  const bool isFailure = error != EAGAIN && error != EWOULDBLOCK &&
+                         error != EINTR && error != ECONNABORTED;
+  if (isFailure && now - NotTakenAt >= std::chrono::seconds{1}) {
+    NotTakenAt = now;
+    logEvent(EventId::ConnectionNotTaken, std::strerror(error));
+  }
+}
+
 void Server::accept() {
   for (int n = 0; n < MostAccepts; ++n) {
     const int fd =
         accept4(Listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
-      return; // Without descriptors the next turn tries again.
+      noteNotTaken();
+      return;
     }
     disableDelay(fd);
     auto owned = std::make_unique<Connection>();
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -77,6 +77,7 @@
 
   static Slot &slotOf(Connection &connection, ExchangeId id);
   void accept();
+  void noteNotTaken();
   void readFrom(Connection &connection);
   bool receive(Connection &connection);
   void parse(Connection &connection);
@@ -91,6 +92,7 @@
 
   struct ev_loop *Loop;
   ServerHandlers Handlers;
+  Instant NotTakenAt{}; ///< When a connection could not be accepted.
   CallerLimits Limits;
   int Listener = -1;
   ev_io Arrival{};
--- a/src/proxy/RequestLog.cpp
+++ b/src/proxy/RequestLog.cpp
@@ -123,7 +123,9 @@
   if (end.What == RequestEnd::How::Refused) {
     fields.emplace_back("reason", end.Reason);
     fields.emplace_back("outcome", nameOf(end.Outcome));
-    fields.emplace_back("retry_after_ms", end.RetryAfter);
+    if (end.Outcome == balance::Truth::DidNotRun) {
+      fields.emplace_back("retry_after_ms", end.RetryAfter);
+    }
   }
   if (end.Seen != nullptr) {
     fields.emplace_back("upstreams", describe(*end.Seen));
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -40,6 +40,15 @@
 constexpr std::array<Kind, 4> AllKinds{Kind::Configuration, Kind::Upstreams,
                                        Kind::Evacuations, Kind::Instances};
 
+// An entry of another writer that can't be used is no entry.
+void noteUnreadable(Kind kind, const platform::Object &object, bool isRead) {
+  if (!isRead && !object.Removed) {
+    logEvent(EventId::RegistrationUnreadable, {{"kind", nameOf(kind)},
+                                               {"entry", object.Name},
+                                               {"revision", object.Revision}});
+  }
+}
+
 } // namespace
 
 StoreTask::StoreTask(struct ev_loop *loop, const std::string &address,
@@ -294,6 +303,7 @@
   case Kind::Upstreams: {
     auto record =
         object.Removed ? std::nullopt : platform::decodeUpstream(object);
+    noteUnreadable(kind, object, record.has_value());
     if (record) {
       put(Known.Upstreams, std::move(*record), object.Revision, now);
     } else {
@@ -336,7 +346,9 @@
   case Kind::Upstreams: {
     std::vector<ListedUpstream> all;
     for (const auto &[name, it] : listed) {
-      if (auto record = platform::decodeUpstream(it)) {
+      auto record = platform::decodeUpstream(it);
+      noteUnreadable(kind, it, record.has_value());
+      if (record) {
         all.push_back({std::move(*record), it.Revision});
       }
     }
@@ -366,8 +378,10 @@
   if (known != Recorded.end() && object.Revision < known->second.Revision) {
     return;
   }
-  if (auto instances =
-          object.Removed ? std::nullopt : platform::decodeInstances(object)) {
+  auto instances =
+      object.Removed ? std::nullopt : platform::decodeInstances(object);
+  noteUnreadable(Kind::Instances, object, instances.has_value());
+  if (instances) {
     Recorded[object.Name] = {std::move(*instances), object.Revision};
   } else {
     Recorded.erase(object.Name);
--- a/tests/settings/SettingsTest.cpp
+++ b/tests/settings/SettingsTest.cpp
@@ -1,3 +1,6 @@
+#include <fstream>
+#include <iterator>
+
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -115,3 +118,18 @@
   BOOST_REQUIRE(!read);
   BOOST_TEST(read.error().size() == 1);
 }
+
+BOOST_AUTO_TEST_CASE(thePageListsEachSetting) {
+  std::ifstream in(ZINNIARAIL_SOURCE_DIR "/docs/OPERATIONS.md");
+  const std::string page(std::istreambuf_iterator<char>(in), {});
+  for (const SettingKind &it : settingKinds()) {
+    const std::string start = "| `" + it.Flag + "` | `" + it.Variable + "` | ";
+    const auto at = page.find(start);
+    BOOST_TEST(at != std::string::npos, it.Flag);
+    const std::string row = page.substr(at, page.find('\n', at) - at);
+    BOOST_TEST(row.ends_with("| " + it.Meaning + " |"), row);
+    BOOST_TEST(
+        (it.Default.empty() || row.starts_with(start + it.Default + " |")),
+        row);
+  }
+}
