Health checks stay within their budget, for each upstream as well

Cause: when a request waited for the answer to one health check, placing told to send those to others as well, whether the budget had room or not. And the budget was the service's: with most upstreams out of order it all went to the rest. Ruled out: the checks of ejected upstreams (a few a second). Change: no check without a token. Each upstream has its own, as many as one may get in a second, besides those of the service. Nine tenths of what is allowed are used in place of a half, which was there to leave room for the leak.

--- a/src/balance/Placing.cpp
+++ b/src/balance/Placing.cpp
@@ -230,7 +230,7 @@
                                           Instant now) {
   std::vector<const Outlook *> some;
   for (const Outlook &it : all) {
-    if (!it.Fresh && it.Hoped < limit &&
+    if (!it.Fresh && it.Hoped < limit && mayProbe(engine, *it.Upstream, now) &&
         now >= hopefulFrom(engine, *it.Upstream, usual, now)) {
       some.push_back(&it);
     }
@@ -313,7 +313,10 @@
                     [](const UpstreamState *it) { return it->ProbeOut; });
     std::erase_if(look.Probes,
                   [](const UpstreamState *it) { return it->ProbeOut; });
-    if (asked || (!look.Probes.empty() && mayProbe(engine, now))) {
+    if (!mayProbe(engine, now)) {
+      look.Probes.clear();
+    }
+    if (asked || !look.Probes.empty()) {
       return look;
     }
   }
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -41,6 +41,8 @@
   std::vector<std::uint64_t> BrokenPrints;
   bool ProbeOut = false;
   Instant ProbedAt{};
+  double ProbeTokens = 0; ///< Health checks that it may get from here.
+  Instant ProbeTokensAt = Instant::min(); ///< min: all that may be saved.
   Instant JoinedAt{};
 };
 
@@ -159,7 +161,10 @@
 void noteDrag(UpstreamState &upstream, double ratio, Instant now);
 double dragNow(const UpstreamState &upstream, Instant now);
 void probe(Step step, UpstreamState &upstream);
-bool mayProbe(Engine &engine, Instant now);
+/// Whether the service's health checks are within their budget,
+bool mayProbe(const Engine &engine, Instant now);
+/// and those of one of its upstreams.
+bool mayProbe(const Engine &engine, const UpstreamState &upstream, Instant now);
 void tendUpstreams(Step step);
 Instant nextTending(const Engine &engine);
 bool isEjected(const UpstreamState &upstream, Instant now);
--- a/src/balance/Upstreams.cpp
+++ b/src/balance/Upstreams.cpp
@@ -39,6 +39,13 @@
 constexpr double SavedSeconds = 0.5;
 constexpr double LeastSaved = 8;
 
+// Likewise of one upstream, which may be the only one of use for a while.
+constexpr double SavedSecondsOfOne = 1;
+constexpr double LeastSavedOfOne = 2;
+
+// Where no budget is set, ejected upstreams are asked this often in a second.
+constexpr double LeastProbeRate = 0.1;
+
 // Beyond this many times the usual slowness an upstream counts as slow.
 constexpr double SlowFactor = 1.5;
 
@@ -57,6 +64,18 @@
       Noticed{upstream.Plan.Id, Noticed::What::Ejected, why, health.Backoff});
 }
 
+double probeTokens(const Engine &engine, const UpstreamState &upstream,
+                   Instant now) {
+  const double rate = engine.Plan.ProbesPerSecond;
+  const double most = std::max(rate * SavedSecondsOfOne, LeastSavedOfOne);
+  if (upstream.ProbeTokensAt == Instant::min()) {
+    return most;
+  }
+  const auto micros =
+      static_cast<double>((now - upstream.ProbeTokensAt).count());
+  return std::min(upstream.ProbeTokens + rate * micros / MicrosPerSecond, most);
+}
+
 double probeTokens(const Engine &engine, Instant now) {
   const double rate = engine.Plan.ProbesPerSecond *
                       static_cast<double>(engine.Upstreams.size());
@@ -182,15 +201,22 @@
   upstream.DragAt = now;
 }
 
-bool mayProbe(Engine &engine, Instant now) {
+bool mayProbe(const Engine &engine, Instant now) {
   return probeTokens(engine, now) >= 1;
 }
 
+bool mayProbe(const Engine &engine, const UpstreamState &upstream,
+              Instant now) {
+  return probeTokens(engine, upstream, now) >= 1;
+}
+
 void probe(Step step, UpstreamState &upstream) {
   Engine &engine = step.Self;
   if (upstream.ProbeOut) {
     return;
   }
+  upstream.ProbeTokens = probeTokens(engine, upstream, step.Now) - 1;
+  upstream.ProbeTokensAt = step.Now;
   engine.ProbeTokens = probeTokens(engine, step.Now) - 1;
   engine.ProbeTokensAt = step.Now;
   upstream.ProbeOut = true;
@@ -233,10 +259,20 @@
   dropUnplanned(step.Self);
 }
 
+// When an ejected upstream may be asked whether it is back.
+static Instant tendingOf(const Engine &engine, const UpstreamState &it) {
+  const double missing = 1 - probeTokens(engine, it, it.ProbeTokensAt);
+  const double rate = std::max(engine.Plan.ProbesPerSecond, LeastProbeRate);
+  const auto wait = static_cast<Duration::rep>(
+      std::ceil(std::max(missing, 0.0) / rate * MicrosPerSecond));
+  return std::max(it.Standing.EjectedUntil,
+                  wait == 0 ? Instant{} : it.ProbeTokensAt + Duration(wait));
+}
+
 void tendUpstreams(Step step) {
   for (auto &[id, it] : step.Self.Upstreams) {
     if (it.Planned && it.Standing.NeedsProbe && !it.ProbeOut &&
-        step.Now >= it.Standing.EjectedUntil) {
+        step.Now >= tendingOf(step.Self, it)) {
       probe(step, it);
     }
   }
@@ -246,7 +282,7 @@
   Instant next = Instant::max();
   for (const auto &[id, it] : engine.Upstreams) {
     if (it.Planned && it.Standing.NeedsProbe && !it.ProbeOut) {
-      next = std::min(next, it.Standing.EjectedUntil);
+      next = std::min(next, tendingOf(engine, it));
     }
   }
   return next;
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -22,6 +22,10 @@
 constexpr Duration ProbeTimeout = std::chrono::milliseconds{250};
 constexpr Duration ConnectTimeout = std::chrono::milliseconds{150};
 
+// Part of the health checks that the instances together may send that is used;
+// the rest covers instances that are not known yet.
+constexpr double ProbeShare = 0.9;
+
 // A kept connection that rested longer may be forgotten by the upstream, which
 // then leaves open whether a request ran; one that must not be repeated takes a
 // new connection instead.
@@ -153,9 +157,8 @@
                      bounds.ColdSlack,
                  Current->Known};
   }
-  // Half of what all instances together may send, over the whole day.
   plan.ProbesPerSecond =
-      bounds.ProbesPerSecond / 2 / static_cast<double>(Current->Known);
+      bounds.ProbesPerSecond * ProbeShare / static_cast<double>(Current->Known);
   return plan;
 }
 
--- a/tests/balance/LoadTest.cpp
+++ b/tests/balance/LoadTest.cpp
@@ -305,6 +305,21 @@
   BOOST_TEST(play() == play());
 }
 
+// Only few of many upstreams work, and all want to know how those are. In any
+// second one upstream may be asked 60 times, over all instances.
+BOOST_DATA_TEST_CASE(oneUpstreamIsNotAskedForAll,
+                     (std::vector<std::size_t>{1, 6, 13}), instances) {
+  World world(instances, noisy(), 59);
+  world.load(lookups(100), 10s);
+  for (unsigned n = 2; n < world.Upstreams.size(); ++n) {
+    world.kill(n);
+  }
+  world.run(10s);
+  for (const SimulatedUpstream &it : world.Upstreams) {
+    BOOST_TEST(it.Probes <= 60 * 10);
+  }
+}
+
 // It was out of order, and its health checks go on to say so.
 BOOST_AUTO_TEST_CASE(anUpstreamThatSaysItIsIllIsAskedRarely) {
   World world(3, noisy(), 53);
