An upstream's health checks are left to its own failure domain for the most part

The 34 upstreams of the own domain had used up their health checks while those elsewhere had some left, though few ask these. Change: half of an upstream's checks are divided among the instances of its own failure domain, the other half among all.

--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -84,6 +84,7 @@
   Random Draws;
   std::uint64_t NextAttempt = 1;
   std::map<std::string, UpstreamState> Upstreams;
+  std::size_t Domains = 1; ///< Failure domains that the planned ones are in.
   std::unordered_map<std::uint64_t, RequestState> Requests;
   std::unordered_map<std::uint64_t, AttemptState> Attempts;
   std::vector<RequestId> Queue;
--- a/src/balance/Upstreams.cpp
+++ b/src/balance/Upstreams.cpp
@@ -41,7 +41,14 @@
 
 // Likewise of one upstream, which may be the only one of use for a while.
 constexpr double SavedSecondsOfOne = 1;
-constexpr double LeastSavedOfOne = 2;
+constexpr double LeastSavedOfOne = 3;
+
+// Parts of an upstream's health checks that are left to the instances of its
+// own failure domain, as many as there are domains at once, and to the others.
+// Together they stay within the whole, also where instances are spread
+// unevenly.
+constexpr double OwnDomainShare = 0.5;
+constexpr double OtherDomainShare = 0.5;
 
 // Where no budget is set, ejected upstreams are asked this often in a second.
 constexpr double LeastProbeRate = 0.1;
@@ -64,9 +71,22 @@
       Noticed{upstream.Plan.Id, Noticed::What::Ejected, why, health.Backoff});
 }
 
+// Health checks that one upstream may get from here in a second. Instances keep
+// to their own failure domain, so that few of them ask an upstream often.
+double probeRate(const Engine &engine, const UpstreamState &upstream) {
+  const double each = engine.Plan.ProbesPerSecond;
+  if (upstream.Plan.Domain != engine.Plan.Domain) {
+    return each * OtherDomainShare;
+  }
+  const auto sharers = static_cast<double>(engine.Plan.Budget.Sharers);
+  const auto domains = static_cast<double>(engine.Domains);
+  return each *
+         std::clamp(domains * OwnDomainShare, 1.0, std::max(sharers, 1.0));
+}
+
 double probeTokens(const Engine &engine, const UpstreamState &upstream,
                    Instant now) {
-  const double rate = engine.Plan.ProbesPerSecond;
+  const double rate = probeRate(engine, upstream);
   const double most = std::max(rate * SavedSecondsOfOne, LeastSavedOfOne);
   if (upstream.ProbeTokensAt == Instant::min()) {
     return most;
@@ -90,7 +110,9 @@
   for (auto &[id, it] : engine.Upstreams) {
     it.Planned = false;
   }
+  std::set<std::string> domains;
   for (const Target &target : engine.Plan.Targets) {
+    domains.insert(target.Domain);
     const auto [at, isNew] = engine.Upstreams.try_emplace(target.Id);
     UpstreamState &it = at->second;
     const bool restarted = !isNew && it.Plan.StartedMs != target.StartedMs;
@@ -110,6 +132,7 @@
     it.Plan = target;
     it.Planned = true;
   }
+  engine.Domains = std::max<std::size_t>(domains.size(), 1);
 }
 
 void dropUnplanned(Engine &engine) {
@@ -262,7 +285,7 @@
 // When an ejected upstream may be asked whether it is back.
 static Instant tendingOf(const Engine &engine, const UpstreamState &it) {
   const double missing = 1 - probeTokens(engine, it, it.ProbeTokensAt);
-  const double rate = std::max(engine.Plan.ProbesPerSecond, LeastProbeRate);
+  const double rate = std::max(probeRate(engine, it), LeastProbeRate);
   const auto wait = static_cast<Duration::rep>(
       std::ceil(std::max(missing, 0.0) / rate * MicrosPerSecond));
   return std::max(it.Standing.EjectedUntil,
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -176,7 +176,8 @@
       Directory(Loop, directoryHandlers()),
       Store(Loop, Options.StoreAddress, Known, Options.Seed, storeHandlers()),
       Peers(Loop, describeSelf(Options, drawSeed()), Options.Seeds,
-            Options.FirstStart ? FirstSettleTime : SettleTime, peerHandlers()),
+            Options.FirstStart ? FirstSettleTime : SettleTime, Options.LinkMbps,
+            peerHandlers()),
       Operators(Loop, operatorSources()) {
   ev_prepare_init(&BeforeWait, (&on<&Daemon::settle, ev_prepare>));
   ev_timer_init(&WakeTimer, (&on<&Daemon::settle, ev_timer>), 0, 0);
--- a/src/fleet/CatchUp.cpp
+++ b/src/fleet/CatchUp.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "zinniarail/core/Hash.h"
 #include "zinniarail/events/Events.h"
 
 namespace zinniarail::fleet {
@@ -30,17 +31,23 @@
   Pool.cancel(LastCall);
   Asking = false;
   const std::vector<Member> all = informedOf(members, now);
-  auto next = std::find_if(all.begin(), all.end(), [&](const Member &it) {
-    return !Asked.contains(it.Record.Id);
-  });
-  if (next == all.end()) {
-    Asked.clear();
-    next = all.begin();
-  }
+  // Not all ask the same one.
+  const std::uint64_t turn = hashBytes(members.Self.Record.Id);
+  const auto isNext = [&](const Member &a, const Member &b) {
+    const auto rank = [&](const Member &it) {
+      return std::make_tuple(Asked.contains(it.Record.Id),
+                             it.Record.Domain != members.Self.Record.Domain,
+                             hashCombine(turn, hashBytes(it.Record.Id)));
+    };
+    return rank(a) < rank(b);
+  };
+  auto next = std::min_element(all.begin(), all.end(), isNext);
   if (next == all.end()) {
     return;
   }
-  Asked.insert(next->Record.Id);
+  if (!Asked.insert(next->Record.Id).second) { // All had their turn.
+    Asked = {next->Record.Id};
+  }
   Asking = true;
   AskedAt = now;
   http::Call call;
--- a/src/fleet/Codec.cpp
+++ b/src/fleet/Codec.cpp
@@ -13,9 +13,19 @@
 
 namespace wire = zinniarail::wire::fleet;
 
-// Far more than the platform keeps in one object.
+// Far more than the platform keeps in one object,
 constexpr std::size_t MostConfigurationBytes = std::size_t{16} << 20;
 
+// and than the lists of the largest fleet take.
+constexpr std::size_t MostNewsBytes = std::size_t{64} << 20;
+
+// Shorter news are not worth the time to compress them.
+constexpr std::size_t PlainNewsBytes = std::size_t{4} << 10;
+
+// The first byte of news tells how the rest is written.
+constexpr char Plain = 'p';
+constexpr char Deflated = 'd';
+
 std::string textOf(capnp::Text::Reader text) {
   return {text.cStr(), text.size()};
 }
@@ -318,11 +328,26 @@
   if (news.Fleet) {
     write(root.initMembers(), *news.Fleet);
   }
-  return pack(message);
+  const std::string packed = pack(message);
+  return packed.size() <= PlainNewsBytes ? Plain + packed
+                                         : Deflated + deflateBytes(packed);
 }
 
 std::optional<News> decodeNews(std::string_view bytes) {
-  return unpack(bytes, [](capnp::MessageReader &message) {
+  const bool deflated = bytes.starts_with(Deflated);
+  if (!deflated && !bytes.starts_with(Plain)) {
+    return std::nullopt;
+  }
+  std::string_view packed = bytes.substr(1);
+  std::optional<std::string> inflated;
+  if (deflated) {
+    inflated = inflateBytes(packed, MostNewsBytes);
+    if (!inflated) {
+      return std::nullopt;
+    }
+    packed = *inflated;
+  }
+  return unpack(packed, [](capnp::MessageReader &message) {
     const auto root = message.getRoot<wire::News>();
     News out;
     out.Boot = root.getBoot();
--- a/src/fleet/Codec.h
+++ b/src/fleet/Codec.h
@@ -57,7 +57,7 @@
 
 /// Raised with each change to how news are written: an instance follows nobody
 /// whose news it can't read.
-constexpr unsigned NewsFormat = 2;
+constexpr unsigned NewsFormat = 3;
 
 /// What a reader tells its followers: the parts that changed.
 struct News {
@@ -77,6 +77,7 @@
 std::shared_ptr<const Configuration>
 decodeConfiguration(const std::string &bytes);
 
+/// Writes news; long ones small, since they go to many.
 std::string encodeNews(const News &news);
 
 /// \returns none when it can't be read.
--- a/src/fleet/NewsBoard.cpp
+++ b/src/fleet/NewsBoard.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+// Changes after which the answer to those who heard nothing is written anew:
+// while many instances start, each of them is a change.
+constexpr std::uint64_t WholeKeptFor = 16;
+
 // Removals that are kept; who missed more of them is told the whole list.
 constexpr std::size_t MostGone = 1000;
 
@@ -128,13 +132,11 @@
   takeDown(board.Upstreams, board.Sequence + 1);
   takeDown(board.Members, board.Sequence + 1);
   board.Answers.clear();
+  board.WholeAt = 0;
 }
 
-const std::string *newsAfter(NewsBoard &board, std::uint64_t after) {
-  const auto known = board.Answers.find(after);
-  if (known != board.Answers.end()) {
-    return &known->second;
-  }
+// Writes what is news, or nothing.
+static std::string write(const NewsBoard &board, std::uint64_t after) {
   News news;
   news.Boot = board.Boot;
   news.Sequence = board.Sequence;
@@ -159,10 +161,25 @@
     fill(list.Change, board.Members, after);
     any = true;
   }
-  if (!any) {
-    return nullptr;
+  return any ? encodeNews(news) : "";
+}
+
+const std::string *newsAfter(NewsBoard &board, std::uint64_t after) {
+  if (after == 0) {
+    if (board.WholeAt == 0 || board.Sequence - board.WholeAt > WholeKeptFor) {
+      board.Whole = write(board, 0);
+      board.WholeAt = board.Whole.empty() ? 0 : board.Sequence;
+    }
+    return board.Whole.empty() ? nullptr : &board.Whole;
+  }
+  const auto known = board.Answers.find(after);
+  if (known != board.Answers.end()) {
+    return &known->second;
   }
-  return &board.Answers.emplace(after, encodeNews(news)).first->second;
+  std::string news = write(board, after);
+  return news.empty()
+             ? nullptr
+             : &board.Answers.emplace(after, std::move(news)).first->second;
 }
 
 } // namespace zinniarail::fleet
--- a/src/fleet/NewsBoard.h
+++ b/src/fleet/NewsBoard.h
@@ -38,6 +38,10 @@
   std::size_t KnownMembers = 0;
   /// Answers to those who heard up to a moment, as of Sequence.
   std::map<std::uint64_t, std::string> Answers;
+  /// The answer to those who heard nothing, as of a Sequence not long ago:
+  /// what came since they hear with their next question.
+  std::string Whole;
+  std::uint64_t WholeAt = 0; ///< 0: none was written yet.
 };
 
 /// Posts the parts that are there, each of them whole.
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -43,6 +43,14 @@
 // which the store, or whom it follows, could have told it.
 constexpr Duration CatchUpDelay = std::chrono::milliseconds{25};
 
+// Answers longer than this are spread in time, so that they take this part of
+// the link.
+constexpr std::size_t LongBytes = std::size_t{8} << 10;
+constexpr double LongShare = 0.5;
+
+// What is told to those who know nothing is written anew after this.
+constexpr Duration KnowledgeKept = std::chrono::milliseconds{500};
+
 // An instance that knows nothing so long after its start is named to callers
 // no more.
 constexpr Duration ReadyTime = std::chrono::milliseconds{500};
@@ -76,7 +84,7 @@
 
 PeerTask::PeerTask(struct ev_loop *loop, Member self,
                    std::vector<std::string> seeds, Duration settleTime,
-                   PeerHandlers handlers)
+                   double linkMbps, PeerHandlers handlers)
     : Loop(loop), Seeds(std::move(seeds)), SettleTime(settleTime),
       Handlers(std::move(handlers)),
       Server(loop, {[](const http::Request &) { return true; },
@@ -84,6 +92,7 @@
                       serve(id, request);
                     },
                     [this](http::ExchangeId id) { Questions.erase(id); }}),
+      LinkMbps(linkMbps),
       Others(loop, [this](const News &news) { Handlers.NewsCame(news); }),
       Pool(loop, [this](http::CallId id, const http::CallResult &result) {
         takeNews(id, result);
@@ -99,10 +108,18 @@
       },
       0, 0);
   Timer.data = this;
+  ev_timer_init(
+      &LongTimer,
+      [](struct ev_loop *, ev_timer *it, int) {
+        static_cast<PeerTask *>(it->data)->answerAll();
+      },
+      0, 0);
+  LongTimer.data = this;
 }
 
 PeerTask::~PeerTask() {
   ev_timer_stop(Loop, &Timer);
+  ev_timer_stop(Loop, &LongTimer);
   if (Socket >= 0) {
     ev_io_stop(Loop, &Readable);
     close(Socket);
@@ -328,19 +345,29 @@
   if (!post(Board, news)) {
     return;
   }
+  answerAll();
+}
+
+void PeerTask::answerAll() {
   const auto waiting = std::exchange(Questions, {});
   for (const auto &[id, it] : waiting) {
     answer(it);
   }
 }
 
-std::string PeerTask::knowledge() const {
+const std::string &PeerTask::knowledge() {
+  const Instant now = readClock();
+  if (!Knowledge.empty() && now - KnowledgeAt < KnowledgeKept) {
+    return Knowledge;
+  }
   News news;
   news.Boot = Known.Self.Boot;
   for (const Part it : {Part::Configuration, Part::Upstreams, Part::Domains}) {
     Handlers.Fill(news, it);
   }
-  return encodeNews(news);
+  Knowledge = encodeNews(news);
+  KnowledgeAt = now;
+  return Knowledge;
 }
 
 void PeerTask::serve(http::ExchangeId id, const http::Request &request) {
@@ -359,12 +386,29 @@
 }
 
 // Answers when there is something to tell, and keeps the question otherwise.
+// Long answers leave the link room for signs of life: where many instances ask
+// for all at once, these would come so late that the reader seemed dead.
 void PeerTask::answer(const Question &question) {
-  if (const std::string *news = newsAfter(Board, question.After)) {
-    Server.answer(question.Id, {Ok, {}, *news});
-  } else {
+  const std::string *news = newsAfter(Board, question.After);
+  const Instant now = readClock();
+  const bool isLong =
+      news != nullptr && news->size() > LongBytes && LinkMbps > 0;
+  if (news == nullptr || (isLong && now < NextLongAt)) {
     Questions.emplace(question.Id, question);
+    if (isLong && !ev_is_active(&LongTimer)) {
+      const std::chrono::duration<double> left = NextLongAt - now;
+      ev_timer_set(&LongTimer, left.count(), 0);
+      ev_timer_start(Loop, &LongTimer);
+    }
+    return;
+  }
+  if (isLong) {
+    constexpr double bitsPerByte = 8;
+    const double micros = static_cast<double>(news->size()) * bitsPerByte /
+                          (LinkMbps * LongShare);
+    NextLongAt = now + Duration(static_cast<Duration::rep>(micros));
   }
+  Server.answer(question.Id, {Ok, {}, *news});
 }
 
 void PeerTask::ask() {
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -42,8 +42,9 @@
   /// \param loop outlives the task.
   /// \param seeds peer addresses that may know others.
   /// \param settleTime after the start, before this instance reads for others.
+  /// \param linkMbps what this instance can send; 0: not known.
   PeerTask(struct ev_loop *loop, Member self, std::vector<std::string> seeds,
-           Duration settleTime, PeerHandlers handlers);
+           Duration settleTime, double linkMbps, PeerHandlers handlers);
   ~PeerTask();
   PeerTask(const PeerTask &) = delete;
   PeerTask &operator=(const PeerTask &) = delete;
@@ -114,8 +115,9 @@
   void sendAll(const Datagram &datagram) const;
   void send(const std::string &address, const Datagram &datagram) const;
   void serve(http::ExchangeId id, const http::Request &request);
-  std::string knowledge() const;
+  const std::string &knowledge();
   void answer(const Question &question);
+  void answerAll();
   void ask();
   void takeNews(http::CallId id, const http::CallResult &result);
   void takeVouched(const MemberList &list);
@@ -142,6 +144,11 @@
   http::Server Server;
   NewsBoard Board;
   std::unordered_map<http::ExchangeId, Question> Questions;
+  double LinkMbps;
+  Instant NextLongAt{}; ///< When the link has room for another long answer.
+  ev_timer LongTimer{};
+  std::string Knowledge; ///< As told to those who know nothing,
+  Instant KnowledgeAt{}; ///< and when it was written.
 
   // While it knows nothing.
   CatchUp Others;
--- a/tests/fleet/NewsBoardTest.cpp
+++ b/tests/fleet/NewsBoardTest.cpp
@@ -159,3 +159,37 @@
   const std::string bytes = encodeConfiguration(config);
   BOOST_TEST(bytes.size() * Followers < LinkBytesPerSecond);
 }
+
+// All instances of a failure domain start at once, in a fleet of 3,000
+// upstreams. Each of them is a change.
+BOOST_AUTO_TEST_CASE(allThatIsKnownFitsTheLinkAtAMassStart) {
+  NewsBoard board;
+  post(board, upstreams(0, 3000, 10));
+  std::size_t bytes = 0;
+  std::vector<std::string> ids;
+  for (unsigned n = 0; n < Followers; ++n) {
+    ids.push_back(numbered("instance-", n));
+    post(board, members(ids, Followers));
+    bytes += newsAfter(board, 0)->size();
+  }
+  constexpr std::size_t seconds = 3; // What begins has so long to be informed.
+  BOOST_TEST(bytes < LinkBytesPerSecond * seconds / 2);
+}
+
+// It may be a few changes old; the rest comes with the next question.
+BOOST_AUTO_TEST_CASE(whoHeardTheWholeOfAMomentAgoHearsTheRest) {
+  NewsBoard board;
+  post(board, upstreams(0, 4, 10));
+  const std::uint64_t old = heard(board, 0).Sequence;
+  post(board, upstreams(1, 5, 11));
+  const News whole = heard(board, 0);
+  BOOST_TEST(whole.Sequence == old);
+  const News rest = heard(board, whole.Sequence);
+  BOOST_TEST(!rest.Upstreams->Change.Whole);
+  BOOST_TEST(idsOf(*rest.Upstreams).size() == 1);
+  BOOST_TEST(rest.Upstreams->Change.Gone.size() == 1);
+  for (unsigned n = 5; n < 40; ++n) {
+    post(board, upstreams(1, n, 12 + n));
+  }
+  BOOST_TEST(heard(board, 0).Sequence > old);
+}
--- a/tests/fleet/PeerTaskTest.cpp
+++ b/tests/fleet/PeerTaskTest.cpp
@@ -14,7 +14,7 @@
   Peer(struct ev_loop *loop, unsigned number,
        const std::vector<std::string> &seeds)
       : Id("i" + std::to_string(number)), Address(addressOf(number)),
-        Task(std::make_unique<PeerTask>(loop, describe(number), seeds, 50ms,
+        Task(std::make_unique<PeerTask>(loop, describe(number), seeds, 50ms, 0,
                                         handlers())) {}
 
   static std::string addressOf(unsigned number) {
