--- a/src/balance/Upstreams.cpp
+++ b/src/balance/Upstreams.cpp
@@ -104,6 +104,16 @@
   return std::min(engine.ProbeTokens + rate * micros / MicrosPerSecond, most);
 }
 
+// When an ejected upstream may be asked whether it is back.
+Instant tendingOf(const Engine &engine, const UpstreamState &it) {
+  const double missing = 1 - probeTokens(engine, it, it.ProbeTokensAt);
+  const double rate = std::max(probeRate(engine, it), LeastProbeRate);
+  const auto wait = static_cast<Duration::rep>(
+      std::ceil(std::max(missing, 0.0) / rate * MicrosPerSecond));
+  return std::max(it.Standing.EjectedUntil,
+                  wait == 0 ? Instant{} : it.ProbeTokensAt + Duration(wait));
+}
+
 } // namespace
 
 void putTargets(Engine &engine, Instant now) {
@@ -282,16 +292,6 @@
   dropUnplanned(step.Self);
 }
 
-// When an ejected upstream may be asked whether it is back.
-static Instant tendingOf(const Engine &engine, const UpstreamState &it) {
-  const double missing = 1 - probeTokens(engine, it, it.ProbeTokensAt);
-  const double rate = std::max(probeRate(engine, it), LeastProbeRate);
-  const auto wait = static_cast<Duration::rep>(
-      std::ceil(std::max(missing, 0.0) / rate * MicrosPerSecond));
-  return std::max(it.Standing.EjectedUntil,
-                  wait == 0 ? Instant{} : it.ProbeTokensAt + Duration(wait));
-}
-
 void tendUpstreams(Step step) {
   for (auto &[id, it] : step.Self.Upstreams) {
     if (it.Planned && it.Standing.NeedsProbe && !it.ProbeOut &&
--- a/src/fleet/CatchUp.cpp
+++ b/src/fleet/CatchUp.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "fleet/NewsServer.h"
 #include "zinniarail/core/Hash.h"
 #include "zinniarail/events/Events.h"
 
--- a/src/fleet/CatchUp.h
+++ b/src/fleet/CatchUp.h
@@ -15,9 +15,6 @@
 
 namespace zinniarail::fleet {
 
-/// Where each instance tells all that it knows, whoever reads the store.
-constexpr const char *KnowledgePath = "/knowledge";
-
 /// Used on one thread, that of its loop.
 class CatchUp {
 public:
--- a/src/fleet/NewsBoard.cpp
+++ b/src/fleet/NewsBoard.cpp
@@ -97,6 +97,35 @@
   return changed || counted;
 }
 
+// Writes what is news, or nothing.
+std::string write(const NewsBoard &board, std::uint64_t after) {
+  News news;
+  news.Boot = board.Boot;
+  news.Sequence = board.Sequence;
+  bool any = false;
+  if (board.ConfigAt > after) {
+    news.Config = board.Config;
+    any = true;
+  }
+  if (board.Upstreams.ChangedAt > after) {
+    UpstreamList &list = news.Upstreams.emplace();
+    list.AsOf = board.UpstreamsAsOf;
+    fill(list.Change, board.Upstreams, after);
+    any = true;
+  }
+  if (board.DomainsAt > after) {
+    news.Domains = board.Domains;
+    any = true;
+  }
+  if (board.Members.ChangedAt > after) {
+    MemberList &list = news.Fleet.emplace();
+    list.Known = board.KnownMembers;
+    fill(list.Change, board.Members, after);
+    any = true;
+  }
+  return any ? encodeNews(news) : "";
+}
+
 } // namespace
 
 bool post(NewsBoard &board, const News &news) {
@@ -135,35 +164,6 @@
   board.WholeAt = 0;
 }
 
-// Writes what is news, or nothing.
-static std::string write(const NewsBoard &board, std::uint64_t after) {
-  News news;
-  news.Boot = board.Boot;
-  news.Sequence = board.Sequence;
-  bool any = false;
-  if (board.ConfigAt > after) {
-    news.Config = board.Config;
-    any = true;
-  }
-  if (board.Upstreams.ChangedAt > after) {
-    UpstreamList &list = news.Upstreams.emplace();
-    list.AsOf = board.UpstreamsAsOf;
-    fill(list.Change, board.Upstreams, after);
-    any = true;
-  }
-  if (board.DomainsAt > after) {
-    news.Domains = board.Domains;
-    any = true;
-  }
-  if (board.Members.ChangedAt > after) {
-    MemberList &list = news.Fleet.emplace();
-    list.Known = board.KnownMembers;
-    fill(list.Change, board.Members, after);
-    any = true;
-  }
-  return any ? encodeNews(news) : "";
-}
-
 const std::string *newsAfter(NewsBoard &board, std::uint64_t after) {
   if (after == 0) {
     if (board.WholeAt == 0 || board.Sequence - board.WholeAt > WholeKeptFor) {
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -4,7 +4,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <charconv>
 
 #include "http/Sockets.h"
 #include "zinniarail/core/Hash.h"
@@ -43,29 +42,13 @@
 // which the store, or whom it follows, could have told it.
 constexpr Duration CatchUpDelay = std::chrono::milliseconds{25};
 
-// Answers longer than this are spread in time, so that they take this part of
-// the link.
-constexpr std::size_t LongBytes = std::size_t{8} << 10;
-constexpr double LongShare = 0.5;
-
-// What is told to those who know nothing is written anew after this.
-constexpr Duration KnowledgeKept = std::chrono::milliseconds{500};
-
 // An instance that knows nothing so long after its start is named to callers
 // no more.
 constexpr Duration ReadyTime = std::chrono::milliseconds{500};
 
 constexpr std::size_t MostDatagramBytes = 8192;
-constexpr const char *NewsPath = "/news";
 
 constexpr unsigned Ok = 200;
-constexpr unsigned NotFound = 404;
-
-std::uint64_t numberIn(const std::string &text) {
-  std::uint64_t number = 0;
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return number;
-}
 
 int openDatagrams(const std::string &address) {
   const auto where = http::readAddress(address);
@@ -87,12 +70,7 @@
                    double linkMbps, PeerHandlers handlers)
     : Loop(loop), Seeds(std::move(seeds)), SettleTime(settleTime),
       Handlers(std::move(handlers)),
-      Server(loop, {[](const http::Request &) { return true; },
-                    [this](http::ExchangeId id, const http::Request &request) {
-                      serve(id, request);
-                    },
-                    [this](http::ExchangeId id) { Questions.erase(id); }}),
-      LinkMbps(linkMbps),
+      Teller(loop, self.Boot, linkMbps, Handlers.Fill),
       Others(loop, [this](const News &news) { Handlers.NewsCame(news); }),
       Pool(loop, [this](http::CallId id, const http::CallResult &result) {
         takeNews(id, result);
@@ -100,7 +78,6 @@
   std::erase(Seeds, self.Record.PeerAddress);
   Known.Self = std::move(self);
   Known.Self.Format = NewsFormat;
-  Board.Boot = Known.Self.Boot;
   ev_timer_init(
       &Timer,
       [](struct ev_loop *, ev_timer *it, int) {
@@ -108,18 +85,10 @@
       },
       0, 0);
   Timer.data = this;
-  ev_timer_init(
-      &LongTimer,
-      [](struct ev_loop *, ev_timer *it, int) {
-        static_cast<PeerTask *>(it->data)->answerAll();
-      },
-      0, 0);
-  LongTimer.data = this;
 }
 
 PeerTask::~PeerTask() {
   ev_timer_stop(Loop, &Timer);
-  ev_timer_stop(Loop, &LongTimer);
   if (Socket >= 0) {
     ev_io_stop(Loop, &Readable);
     close(Socket);
@@ -129,7 +98,7 @@
 bool PeerTask::open() {
   const std::string &address = Known.Self.Record.PeerAddress;
   Socket = openDatagrams(address);
-  if (Socket < 0 || !Server.listen(address)) {
+  if (Socket < 0 || !Teller.listen(address)) {
     return false;
   }
   ev_io_init(
@@ -191,6 +160,7 @@
     return;
   }
   Known.Self.Informed = informed;
+  Teller.setInformed(informed);
   if (informed) {
     Known.Self.Ready = true;
     Others.end();
@@ -318,12 +288,7 @@
   Known.Self.Reading = Choice.Now == Duty::Read;
   Known.Self.Healthy = false;
   ReadingSince = DutySince = readClock();
-  if (Choice.Now != Duty::Read) {
-    clear(Board);
-    for (const auto &[id, it] : std::exchange(Questions, {})) {
-      Server.answer(id, {NotFound, {}, {}});
-    }
-  }
+  Teller.setReading(Known.Self.Reading);
   greetAll();
   Handlers.DutyChanged(Choice.Now);
 }
@@ -336,81 +301,6 @@
   greetAll();
 }
 
-void PeerTask::publish(Part part) {
-  if (Choice.Now != Duty::Read) {
-    return;
-  }
-  News news;
-  Handlers.Fill(news, part);
-  if (!post(Board, news)) {
-    return;
-  }
-  answerAll();
-}
-
-void PeerTask::answerAll() {
-  const auto waiting = std::exchange(Questions, {});
-  for (const auto &[id, it] : waiting) {
-    answer(it);
-  }
-}
-
-const std::string &PeerTask::knowledge() {
-  const Instant now = readClock();
-  if (!Knowledge.empty() && now - KnowledgeAt < KnowledgeKept) {
-    return Knowledge;
-  }
-  News news;
-  news.Boot = Known.Self.Boot;
-  for (const Part it : {Part::Configuration, Part::Upstreams, Part::Domains}) {
-    Handlers.Fill(news, it);
-  }
-  Knowledge = encodeNews(news);
-  KnowledgeAt = now;
-  return Knowledge;
-}
-
-void PeerTask::serve(http::ExchangeId id, const http::Request &request) {
-  if (Known.Self.Informed && http::pathOf(request.Target) == KnowledgePath) {
-    return Server.answer(id, {Ok, {}, knowledge()});
-  }
-  if (Choice.Now != Duty::Read || http::pathOf(request.Target) != NewsPath) {
-    return Server.answer(id, {NotFound, {}, {}});
-  }
-  Question question{id, 0};
-  const std::string boot = http::queryParameter(request.Target, "boot");
-  if (numberIn(boot) == Known.Self.Boot) {
-    question.After = numberIn(http::queryParameter(request.Target, "after"));
-  }
-  answer(question);
-}
-
-// Answers when there is something to tell, and keeps the question otherwise.
-// Long answers leave the link room for signs of life: where many instances ask
-// for all at once, these would come so late that the reader seemed dead.
-void PeerTask::answer(const Question &question) {
-  const std::string *news = newsAfter(Board, question.After);
-  const Instant now = readClock();
-  const bool isLong =
-      news != nullptr && news->size() > LongBytes && LinkMbps > 0;
-  if (news == nullptr || (isLong && now < NextLongAt)) {
-    Questions.emplace(question.Id, question);
-    if (isLong && !ev_is_active(&LongTimer)) {
-      const std::chrono::duration<double> left = NextLongAt - now;
-      ev_timer_set(&LongTimer, left.count(), 0);
-      ev_timer_start(Loop, &LongTimer);
-    }
-    return;
-  }
-  if (isLong) {
-    constexpr double bitsPerByte = 8;
-    const double micros = static_cast<double>(news->size()) * bitsPerByte /
-                          (LinkMbps * LongShare);
-    NextLongAt = now + Duration(static_cast<Duration::rep>(micros));
-  }
-  Server.answer(question.Id, {Ok, {}, *news});
-}
-
 void PeerTask::ask() {
   const auto reader = Known.Others.find(Choice.Reader);
   if (Choice.Now != Duty::Follow || Asking || reader == Known.Others.end()) {
@@ -490,7 +380,7 @@
   const std::size_t before = KnownCount;
   KnownCount = std::max<std::size_t>(recorded.size(), 1);
   if (KnownCount != before) {
-    publish(Part::Members);
+    Teller.publish(Part::Members);
   }
 }
 
@@ -560,7 +450,7 @@
     return;
   }
   LiveDigest = digest;
-  publish(Part::Members);
+  Teller.publish(Part::Members);
   Handlers.LiveChanged();
 }
 
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <map>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include <boost/json/object.hpp>
@@ -16,16 +15,12 @@
 
 #include "fleet/CatchUp.h"
 #include "fleet/Codec.h"
-#include "fleet/NewsBoard.h"
+#include "fleet/NewsServer.h"
 #include "http/ClientPool.h"
-#include "http/Server.h"
 #include "zinniarail/fleet/Fleet.h"
 
 namespace zinniarail::fleet {
 
-/// The parts of what a reader passes on.
-enum class Part : std::uint8_t { Configuration, Upstreams, Domains, Members };
-
 /// What the task tells its process. Called from the loop.
 struct PeerHandlers {
   std::function<void(Duty)> DutyChanged;
@@ -33,7 +28,7 @@
   std::function<void()> LiveChanged;
   std::function<void(const balance::Event &)> WordCame;
   /// What is known, to be passed on: the wanted part alone, and whole.
-  std::function<void(News &, Part)> Fill;
+  FillNews Fill;
 };
 
 /// Used on one thread, that of its loop.
@@ -60,7 +55,7 @@
   void setInformed(bool informed);
 
   /// A part of what is passed on has changed.
-  void publish(Part part);
+  void publish(Part part) { Teller.publish(part); }
 
   /// Instances that the store has recorded.
   void learnRecorded(const std::vector<Instance> &recorded);
@@ -99,11 +94,6 @@
   boost::json::object describe(Instant now) const;
 
 private:
-  struct Question {
-    http::ExchangeId Id = 0;
-    std::uint64_t After = 0;
-  };
-
   void tick();
   void receive();
   void hear(const Datagram &datagram, const std::string &from);
@@ -114,10 +104,6 @@
   void greetAll();
   void sendAll(const Datagram &datagram) const;
   void send(const std::string &address, const Datagram &datagram) const;
-  void serve(http::ExchangeId id, const http::Request &request);
-  const std::string &knowledge();
-  void answer(const Question &question);
-  void answerAll();
   void ask();
   void takeNews(http::CallId id, const http::CallResult &result);
   void takeVouched(const MemberList &list);
@@ -141,14 +127,7 @@
   std::uint64_t LiveDigest = 0; ///< As last told.
 
   // As a reader.
-  http::Server Server;
-  NewsBoard Board;
-  std::unordered_map<http::ExchangeId, Question> Questions;
-  double LinkMbps;
-  Instant NextLongAt{}; ///< When the link has room for another long answer.
-  ev_timer LongTimer{};
-  std::string Knowledge; ///< As told to those who know nothing,
-  Instant KnowledgeAt{}; ///< and when it was written.
+  NewsServer Teller;
 
   // While it knows nothing.
   CatchUp Others;
