Names and functions that a newcomer can read

The soak's Run is split into preparing, planting and playing; the deployment that it runs, the publisher of news and what comes from peers bear their names. No change in what any program does.

--- a/soak/Run.cpp
+++ b/soak/Run.cpp
@@ -37,7 +37,7 @@
 } // namespace
 
 Run::Run(struct ev_loop *loop, RunPlan plan)
-    : Loop(loop), Plan(std::move(plan)), Town(loop, Plan.Deployment),
+    : Loop(loop), Plan(std::move(plan)), Deployed(loop, Plan.Deployment),
       Operators(loop, [this](http::CallId id, const http::CallResult &result) {
         const auto it = Asked.find(id);
         if (it == Asked.end()) {
@@ -73,14 +73,22 @@
 }
 
 RunResult Run::play() {
-  Result.Fault = Town.start();
-  if (!Result.Fault.empty()) {
-    return Result;
+  Result.Fault = prepare();
+  if (Result.Fault.empty()) {
+    playTraffic();
   }
-  Processes.resize(Town.Instances.size());
-  Ready.resize(Town.Instances.size());
-  for (std::size_t n = 0; n < Town.Instances.size(); ++n) {
-    Seen.InstanceOf[Town.Instances[n].CallerAddress] = n;
+  return Result;
+}
+
+/// \returns why it can't be played; empty when all is ready.
+std::string Run::prepare() {
+  if (std::string fault = Deployed.start(); !fault.empty()) {
+    return fault;
+  }
+  Processes.resize(Deployed.Instances.size());
+  Ready.resize(Deployed.Instances.size());
+  for (std::size_t n = 0; n < Deployed.Instances.size(); ++n) {
+    Seen.InstanceOf[Deployed.Instances[n].CallerAddress] = n;
   }
   Seen.MovingPath = Plan.MovingPath;
   for (const standins::RouteKind &it : Plan.Deployment.Routes) {
@@ -88,44 +96,51 @@
       Seen.Moves.push_back({readClock(), Version, it.Service});
     }
   }
-  ev_timer_start(Loop, &Timer);
   StartedAt = Instant::max(); // No traffic yet.
+  ev_timer_start(Loop, &Timer);
   if (!waitUntilReady()) {
-    Result.Fault = "the instances did not get ready";
-    return Result;
-  }
-  if (Plan.Planted && Plan.Planted != Misdeed::EndByItself) {
-    const std::string address =
-        "127." + std::to_string(Plan.Deployment.Net) + ".63.1:8080";
-    const bool moves = Plan.Planted == Misdeed::IgnoreMove;
-    const standins::Upstream &upstream =
-        moves ? *Town.Upstreams.back() : *Town.Upstreams.front();
-    Planted = std::make_unique<Rogue>(
-        Loop, *Plan.Planted, Town.Instances[0].CallerAddress,
-        upstream.Nature.Address,
-        moves ? Plan.MovingPath : Plan.Deployment.Routes.front().Path);
-    if (!Planted->listen(address)) {
-      Result.Fault = "cannot listen on " + address;
-      return Result;
-    }
-    Town.Detours[0] = address;
+    return "the instances did not get ready";
   }
-  Town.startCallers();
+  return Plan.Planted ? plant(*Plan.Planted) : "";
+}
+
+/// \returns what is wrong; empty when the misdeed is in its place.
+std::string Run::plant(Misdeed misdeed) {
+  if (misdeed == Misdeed::EndByItself) {
+    return ""; // See watchProcesses.
+  }
+  const std::string address =
+      "127." + std::to_string(Plan.Deployment.Net) + ".63.1:8080";
+  const bool moves = misdeed == Misdeed::IgnoreMove;
+  const standins::Upstream &upstream =
+      moves ? *Deployed.Upstreams.back() : *Deployed.Upstreams.front();
+  Planted = std::make_unique<Rogue>(
+      Loop, misdeed, Deployed.Instances[0].CallerAddress,
+      upstream.Nature.Address,
+      moves ? Plan.MovingPath : Plan.Deployment.Routes.front().Path);
+  if (!Planted->listen(address)) {
+    return "cannot listen on " + address;
+  }
+  Deployed.Detours[0] = address;
+  return "";
+}
+
+void Run::playTraffic() {
+  Deployed.startCallers();
   StartedAt = readClock();
   while (readClock() < StartedAt + Plan.Length && Result.Breaches.empty()) {
     turn(JudgeInterval);
     collect();
     Result.Breaches = judge(Seen, Plan.Limits);
   }
-  Town.endCallers();
+  Deployed.endCallers();
   const Instant giveUp = readClock() + LastAnswersTime;
-  while (Town.openRequests() > 0 && readClock() < giveUp) {
+  while (Deployed.openRequests() > 0 && readClock() < giveUp) {
     turn(100ms);
   }
   collect();
   Result.Breaches = judge(Seen, Plan.Limits);
-  Result.Callers = Town.tally();
-  return Result;
+  Result.Callers = Deployed.tally();
 }
 
 bool Run::waitUntilReady() {
@@ -202,7 +217,7 @@
 
 void Run::onInstance(const Entry &entry) {
   const std::size_t n = entry.Target;
-  standins::Process &child = Town.Instances[n].Child;
+  standins::Process &child = Deployed.Instances[n].Child;
   ProcessState &state = Processes[n];
   if (!child.isRunning() || state.Asked) {
     return; // It ends already.
@@ -216,7 +231,7 @@
     const std::size_t span = note(n, Trouble::Process);
     return after(entry.For, [this, n, span] {
       Processes[n].Paused = false;
-      Town.Instances[n].Child.signal(SIGCONT);
+      Deployed.Instances[n].Child.signal(SIGCONT);
       over(n, span);
     });
   }
@@ -234,8 +249,8 @@
 void Run::onLink(const Entry &entry) {
   const std::size_t n = entry.Target;
   const bool toStore = entry.What < Incident::CutFromCallers;
-  standins::Link &link =
-      toStore ? *Town.Instances[n].ToStore : *Town.Instances[n].FromCallers;
+  standins::Link &link = toStore ? *Deployed.Instances[n].ToStore
+                                 : *Deployed.Instances[n].FromCallers;
   const std::size_t span = note(n, toStore ? Trouble::Store : Trouble::Callers);
   switch (entry.What) {
   case Incident::ResetStoreLink:
@@ -262,7 +277,7 @@
 }
 
 void Run::onStore(const Entry &entry) {
-  standins::Store &store = Town.TheStore;
+  standins::Store &store = Deployed.TheStore;
   Seen.StoreTrouble.push_back({readClock(), Instant::max()});
   const std::size_t span = Seen.StoreTrouble.size() - 1;
   const auto end = [this, span] { Seen.StoreTrouble[span].To = readClock(); };
@@ -303,8 +318,8 @@
 
 void Run::onUpstream(const Entry &entry) {
   const std::size_t n = entry.Target;
-  standins::UpstreamFaults &faults = Town.Upstreams[n]->Faults;
-  standins::Link &link = *Town.UpstreamLinks[n];
+  standins::UpstreamFaults &faults = Deployed.Upstreams[n]->Faults;
+  standins::Link &link = *Deployed.UpstreamLinks[n];
   switch (entry.What) {
   case Incident::CrashUpstream:
   case Incident::CrashUpstreamSilently:
@@ -353,7 +368,7 @@
       Seen.Moves.push_back({readClock(), Version, it.Service});
     }
   }
-  Town.configure(Version, Plan.Deployment.Routes);
+  Deployed.configure(Version, Plan.Deployment.Routes);
 }
 
 void Run::evacuate(const Entry &entry) {
@@ -369,16 +384,16 @@
   if (isOut || out > most) {
     return; // One at least serves.
   }
-  Town.evacuate(domain, true);
+  Deployed.evacuate(domain, true);
   Seen.DomainsOut.push_back({domain, {readClock(), Instant::max()}});
   after(EvacuationTime, [this, domain, n = Seen.DomainsOut.size() - 1] {
-    Town.evacuate(domain, false);
+    Deployed.evacuate(domain, false);
     Seen.DomainsOut[n].second.To = readClock();
   });
 }
 
 void Run::drain(std::size_t upstream, Duration time) {
-  standins::Upstream &it = *Town.Upstreams[upstream];
+  standins::Upstream &it = *Deployed.Upstreams[upstream];
   if (UpstreamBusy[upstream] || !it.isAlive()) {
     return;
   }
@@ -387,7 +402,7 @@
   it.drain();
   // It serves on for the time that callers of it have, and then some.
   after(Plan.Limits.Drain + time, [this, upstream] {
-    Town.Upstreams[upstream]->restart("again-" + std::to_string(++Lives));
+    Deployed.Upstreams[upstream]->restart("again-" + std::to_string(++Lives));
     UpstreamBusy[upstream] = false;
   });
 }
@@ -397,9 +412,9 @@
     return;
   }
   UpstreamBusy[upstream] = true;
-  Town.Upstreams[upstream]->crash(silently);
+  Deployed.Upstreams[upstream]->crash(silently);
   after(time, [this, upstream] {
-    Town.Upstreams[upstream]->restart("again-" + std::to_string(++Lives));
+    Deployed.Upstreams[upstream]->restart("again-" + std::to_string(++Lives));
     UpstreamBusy[upstream] = false;
   });
 }
@@ -409,7 +424,7 @@
   if (UpstreamBusy[upstream]) {
     return;
   }
-  standins::Upstream &it = *Town.Upstreams[upstream];
+  standins::Upstream &it = *Deployed.Upstreams[upstream];
   it.Faults.ClockAhead = ClockStep;
   it.restart(std::string(it.id()));
   it.Faults.ClockAhead = {};
@@ -418,11 +433,11 @@
 void Run::watchProcesses() {
   const Instant now = readClock();
   for (std::size_t n = 0; n < Processes.size(); ++n) {
-    standins::RunningInstance &it = Town.Instances[n];
+    standins::RunningInstance &it = Deployed.Instances[n];
     ProcessState &state = Processes[n];
     if (state.StartAt && now >= *state.StartAt) {
       state = {};
-      Town.startInstance(n);
+      Deployed.startInstance(n);
       for (auto &[kind, span] : Seen.Troubles[n]) {
         const bool ofProcess =
             kind == Trouble::Process || kind == Trouble::Planned;
@@ -452,13 +467,13 @@
                        StartedAt != Instant::max() && now > StartedAt + 1s &&
                        Seen.Ends.empty();
   if (endsOne) {
-    Town.Instances[0].Child.signal(SIGKILL);
+    Deployed.Instances[0].Child.signal(SIGKILL);
   }
 }
 
 void Run::askVersions() {
-  for (std::size_t n = 0; n < Town.Instances.size(); ++n) {
-    const standins::RunningInstance &it = Town.Instances[n];
+  for (std::size_t n = 0; n < Deployed.Instances.size(); ++n) {
+    const standins::RunningInstance &it = Deployed.Instances[n];
     if (!it.Child.isRunning() || Processes[n].Paused) {
       continue;
     }
@@ -474,12 +489,12 @@
 
 void Run::collect() {
   Seen.Requests.clear();
-  for (const standins::Callers *it : Town.callers()) {
+  for (const standins::Callers *it : Deployed.callers()) {
     Seen.Requests.insert(it->Records.begin(), it->Records.end());
   }
-  Seen.Done = Town.Done;
+  Seen.Done = Deployed.Done;
   Seen.Probes.clear();
-  for (const auto &it : Town.Upstreams) {
+  for (const auto &it : Deployed.Upstreams) {
     Seen.Probes.push_back({it->id(), it->probes(), readClock() - StartedAt});
   }
 }
--- a/soak/Run.h
+++ b/soak/Run.h
@@ -63,6 +63,9 @@
     std::function<void()> What;
   };
 
+  std::string prepare();
+  std::string plant(Misdeed misdeed);
+  void playTraffic();
   bool waitUntilReady();
   void turn(Duration time);
   void tick();
@@ -85,7 +88,7 @@
 
   struct ev_loop *Loop;
   RunPlan Plan;
-  standins::Deployment Town;
+  standins::Deployment Deployed;
   std::unique_ptr<Rogue> Planted;
   http::ClientPool Operators;
   std::map<http::CallId, std::pair<std::size_t, unsigned>> Asked;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -77,20 +77,21 @@
 
 soak::RunPlan planOf(const Wanted &it, std::uint64_t seed) {
   soak::RunPlan plan;
-  standins::DeploymentPlan &town = plan.Deployment;
-  town.Program = it.Program;
-  town.Logs = it.Logs;
-  town.Net = it.Net;
-  town.Instances = it.Instances;
-  town.Links = true;
-  town.Seed = seed;
+  standins::DeploymentPlan &deployment = plan.Deployment;
+  deployment.Program = it.Program;
+  deployment.Logs = it.Logs;
+  deployment.Net = it.Net;
+  deployment.Instances = it.Instances;
+  deployment.Links = true;
+  deployment.Seed = seed;
   const unsigned first = it.Upstreams * 2 / 3;
-  town.Services = {{"orders", first, 30ms},
-                   {"archive", it.Upstreams - first, 50ms}};
+  deployment.Services = {{"orders", first, 30ms},
+                         {"archive", it.Upstreams - first, 50ms}};
   const double scale = it.Upstreams / 9.0;
-  town.Routes = {{"/read/", "orders", true, 2, 60 * scale, 300ms, 1000ms},
-                 {"/order/", "orders", false, 1, 30 * scale, 300ms, 1500ms},
-                 {MovingPath, "archive", true, 2, 30 * scale, 500ms, 1500ms}};
+  deployment.Routes = {
+      {"/read/", "orders", true, 2, 60 * scale, 300ms, 1000ms},
+      {"/order/", "orders", false, 1, 30 * scale, 300ms, 1500ms},
+      {MovingPath, "archive", true, 2, 30 * scale, 500ms, 1500ms}};
   plan.MovingPath = MovingPath;
   plan.Length = std::chrono::seconds{it.Seconds};
   soak::Scope scope;
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -74,8 +74,8 @@
                    double linkMbps, PeerHandlers handlers)
     : Loop(loop), Seeds(std::move(seeds)), SettleTime(settleTime),
       Handlers(std::move(handlers)),
-      Teller(loop, self.Boot, linkMbps, Handlers.Fill),
-      Others(loop, [this](const News &news) { Handlers.NewsCame(news); }),
+      Publisher(loop, self.Boot, linkMbps, Handlers.Fill),
+      FromPeers(loop, [this](const News &news) { Handlers.NewsCame(news); }),
       Pool(loop, [this](http::CallId id, const http::CallResult &result) {
         takeNews(id, result);
       }) {
@@ -102,7 +102,7 @@
 bool PeerTask::open() {
   const std::string &address = Known.Self.Record.PeerAddress;
   Socket = openDatagrams(address);
-  if (Socket < 0 || !Teller.listen(address)) {
+  if (Socket < 0 || !Publisher.listen(address)) {
     return false;
   }
   ev_io_init(
@@ -155,7 +155,7 @@
   const bool due =
       now - std::max(StartedAt + SettleTime, DutySince) >= CatchUpDelay;
   if (!Known.Self.Informed && due) {
-    Others.advance(Known, now);
+    FromPeers.advance(Known, now);
   }
 }
 
@@ -164,10 +164,10 @@
     return;
   }
   Known.Self.Informed = informed;
-  Teller.setInformed(informed);
+  Publisher.setInformed(informed);
   if (informed) {
     Known.Self.Ready = true;
-    Others.end();
+    FromPeers.end();
   }
 }
 
@@ -302,8 +302,9 @@
   Known.Self.Reading = Choice.Now == Duty::Read;
   Known.Self.Healthy = false;
   ReadingSince = DutySince = readClock();
-  Teller.setReading(Known.Self.Reading);
-  Teller.publish(Part::Members); // Also where nobody comes or goes from now on.
+  Publisher.setReading(Known.Self.Reading);
+  Publisher.publish(
+      Part::Members); // Also where nobody comes or goes from now on.
   greetAll();
   Handlers.DutyChanged(Choice.Now);
 }
@@ -395,7 +396,7 @@
   const std::size_t before = KnownCount;
   KnownCount = std::max<std::size_t>(recorded.size(), 1);
   if (KnownCount != before) {
-    Teller.publish(Part::Members);
+    Publisher.publish(Part::Members);
   }
 }
 
@@ -465,7 +466,7 @@
     return;
   }
   LiveDigest = digest;
-  Teller.publish(Part::Members);
+  Publisher.publish(Part::Members);
   Handlers.LiveChanged();
 }
 
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -55,7 +55,7 @@
   void setInformed(bool informed);
 
   /// A part of what is passed on has changed.
-  void publish(Part part) { Teller.publish(part); }
+  void publish(Part part) { Publisher.publish(part); }
 
   /// Instances that the store has recorded.
   void learnRecorded(const std::vector<Instance> &recorded);
@@ -128,10 +128,10 @@
   std::uint64_t LiveDigest = 0; ///< As last told.
 
   // As a reader.
-  NewsServer Teller;
+  NewsServer Publisher;
 
   // While it knows nothing.
-  CatchUp Others;
+  CatchUp FromPeers;
   Instant DutySince{};
 
   // As a follower.
--- a/standins/demo/main.cpp
+++ b/standins/demo/main.cpp
@@ -24,7 +24,7 @@
 
 struct Firm {
   const char *Name;
-  std::unique_ptr<Deployment> Town;
+  std::unique_ptr<Deployment> Running;
 };
 
 DeploymentPlan serrano(unsigned net) {
@@ -66,8 +66,8 @@
 
 /// \returns whether nothing was lost, wrong, doubled or refused untruly.
 bool show(const Firm &firm) {
-  const CallerTally it = firm.Town->tally();
-  const Verdict verdict = judge(firm.Town->callers(), firm.Town->Done);
+  const CallerTally it = firm.Running->tally();
+  const Verdict verdict = judge(firm.Running->callers(), firm.Running->Done);
   std::cout << "== " << firm.Name << "\nserved " << it.Served << " of "
             << it.Asked << " requests, p50 " << std::fixed
             << std::setprecision(1) << milliseconds(it.Times, 0.5)
@@ -91,9 +91,9 @@
         {"Cocinas del Cierzo",
          std::make_unique<Deployment>(loop, cierzo(net + 1))}};
     for (Firm &it : firms) {
-      it.Town->Plan.Program = program;
-      it.Town->Plan.Instances = InstancesOfAFirm;
-      if (const std::string fault = it.Town->start(); !fault.empty()) {
+      it.Running->Plan.Program = program;
+      it.Running->Plan.Instances = InstancesOfAFirm;
+      if (const std::string fault = it.Running->start(); !fault.empty()) {
         throw std::runtime_error(fault);
       }
     }
@@ -101,11 +101,11 @@
     std::cout << "2 firms run: 26 instances, 48 upstreams; callers for "
               << seconds << " s" << std::endl;
     for (Firm &it : firms) {
-      it.Town->startCallers();
+      it.Running->startCallers();
     }
     turn(loop, std::chrono::seconds{seconds});
     for (Firm &it : firms) {
-      it.Town->endCallers();
+      it.Running->endCallers();
     }
     turn(loop, AnswerTime);
     for (const Firm &it : firms) {
--- a/tests/drill/DrillTest.cpp
+++ b/tests/drill/DrillTest.cpp
@@ -59,16 +59,16 @@
 class Drill {
 public:
   Drill()
-      : Town(Turns.Loop, makePlan()),
+      : Deployed(Turns.Loop, makePlan()),
         Pool(Turns.Loop, [this](auto id, auto result) {
           Results[id] = std::move(result);
         }) {
-    BOOST_REQUIRE(Town.start().empty());
-    for (std::size_t n = 0; n < Town.Instances.size(); ++n) {
+    BOOST_REQUIRE(Deployed.start().empty());
+    for (std::size_t n = 0; n < Deployed.Instances.size(); ++n) {
       BOOST_REQUIRE(Turns.until([&] { return isReady(n); }));
     }
   }
-  ~Drill() { std::filesystem::remove_all(Town.Plan.Logs); }
+  ~Drill() { std::filesystem::remove_all(Deployed.Plan.Logs); }
 
   static standins::DeploymentPlan makePlan() {
     char folder[] = "/tmp/zinniarail-drill-XXXXXX";
@@ -87,7 +87,7 @@
 
   bool isReady(std::size_t n) {
     const http::CallResult it =
-        get(Town.Instances[n].OperatorAddress, "/health");
+        get(Deployed.Instances[n].OperatorAddress, "/health");
     return it.Response.Status == 200;
   }
 
@@ -109,24 +109,25 @@
   /// \returns the status.
   unsigned ask(const std::string &method, const std::string &path,
                const std::string &id) {
-    return get(Town.Instances[0].CallerAddress, path + id,
+    return get(Deployed.Instances[0].CallerAddress, path + id,
                "X-Request-Id: " + id + "\r\nX-Deadline-Milliseconds: 2000\r\n",
                method)
         .Response.Status;
   }
 
   std::string metrics() {
-    return get(Town.Instances[0].OperatorAddress, "/metrics").Response.Body;
+    return get(Deployed.Instances[0].OperatorAddress, "/metrics").Response.Body;
   }
 
   std::string logOf(std::size_t n) {
-    return Town.Plan.Logs + "/" + Town.Instances[n].Id + ".log";
+    return Deployed.Plan.Logs + "/" + Deployed.Instances[n].Id + ".log";
   }
 
   std::string explain(const std::string &kind, const std::string &id) {
-    const std::string file = Town.Plan.Logs + "/metrics.txt";
+    const std::string file = Deployed.Plan.Logs + "/metrics.txt";
     std::ofstream(file) << metrics();
-    return runCommands(commandsOf(kind), id, Town.Plan.Logs, logOf(0), file);
+    return runCommands(commandsOf(kind), id, Deployed.Plan.Logs, logOf(0),
+                       file);
   }
 
   bool logHas(const std::string &text) {
@@ -138,7 +139,7 @@
   }
 
   http::TestLoop Turns;
-  standins::Deployment Town;
+  standins::Deployment Deployed;
   http::ClientPool Pool;
   std::map<http::CallId, http::CallResult> Results;
   http::CallId LastCall = 0;
@@ -156,15 +157,15 @@
 }
 
 void refuse(Drill &drill) {
-  for (const std::string &domain : drill.Town.Plan.Domains) {
-    drill.Town.evacuate(domain, true);
+  for (const std::string &domain : drill.Deployed.Plan.Domains) {
+    drill.Deployed.evacuate(domain, true);
   }
   BOOST_REQUIRE(drill.logHas("name=domain-out domain=c"));
   BOOST_TEST(drill.ask("POST", "/order/", "refused-1") == 503);
 }
 
 void loseAnswer(Drill &drill) {
-  for (auto &it : drill.Town.Upstreams) {
+  for (auto &it : drill.Deployed.Upstreams) {
     it->Faults.LoseShare = 1;
   }
   for (unsigned n = 0; n < 9; ++n) {
@@ -174,10 +175,10 @@
 }
 
 void runByAnOldVersion(Drill &drill) {
-  drill.Town.Instances[0].ToStore->Faults.HoldBack = true;
+  drill.Deployed.Instances[0].ToStore->Faults.HoldBack = true;
   BOOST_REQUIRE(drill.logHas("name=platform-lost"));
-  drill.Town.Plan.Routes[1].Service = "orders";
-  drill.Town.configure(7, drill.Town.Plan.Routes);
+  drill.Deployed.Plan.Routes[1].Service = "orders";
+  drill.Deployed.configure(7, drill.Deployed.Plan.Routes);
   drill.Turns.runFor(300ms);
   BOOST_TEST(drill.ask("GET", "/moving/", "old-1") == 200);
 }
