--- a/soak/Run.cpp
+++ b/soak/Run.cpp
@@ -67,7 +67,7 @@
 
 void Run::turn(Duration time) {
   const Instant end = readClock() + time;
-  while (readClock() < end) {
+  while (readClock() < end && !Plan.IsStopped()) {
     ev_run(Loop, EVRUN_ONCE);
   }
 }
@@ -99,7 +99,10 @@
   StartedAt = Instant::max(); // No traffic yet.
   ev_timer_start(Loop, &Timer);
   if (!waitUntilReady()) {
-    return "the instances did not get ready";
+    return Seen.Ends.empty() ? "the instances did not get ready"
+                             : Seen.Ends.front().Instance +
+                                   " ended before it was ready; are its "
+                                   "addresses in use?";
   }
   return Plan.Planted ? plant(*Plan.Planted) : "";
 }
@@ -128,7 +131,8 @@
 void Run::playTraffic() {
   Deployed.startCallers();
   StartedAt = readClock();
-  while (readClock() < StartedAt + Plan.Length && Result.Breaches.empty()) {
+  while (readClock() < StartedAt + Plan.Length && Result.Breaches.empty() &&
+         !Plan.IsStopped()) {
     turn(JudgeInterval);
     collect();
     Result.Breaches = judge(Seen, Plan.Limits);
@@ -141,11 +145,14 @@
   collect();
   Result.Breaches = judge(Seen, Plan.Limits);
   Result.Callers = Deployed.tally();
+  if (Plan.IsStopped()) {
+    Result.Fault = "stopped by a signal";
+  }
 }
 
 bool Run::waitUntilReady() {
   const Instant giveUp = readClock() + ReadyTime;
-  while (readClock() < giveUp &&
+  while (readClock() < giveUp && Seen.Ends.empty() && !Plan.IsStopped() &&
          std::find(Ready.begin(), Ready.end(), false) != Ready.end()) {
     turn(100ms);
   }
--- a/soak/Run.h
+++ b/soak/Run.h
@@ -29,6 +29,8 @@
   Duration Length = std::chrono::seconds{20};
   Bounds Limits;
   std::optional<Misdeed> Planted;
+  /// Whether the run is to end now; its processes are ended all the same.
+  std::function<bool()> IsStopped = [] { return false; };
 };
 
 /// What came of it.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -25,6 +25,9 @@
 
 constexpr const char *MovingPath = "/moving/";
 
+// Set by a signal. The processes of a run must not outlive it.
+volatile std::sig_atomic_t Stopped = 0;
+
 struct Wanted {
   std::uint64_t Seed = 1;
   unsigned Seeds = 1;
@@ -94,6 +97,7 @@
       {MovingPath, "archive", true, 2, 30 * scale, 500ms, 1500ms}};
   plan.MovingPath = MovingPath;
   plan.Length = std::chrono::seconds{it.Seconds};
+  plan.IsStopped = [] { return Stopped != 0; };
   soak::Scope scope;
   scope.Length = plan.Length;
   scope.Instances = it.Instances;
@@ -131,10 +135,13 @@
 int run(const Wanted &wanted) {
   check(wanted);
   std::signal(SIGPIPE, SIG_IGN);
+  for (const int it : {SIGTERM, SIGINT}) {
+    std::signal(it, [](int) { Stopped = 1; });
+  }
   struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
   unsigned broken = 0;
   unsigned unplayed = 0;
-  for (unsigned n = 0; n < wanted.Seeds; ++n) {
+  for (unsigned n = 0; n < wanted.Seeds && Stopped == 0; ++n) {
     const std::uint64_t seed = wanted.Seed + n;
     soak::RunResult result;
     {
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -1,6 +1,7 @@
 // The soak on real processes: a few seeds, and planted breaches.
 #include <sys/stat.h>
 
+#include <csignal>
 #include <fstream>
 #include <sstream>
 
@@ -71,6 +72,18 @@
              it.Text);
 }
 
+// What it started ends with it: another one finds the addresses free.
+BOOST_AUTO_TEST_CASE(aSoakThatIsStoppedLeavesNoProcess) {
+  const std::string net = std::to_string(standins::loopbackNet() + 20);
+  standins::Process soak;
+  BOOST_REQUIRE(soak.start({Program, "--net", net, "--seconds", "600"}, ""));
+  BOOST_REQUIRE(!soak.wait(3s).has_value());
+  soak.signal(SIGTERM);
+  BOOST_TEST(soak.wait(1min).value_or(-1) == 3);
+  const Outcome it = play({"--seconds", "6"});
+  BOOST_TEST(it.Code == 0, it.Text);
+}
+
 struct BadFlags {
   std::vector<std::string> Flags;
 };
