One estimate of a route's usual time; two functions that nobody called go

timeOf looked the estimate up as leastTime does; expectedTime and the peer task's self had no callers left. No change in what is decided: test_balance and test_fleet pass, format is clean.

--- a/src/balance/Placing.cpp
+++ b/src/balance/Placing.cpp
@@ -93,10 +93,7 @@
 double timeOf(const Engine &engine, const RequestState &request,
               const UpstreamState &upstream, double slowness, double busy,
               Instant now) {
-  const auto found = engine.Work.find(request.Treatment.Route);
-  const Duration usual =
-      usualWork(found == engine.Work.end() ? WorkEstimate{} : found->second,
-                request.Treatment.Target);
+  const Duration usual = leastTime(engine, request);
   double time = static_cast<double>(usual.count()) * slowness;
   time *= dragNow(upstream, now) * overdueOf(engine, upstream, now);
   time *= 1 + CrowdingPerRequest * busy;
@@ -256,16 +253,6 @@
                    request.Treatment.Target);
 }
 
-Duration expectedTime(const Engine &engine, const RequestState &request,
-                      const UpstreamState &upstream, Instant now) {
-  const auto own = static_cast<unsigned>(upstream.Running.size());
-  const double busy =
-      busyNow(upstream.Load, own, leastTime(engine, request), now);
-  const double slowness = slownessNow(upstream.Load, engine.MeanSlowness, now);
-  return Duration(static_cast<Duration::rep>(
-      timeOf(engine, request, upstream, slowness, busy, now)));
-}
-
 unsigned capacityOf(const Engine &engine, const UpstreamState &upstream,
                     Instant now) {
   const unsigned slots = upstream.Plan.Slots;
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -184,8 +184,6 @@
                     Instant now);
 /// How long a request of this route would take on an upstream at best.
 Duration leastTime(const Engine &engine, const RequestState &request);
-Duration expectedTime(const Engine &engine, const RequestState &request,
-                      const UpstreamState &upstream, Instant now);
 
 // Crashes.cpp
 bool isCondemned(const Engine &engine, std::uint64_t fingerprint, Instant now);
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -80,7 +80,6 @@
   /// How many live members would read before this instance.
   std::size_t position() const;
 
-  const Member &self() const { return Known.Self; }
   /// Whether what is known of the store is current, as far as this instance can
   /// tell: it reads and the store answers, or it follows one for whom that
   /// holds.
