--- a/include/zinniarail/balance/Messages.h
+++ b/include/zinniarail/balance/Messages.h
@@ -86,6 +86,9 @@
   AttemptEnd End = AttemptEnd::NotSent;
   unsigned Status = 0; ///< HTTP status; 0 without a response.
   std::optional<LoadReport> Report;
+  /// How long the upstream, which refused the request, wants no further ones;
+  /// none if it did not say.
+  std::optional<Duration> RetryAfter;
   /// A reused keep-alive connection closed before the first response byte: the
   /// upstream may just have timed it out.
   bool StaleKeepAlive = false;
@@ -97,6 +100,7 @@
   bool Healthy = false; ///< It responded that it is healthy.
   std::optional<LoadReport> Report;
   Duration WarmupRemaining{0}; ///< As reported; zero after warm-up.
+  std::optional<Duration> RetryAfter; ///< As AttemptEnded::RetryAfter.
 };
 /// The caller disconnected before its answer.
 struct CallerGone {
@@ -166,6 +170,7 @@
   unsigned InService = 0;
   unsigned Ejected = 0;
   unsigned Cold = 0; ///< Warming up; may not get another request yet.
+  unsigned Refusing = 0; ///< Stated a time during which they want no requests.
   unsigned Full = 0;
   unsigned Slow = 0;
   unsigned Stale = 0;     ///< Load report missing or older than MaxFreshAge.
@@ -196,11 +201,11 @@
 
 /// Log that an upstream's status changed.
 struct UpstreamStatusChanged {
-  enum class Status : std::uint8_t { Ejected, Readmitted, Cold };
+  enum class Status : std::uint8_t { Ejected, Readmitted, Cold, Refusing };
   std::string Upstream;
   Status NewStatus{};
   std::string Reason;
-  /// Minimum length of an ejection, or the remaining warm-up time.
+  /// Minimum length of an ejection or refusal, or the remaining warm-up time.
   Duration ExpectedDuration{0};
 };
 /// Log that a retry was not sent, since the retry budget is exhausted.
--- /dev/null
+++ b/include/zinniarail/core/StoreRevision.h
@@ -0,0 +1,20 @@
+/// \file
+/// Orders the changes that were read from the platform's store.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace zinniarail {
+
+/// Revision of a change in the store. When the store is restored from a copy,
+/// its revision numbers go back and are assigned again, and its era rises.
+/// Revisions of a later era are newer, whatever their numbers.
+struct StoreRevision {
+  std::uint64_t Era = 0;    ///< Number of the restore; 0 when unknown.
+  std::uint64_t Number = 0; ///< The store's revision counter.
+
+  auto operator<=>(const StoreRevision &) const = default;
+};
+
+} // namespace zinniarail
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -30,12 +30,19 @@
   upstream @1 :Text;
 }
 
+# An upstream that announced to the sender that it leaves.
+struct LeavingUpstream {
+  id @0 :Text;
+  startedMs @1 :UInt64;         # As in Upstream.
+}
+
 struct Datagram {
   union {
     ping @0 :Void;              # The receiver replies with a pong.
     pong @1 :Void;
     quarantined @2 :UInt64;     # Fingerprint of requests that crash upstreams.
     suspected @5 :CrashSuspect;
+    leaving @6 :LeavingUpstream;
   }
   sender @3 :Member;
   # In a pong, other members of the receiver's failure domain; else empty.
@@ -87,6 +94,8 @@
   warmupRemainingUs @6 :Int64;
   startedMs @7 :UInt64;         # Unix milliseconds; 0: unknown.
   revision @8 :UInt64;          # Store revision of its registration.
+  era @9 :UInt64;               # Era of that revision.
+  leaving @10 :Bool;            # It announced itself that it leaves.
 }
 
 struct UpstreamsUpdate {
@@ -94,17 +103,20 @@
   items @1 :List(Upstream);     # All upstreams, or the changed ones.
   removedIds @2 :List(Text);
   storeRevision @3 :UInt64;     # Store revision that the list reflects.
+  storeEra @4 :UInt64;          # Era of that revision.
 }
 
 # A failure domain that is out of service.
 struct EvacuatedDomain {
   name @0 :Text;
   revision @1 :UInt64;          # Store revision of the evacuation.
+  era @2 :UInt64;               # Era of that revision.
 }
 
 struct EvacuatedDomains {
   domains @0 :List(EvacuatedDomain);
   storeRevision @1 :UInt64;     # Store revision that the list reflects.
+  storeEra @2 :UInt64;          # Era of that revision.
 }
 
 # The live instances of the failure domain.
--- a/src/balance/Attempts.cpp
+++ b/src/balance/Attempts.cpp
@@ -157,6 +157,9 @@
   if (event.Report) {
     recordLoadReport(engine, upstream, *event.Report, step.Now);
   }
+  if (event.RetryAfter) {
+    recordRefusal(step, upstream, *event.RetryAfter);
+  }
   switch (event.End) {
   case AttemptEnd::Answered:
     recordHarmless(engine, attempt.Fingerprint);
@@ -184,6 +187,9 @@
     }
     return;
   case AttemptEnd::RefusedUnrun:
+    if (isRefusing(upstream, step.Now)) {
+      return; // It works, and says when it takes requests again.
+    }
     return recordFailure(step, upstream, false, "refused a request");
   case AttemptEnd::Misdirected:
     return recordFailure(step, upstream, true,
@@ -297,7 +303,7 @@
   if (request != engine.Requests.end()) {
     handleAttemptOutcome(step, request->second, event);
   }
-  dropUnplanned(engine);
+  dropUnplanned(engine, step.Now);
 }
 
 } // namespace zinniarail::balance
--- a/src/balance/Crashes.cpp
+++ b/src/balance/Crashes.cpp
@@ -38,6 +38,9 @@
 
 void startCrashCheck(Step step, UpstreamState &upstream,
                      std::uint64_t fingerprint) {
+  if (isRefusing(upstream, step.Now)) {
+    return;
+  }
   upstream.BrokenFingerprints.push_back(fingerprint);
   sendProbe(step, upstream);
 }
--- a/src/balance/Engine.cpp
+++ b/src/balance/Engine.cpp
@@ -49,7 +49,7 @@
   const Step step{engine, now, out};
   engine.Plan = std::move(plan);
   applyPlan(engine, now);
-  dropUnplanned(engine);
+  dropUnplanned(engine, now);
   dispatchQueue(step);
   probeEjectedUpstreams(step);
 }
@@ -102,7 +102,8 @@
                          {"slowness", it.Load.Report.Slowness},
                          {"drag", currentResidualSlowdown(it, now)},
                          {"ejected", isEjected(it, now)},
-                         {"cold", isCold(it, now)}});
+                         {"cold", isCold(it, now)},
+                         {"refusing", isRefusing(it, now)}});
   }
   const EngineCounters &n = engine.Counters;
   return {{"service", engine.Plan.Service},
@@ -170,6 +171,8 @@
     return "back";
   case UpstreamStatusChanged::Status::Cold:
     return "cold";
+  case UpstreamStatusChanged::Status::Refusing:
+    return "refusing";
   }
   return "";
 }
--- a/src/balance/Placing.cpp
+++ b/src/balance/Placing.cpp
@@ -162,7 +162,8 @@
     if (isolated && hasSuspectInFlight(engine, it, now)) {
       continue;
     }
-    if (!it.Planned || (isCold(it, now) && now < it.NextColdRequestAt)) {
+    if (!it.Planned || isRefusing(it, now) ||
+        (isCold(it, now) && now < it.NextColdRequestAt)) {
       continue;
     }
     if (wasTried(request, it)) {
@@ -365,7 +366,9 @@
     }
     ++out.InService;
     const Candidate seen = evaluateUpstream(engine, request, it, now);
-    if (isEjected(it, now)) {
+    if (isRefusing(it, now)) {
+      ++out.Refusing;
+    } else if (isEjected(it, now)) {
       ++out.Ejected;
     } else if (isCold(it, now) && now < it.NextColdRequestAt) {
       ++out.Cold;
--- a/src/balance/Requests.cpp
+++ b/src/balance/Requests.cpp
@@ -47,8 +47,9 @@
   case RefusalReason::NoUpstream:
     return NoUpstreamRetryAfter;
   case RefusalReason::Overloaded:
-    return std::max<Duration>(usualServiceTime(engine, request) / 2,
-                              std::chrono::milliseconds{20});
+    return std::max<Duration>({endOfRefusals(engine, now) - now,
+                               usualServiceTime(engine, request) / 2,
+                               std::chrono::milliseconds{20}});
   case RefusalReason::DeadlinePassed:
   case RefusalReason::UpstreamFailed:
     return std::chrono::milliseconds{50};
@@ -58,10 +59,10 @@
   return refusalRemaining(engine, request.Fingerprint, now);
 }
 
-std::size_t slotsInService(const Engine &engine) {
+std::size_t slotsInService(const Engine &engine, Instant now) {
   std::size_t slots = 0;
   for (const auto &[id, it] : engine.Upstreams) {
-    slots += it.Planned ? it.Plan.Slots : 0;
+    slots += it.Planned && !isRefusing(it, now) ? it.Plan.Slots : 0;
   }
   return slots;
 }
@@ -102,7 +103,7 @@
 
 // Refuses a request at once if it can't be served before its deadline.
 bool refuseIfTooLate(Step step, RequestState &request) {
-  if (step.Now + usualServiceTime(step.State, request) <=
+  if (endOfRefusals(step.State, step.Now) + usualServiceTime(step.State, request) <=
       request.Deadline - AnswerMargin) {
     return false;
   }
@@ -129,8 +130,8 @@
   if (isRefused(engine, request.Fingerprint, step.Now)) {
     return refuse(step, request, RefusalReason::Quarantined);
   }
-  if (engine.Queue.size() >= MaxQueuedPerSlot * slotsInService(engine) &&
-      slotsInService(engine) > 0) {
+  const std::size_t slots = slotsInService(engine, step.Now);
+  if (engine.Queue.size() >= MaxQueuedPerSlot * slots && slots > 0) {
     return refuse(step, request, RefusalReason::Overloaded);
   }
   enqueue(step, request);
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -39,6 +39,8 @@
   Instant ResidualUpdatedAt{};
   Instant ColdUntil{};         ///< Warms up (slow start) until this time.
   Instant NextColdRequestAt{}; ///< No request before this time while cold.
+  /// It wants neither requests nor health checks before this time.
+  Instant RefusesUntil{};
   /// Fingerprints of requests whose connections broke here; a health check is
   /// running to find out whether the upstream crashed.
   std::vector<std::uint64_t> BrokenFingerprints;
@@ -163,7 +165,7 @@
 
 // Upstreams.cpp
 void applyPlan(Engine &engine, Instant now);
-void dropUnplanned(Engine &engine);
+void dropUnplanned(Engine &engine, Instant now);
 void onProbeEnded(Step step, const ProbeEnded &event);
 void recordLoadReport(Engine &engine, UpstreamState &upstream,
                       const LoadReport &report, Instant now);
@@ -176,6 +178,12 @@
 /// \param why the reason to log.
 void recordFailure(Step step, UpstreamState &upstream, bool certain,
                    const char *why);
+/// Records that an upstream wants no requests for a time.
+void recordRefusal(Step step, UpstreamState &upstream, Duration retryAfter);
+bool isRefusing(const UpstreamState &upstream, Instant now);
+/// When the first planned upstream takes requests again, if all of them refuse
+/// requests now; else \p now.
+Instant endOfRefusals(const Engine &engine, Instant now);
 /// Updates the residual slowdown with the outcome of one attempt.
 /// \param ratio the attempt's measured time divided by its expected time, which
 /// includes the residual slowdown so far.
--- a/src/balance/Upstreams.cpp
+++ b/src/balance/Upstreams.cpp
@@ -34,6 +34,9 @@
 
 constexpr double MicrosPerSecond = 1e6;
 
+// Limit for the time during which an upstream says that it wants no requests.
+constexpr Duration MaxRefusalTime = std::chrono::minutes{5};
+
 // Capacity of the service's token bucket for health checks: what is earned in
 // BurstSeconds, but at least MinBurst.
 constexpr double BurstSeconds = 0.5;
@@ -120,9 +123,9 @@
   const double rate = std::max(probeRate(engine, it), MinProbeRate);
   const auto wait = static_cast<Duration::rep>(
       std::ceil(std::max(missing, 0.0) / rate * MicrosPerSecond));
-  return std::max(it.Health.EjectedUntil,
-                  wait == 0 ? Instant{}
-                            : it.ProbeTokensUpdatedAt + Duration(wait));
+  return std::max({it.Health.EjectedUntil, it.RefusesUntil,
+                   wait == 0 ? Instant{}
+                             : it.ProbeTokensUpdatedAt + Duration(wait)});
 }
 
 } // namespace
@@ -157,13 +160,44 @@
   engine.DomainCount = std::max<std::size_t>(domains.size(), 1);
 }
 
-void dropUnplanned(Engine &engine) {
-  std::erase_if(engine.Upstreams, [](const auto &it) {
+void dropUnplanned(Engine &engine, Instant now) {
+  std::erase_if(engine.Upstreams, [&](const auto &it) {
     return !it.second.Planned && it.second.RunningAttempts.empty() &&
-           !it.second.ProbePending;
+           !it.second.ProbePending && !isRefusing(it.second, now);
   });
 }
 
+void recordRefusal(Step step, UpstreamState &upstream, Duration retryAfter) {
+  const Duration limited =
+      std::clamp(retryAfter, Duration{0}, Duration{MaxRefusalTime});
+  const bool wasRefusing = isRefusing(upstream, step.Now);
+  upstream.RefusesUntil =
+      std::max(upstream.RefusesUntil, step.Now + limited);
+  if (!wasRefusing) {
+    step.Output.emplace_back(UpstreamStatusChanged{
+        upstream.Plan.Id, UpstreamStatusChanged::Status::Refusing,
+        limited == retryAfter ? "asked for a pause with Retry-After"
+                              : "asked for a pause with Retry-After, which is "
+                                "negative or too long and was limited",
+        limited});
+  }
+}
+
+bool isRefusing(const UpstreamState &upstream, Instant now) {
+  return now < upstream.RefusesUntil;
+}
+
+Instant endOfRefusals(const Engine &engine, Instant now) {
+  Instant first = Instant::max();
+  for (const auto &[id, it] : engine.Upstreams) {
+    if (it.Planned && !isRefusing(it, now)) {
+      return now;
+    }
+    first = it.Planned ? std::min(first, it.RefusesUntil) : first;
+  }
+  return first == Instant::max() ? now : first;
+}
+
 bool isEjected(const UpstreamState &upstream, Instant now) {
   return upstream.Health.NeedsProbe || now < upstream.Health.EjectedUntil;
 }
@@ -262,12 +296,13 @@
 
 bool mayProbe(const Engine &engine, const UpstreamState &upstream,
               Instant now) {
-  return probeTokens(engine, upstream, now) >= 1;
+  return !isRefusing(upstream, now) &&
+         probeTokens(engine, upstream, now) >= 1;
 }
 
 void sendProbe(Step step, UpstreamState &upstream) {
   Engine &engine = step.State;
-  if (upstream.ProbePending) {
+  if (upstream.ProbePending || isRefusing(upstream, step.Now)) {
     return;
   }
   upstream.ProbeTokens = probeTokens(engine, upstream, step.Now) - 1;
@@ -314,7 +349,10 @@
   } else if (readmissionDue) {
     eject(step, it, "reports itself unhealthy"); // A later check may end it.
   }
-  dropUnplanned(step.State);
+  if (event.RetryAfter) {
+    recordRefusal(step, it, *event.RetryAfter);
+  }
+  dropUnplanned(step.State, step.Now);
 }
 
 void probeEjectedUpstreams(Step step) {
--- a/src/core/HttpClient.cpp
+++ b/src/core/HttpClient.cpp
@@ -44,21 +44,22 @@
 }
 
 std::size_t onHeader(char *data, std::size_t, std::size_t size, void *user) {
-  constexpr std::string_view name = "etag:";
-  constexpr std::size_t maxEtag = 128;
+  constexpr std::size_t maxLine = 256;
+  auto &it = *static_cast<Transfer *>(user);
+  const std::string &name = it.Request.RequestedHeader;
   const std::string_view line(data, size);
   const auto equalIgnoringCase = [](char a, char b) {
     return a == std::tolower(static_cast<unsigned char>(b));
   };
-  if (line.size() <= name.size() || line.size() > maxEtag ||
+  if (name.empty() || line.size() <= name.size() || line.size() > maxLine ||
+      line[name.size()] != ':' ||
       !std::equal(name.begin(), name.end(), line.begin(), equalIgnoringCase)) {
     return size;
   }
-  const auto from = line.find_first_not_of(" \t", name.size());
+  const auto from = line.find_first_not_of(" \t", name.size() + 1);
   const auto to = line.find_last_not_of(" \t\r\n");
   if (from != std::string_view::npos && to >= from) {
-    static_cast<Transfer *>(user)->Reply.Etag =
-        line.substr(from, to - from + 1);
+    it.Reply.Header = line.substr(from, to - from + 1);
   }
   return size;
 }
--- a/src/core/HttpClient.h
+++ b/src/core/HttpClient.h
@@ -25,6 +25,8 @@
   std::string Body;                 ///< Sent with PUT and POST.
   Duration Timeout = std::chrono::seconds{2};
   std::size_t MaxBodyBytes = std::size_t{4} << 20; ///< Limit for the response.
+  /// Name of the response header to return, in lower case; empty: none.
+  std::string RequestedHeader;
 };
 
 /// The response, or how the request failed.
@@ -39,7 +41,8 @@
   Outcome Result = Outcome::Broken;
   bool TimedOut = false; ///< Whether it failed because of a timeout.
   int Status = 0;
-  std::string Etag; ///< As received, including quotes.
+  /// Value of the response header RequestedHeader; empty if it is missing.
+  std::string Header;
   std::string Body;
 };
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -94,6 +94,10 @@
   void fillUpdate(fleet::StateUpdate &update, fleet::StatePart part) const;
   void onStoreChanged(platform::Kind kind);
   void onLiveMembersChanged();
+  /// Takes an upstream that announced that it leaves out of use.
+  /// \param source what told it, for the log.
+  /// \returns whether this was not known.
+  bool noteLeaving(const fleet::LeavingUpstream &upstream, const char *source);
   void updateRoutingSnapshot();
   void handleResolveRequest(http::ExchangeId id, const http::Request &request);
   /// Passes a new routing snapshot to the proxy, runs the proxy's expired
@@ -229,6 +233,11 @@
       },
       [this](http::Call call) { Pool.start(std::move(call)); },
       [this](http::CallId id) { Pool.cancel(id); },
+      [this](const std::string &id, std::uint64_t startedMs) {
+        if (noteLeaving({id, startedMs}, "its response")) {
+          Peers.reportLeaving({id, startedMs});
+        }
+      },
       [this](const std::string &address) { Pool.closeIdle(address); },
       [this](const balance::CrashSuspect &it) { Peers.broadcastSuspected(it); },
       [this](std::uint64_t it) { Peers.broadcastQuarantined(it); }};
@@ -271,6 +280,9 @@
           },
           [this](fleet::StateUpdate &update, fleet::StatePart part) {
             fillUpdate(update, part);
+          },
+          [this](const fleet::LeavingUpstream &it) {
+            noteLeaving(it, "another instance");
           }};
 }
 
@@ -349,6 +361,8 @@
   if (Peers.duty() == Duty::Read) {
     Store.setInstancesToRecord(Options.FailureDomain,
                                Peers.instancesInOwnDomain());
+  } else if (applyDueChanges(LocalMirror, readClock())) {
+    SnapshotOutdated = true;
   }
   RequestProxy.logOmittedCount();
   Peers.logUnreadableMessages();
@@ -402,6 +416,10 @@
 
 void Daemon::applyUpdate(const fleet::StateUpdate &update) {
   const Instant now = readClock();
+  const std::uint64_t era = std::max(
+      update.Upstreams ? update.Upstreams->AsOf.Era : 0,
+      update.EvacuatedDomains ? update.EvacuatedDomains->AsOf.Era : 0);
+  enterEra(LocalMirror, era, now);
   if (update.Config) {
     if (auto config = fleet::decodeConfiguration(*update.Config)) {
       updateConfiguration(LocalMirror, std::move(config));
@@ -419,7 +437,7 @@
   if (update.EvacuatedDomains) {
     replaceEvacuatedDomains(LocalMirror,
                             update.EvacuatedDomains->RevisionByName,
-                            update.EvacuatedDomains->StoreRevision);
+                            update.EvacuatedDomains->AsOf, now);
   }
   SnapshotOutdated = true;
 }
@@ -434,15 +452,17 @@
     return;
   case fleet::StatePart::Upstreams:
     update.Upstreams.emplace();
-    update.Upstreams->StoreRevision = LocalMirror.UpstreamsRevision;
+    update.Upstreams->AsOf = LocalMirror.UpstreamsRevision;
     for (const auto &[id, it] : LocalMirror.Upstreams.Entries) {
       update.Upstreams->List.Items.push_back(
-          {currentUpstream(it, now), it.Revision});
+          {currentUpstream(it, now), it.Revision, it.IsLeaving});
     }
     return;
   case fleet::StatePart::EvacuatedDomains:
-    update.EvacuatedDomains = {LocalMirror.EvacuatedDomains,
-                               LocalMirror.EvacuationsRevision};
+    update.EvacuatedDomains.emplace().AsOf = LocalMirror.EvacuationsRevision;
+    for (const auto &[domain, it] : LocalMirror.EvacuatedDomains) {
+      update.EvacuatedDomains->RevisionByName.emplace(domain, it.Revision);
+    }
     return;
   case fleet::StatePart::Members:
     update.Members.emplace();
@@ -478,12 +498,24 @@
   SnapshotOutdated = true;
 }
 
+bool Daemon::noteLeaving(const fleet::LeavingUpstream &upstream,
+                         const char *source) {
+  if (!markLeaving(LocalMirror.Upstreams, upstream.Id, upstream.StartedMs)) {
+    return false;
+  }
+  logEvent(EventId::UpstreamLeaving,
+           {{"upstream", upstream.Id}, {"source", source}});
+  Peers.publish(fleet::StatePart::Upstreams);
+  SnapshotOutdated = true;
+  return true;
+}
+
 void Daemon::updateRoutingSnapshot() {
   SnapshotOutdated = false;
   auto snapshot = std::make_shared<RoutingSnapshot>();
   snapshot->Config = LocalMirror.Config;
   snapshot->Upstreams = listUpstreams(LocalMirror.Upstreams, readClock());
-  for (const auto &[domain, revision] : LocalMirror.EvacuatedDomains) {
+  for (const auto &[domain, it] : LocalMirror.EvacuatedDomains) {
     snapshot->EvacuatedDomains.insert(domain);
   }
   snapshot->FleetSize = std::max(Peers.fleetSize(), Peers.liveMembers().size());
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -75,6 +75,10 @@
     {EventId::ConnectionNotTaken, "connection-not-taken", EventLevel::Warn,
      "A connection could not be accepted, most likely because the process has "
      "no free file descriptors; accepting is retried."},
+    {EventId::StoreRestored, "store-restored", EventLevel::Warn,
+     "The store was restored from an older copy. What was in force stays so, all "
+     "data is read again, and upstreams that had left before stay out of use; "
+     "see \"When the store comes back from a copy\" in OPERATIONS.md."},
     {EventId::RequestServed, "request-served", EventLevel::Info,
      "A request was answered in time. Under load only some of these are "
      "listed; see requests-not-listed."},
@@ -106,6 +110,15 @@
     {EventId::RequestsCondemned, "requests-condemned", EventLevel::Warn,
      "Requests with this fingerprint crash the upstreams that run them and are "
      "refused from now on."},
+    {EventId::UpstreamRefusing, "upstream-refusing", EventLevel::Info,
+     "An upstream refused a request and stated for how long it wants no "
+     "others; it gets neither requests nor health checks meanwhile."},
+    {EventId::UpstreamLeaving, "upstream-leaving", EventLevel::Info,
+     "An upstream announced in its responses that it leaves; it gets no new "
+     "requests, whatever the store says. Only its next incarnation is used."},
+    {EventId::RetryAfterUnreadable, "retry-after-unreadable", EventLevel::Warn,
+     "An upstream refused a request with a Retry-After that is not a number of "
+     "seconds, and the field is ignored. Logged at most once a second."},
     {EventId::UpstreamsChanged, "upstreams-changed", EventLevel::Info,
      "Upstreams were registered or removed, or changed their state."},
     {EventId::InstanceFound, "instance-found", EventLevel::Info,
--- a/src/fleet/Codec.cpp
+++ b/src/fleet/Codec.cpp
@@ -145,14 +145,17 @@
   out.setDraining(it.Record.Draining);
   out.setWarmupRemainingUs(it.Record.WarmupRemaining.count());
   out.setStartedMs(it.Record.StartedMs);
-  out.setRevision(it.Revision);
+  out.setRevision(it.Revision.Number);
+  out.setEra(it.Revision.Era);
+  out.setLeaving(it.IsLeaving);
 }
 
 store::ListedUpstream read(wire::Upstream::Reader in) {
   return {{textOf(in.getId()), textOf(in.getAddress()), textOf(in.getService()),
            textOf(in.getDomain()), in.getSlots(), in.getDraining(),
            Duration(in.getWarmupRemainingUs()), in.getStartedMs()},
-          in.getRevision()};
+          {in.getEra(), in.getRevision()},
+          in.getLeaving()};
 }
 
 template <typename Builder, typename Item>
@@ -181,34 +184,38 @@
 }
 
 void write(wire::UpstreamsUpdate::Builder out, const UpstreamsUpdate &it) {
-  out.setStoreRevision(it.StoreRevision);
+  out.setStoreRevision(it.AsOf.Number);
+  out.setStoreEra(it.AsOf.Era);
   writeListUpdate(out, it.List);
 }
 
 UpstreamsUpdate read(wire::UpstreamsUpdate::Reader in) {
   UpstreamsUpdate out;
-  out.StoreRevision = in.getStoreRevision();
+  out.AsOf = {in.getStoreEra(), in.getStoreRevision()};
   readListUpdate(in, out.List);
   return out;
 }
 
 void write(wire::EvacuatedDomains::Builder out,
            const EvacuatedDomainsUpdate &it) {
-  out.setStoreRevision(it.StoreRevision);
+  out.setStoreRevision(it.AsOf.Number);
+  out.setStoreEra(it.AsOf.Era);
   auto domains =
       out.initDomains(static_cast<unsigned>(it.RevisionByName.size()));
   unsigned n = 0;
   for (const auto &[name, revision] : it.RevisionByName) {
     domains[n].setName(name);
-    domains[n++].setRevision(revision);
+    domains[n].setEra(revision.Era);
+    domains[n++].setRevision(revision.Number);
   }
 }
 
 EvacuatedDomainsUpdate read(wire::EvacuatedDomains::Reader in) {
   EvacuatedDomainsUpdate out;
-  out.StoreRevision = in.getStoreRevision();
+  out.AsOf = {in.getStoreEra(), in.getStoreRevision()};
   for (const auto it : in.getDomains()) {
-    out.RevisionByName.emplace(textOf(it.getName()), it.getRevision());
+    out.RevisionByName.emplace(
+        textOf(it.getName()), StoreRevision{it.getEra(), it.getRevision()});
   }
   return out;
 }
@@ -261,6 +268,11 @@
     auto out = root.initSuspected();
     out.setFingerprint(it->Suspect.Fingerprint);
     out.setUpstream(it->Suspect.Upstream);
+  } else if (const auto *leaving =
+                 std::get_if<LeavingUpstream>(&datagram.Payload)) {
+    auto out = root.initLeaving();
+    out.setId(leaving->Id);
+    out.setStartedMs(leaving->StartedMs);
   } else {
     root.setQuarantined(
         std::get<balance::PeerQuarantined>(datagram.Payload).Fingerprint);
@@ -286,6 +298,9 @@
       const auto it = root.getSuspected();
       out.Payload = balance::PeerSuspected{
           {it.getFingerprint(), textOf(it.getUpstream())}};
+    } else if (root.isLeaving()) {
+      const auto it = root.getLeaving();
+      out.Payload = LeavingUpstream{textOf(it.getId()), it.getStartedMs()};
     } else {
       out.Payload = balance::PeerQuarantined{root.getQuarantined()};
     }
--- a/src/fleet/Codec.h
+++ b/src/fleet/Codec.h
@@ -16,11 +16,18 @@
 
 namespace zinniarail::fleet {
 
+/// An upstream that announced to the sender that it leaves.
+struct LeavingUpstream {
+  std::string Id;
+  std::uint64_t StartedMs = 0; ///< As Upstream::StartedMs.
+};
+
 /// A datagram between two instances.
 struct Datagram {
   struct Ping {};
   struct Pong {};
-  std::variant<Ping, Pong, balance::PeerSuspected, balance::PeerQuarantined>
+  std::variant<Ping, Pong, balance::PeerSuspected, balance::PeerQuarantined,
+               LeavingUpstream>
       Payload;
   Member Sender;
   /// In a pong, other members of the receiver's failure domain; else empty.
@@ -42,14 +49,14 @@
 /// The registered upstreams.
 struct UpstreamsUpdate {
   ListUpdate<store::ListedUpstream> List;
-  std::uint64_t StoreRevision = 0; ///< Store revision that the list reflects.
+  StoreRevision AsOf; ///< Store revision that the list reflects.
 };
 
 /// The evacuated failure domains, each with the store revision of its
 /// evacuation.
 struct EvacuatedDomainsUpdate {
-  std::map<std::string, std::uint64_t> RevisionByName;
-  std::uint64_t StoreRevision = 0; ///< Store revision that the list reflects.
+  std::map<std::string, StoreRevision> RevisionByName;
+  StoreRevision AsOf; ///< Store revision that the list reflects.
 };
 
 /// The live instances of the failure domain.
@@ -60,7 +67,7 @@
 
 /// Version number, raised with each change to the encoding of StateUpdate: an
 /// instance only follows readers with the same format.
-constexpr unsigned CurrentUpdateFormat = 3;
+constexpr unsigned CurrentUpdateFormat = 4;
 
 /// What a reader sends its followers: the parts of the state that changed.
 struct StateUpdate {
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -285,6 +285,9 @@
   } else if (const auto *quarantined =
                  std::get_if<balance::PeerQuarantined>(&datagram.Payload)) {
     Handlers.QuarantineNoticeReceived(*quarantined);
+  } else if (const auto *leaving =
+                 std::get_if<LeavingUpstream>(&datagram.Payload)) {
+    Handlers.LeavingUpstreamReported(*leaving);
   }
   if (changed) {
     runElection();
@@ -434,6 +437,15 @@
       {balance::PeerQuarantined{fingerprint}, Membership.LocalMember, {}});
 }
 
+void PeerTask::reportLeaving(const LeavingUpstream &upstream) {
+  const auto reader = Membership.Others.find(ReaderElection.Reader);
+  if (ReaderElection.CurrentDuty == Duty::Follow &&
+      reader != Membership.Others.end()) {
+    send(reader->second.LastStatus.Record.PeerAddress,
+         {upstream, Membership.LocalMember, {}});
+  }
+}
+
 void PeerTask::announceLeaving() {
   Membership.LocalMember.Record.Leaving = true;
   announceToDomain();
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -30,6 +30,8 @@
   std::function<void(const balance::Event &)> QuarantineNoticeReceived;
   /// Fills in one part of the state to send to followers.
   FillUpdate Fill;
+  /// A follower reports that an upstream announced that it leaves.
+  std::function<void(const LeavingUpstream &)> LeavingUpstreamReported;
 };
 
 /// Used only on the thread of its loop.
@@ -68,6 +70,10 @@
   void broadcastSuspected(const balance::CrashSuspect &suspect);
   void broadcastQuarantined(std::uint64_t fingerprint);
 
+  /// Reports to the followed reader, for its other followers, that an upstream
+  /// announced that it leaves.
+  void reportLeaving(const LeavingUpstream &upstream);
+
   /// Notifies the other instances that this one is shutting down.
   void announceLeaving();
 
--- a/src/fleet/VersionedState.h
+++ b/src/fleet/VersionedState.h
@@ -35,7 +35,7 @@
   std::shared_ptr<const std::string> Config;
   std::uint64_t ConfigChangeSequence = 0;
   VersionedList<store::ListedUpstream> Upstreams;
-  std::uint64_t UpstreamsRevision = 0;
+  StoreRevision UpstreamsRevision;
   EvacuatedDomainsUpdate EvacuatedDomains;
   std::uint64_t EvacuatedDomainsChangeSequence = 0;
   VersionedList<Member> Members;
--- a/src/http/Message.cpp
+++ b/src/http/Message.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cctype>
 #include <charconv>
+#include <cmath>
 #include <ostream>
 
 #include <boost/beast/core/string.hpp>
@@ -123,6 +124,19 @@
   return {};
 }
 
+std::optional<Duration> parseRetryAfter(std::string_view text) {
+  constexpr double maxSeconds = 365.0 * 24 * 3600;
+  double seconds = 0;
+  const char *last = text.data() + text.size();
+  const auto [end, ec] = std::from_chars(text.data(), last, seconds);
+  if (ec != std::errc{} || end != last || std::isnan(seconds)) {
+    return std::nullopt;
+  }
+  const std::chrono::duration<double> limited{
+      std::clamp(seconds, -maxSeconds, maxSeconds)};
+  return std::chrono::duration_cast<Duration>(limited);
+}
+
 const char *reasonPhrase(unsigned status) {
   return boost::beast::http::obsolete_reason(
              static_cast<boost::beast::http::status>(status))
--- a/src/http/Message.h
+++ b/src/http/Message.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "zinniarail/core/Time.h"
+
 namespace zinniarail::http {
 
 /// One header field.
@@ -53,6 +55,11 @@
 /// The decoded value of a query parameter; empty when it is missing.
 std::string queryParameter(std::string_view target, std::string_view name);
 
+/// Parses the value of a Retry-After header: seconds, with an optional fraction.
+/// \returns the duration, which may be negative, limited to a year either way;
+/// none if the value is not a number. Dates are not supported.
+std::optional<Duration> parseRetryAfter(std::string_view text);
+
 /// The standard reason phrase of a status code.
 const char *reasonPhrase(unsigned status);
 
--- a/src/proxy/Dialect.h
+++ b/src/proxy/Dialect.h
@@ -29,6 +29,9 @@
   std::string NotExecuted; ///< Marks a response to a request that did not run.
   std::string Signature;   ///< Sent by upstreams with each successful response.
   std::string InstanceId;  ///< Id of the upstream that responded.
+  /// All responses of an upstream that leaves contain it, with LeavingValue.
+  std::string Leaving;
+  std::string LeavingValue;
 
   /// Reads the load report from a response; none when it is absent or invalid.
   std::optional<balance::LoadReport> (*ReadLoad)(const http::Headers &);
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -113,14 +113,14 @@
             Snapshot->Config ? findService(*Snapshot->Config, name) : nullptr) {
       entry->HealthPath = it->HealthPath;
     }
-    std::map<std::string, std::string> addresses = addressesOf(name);
-    for (const auto &[id, address] : entry->Addresses) {
-      const auto found = addresses.find(id);
-      if (found == addresses.end() || found->second != address) {
-        Callbacks.CloseIdleConnections(address);
+    std::map<std::string, Target> targets = targetsOf(name);
+    for (const auto &[id, it] : entry->Targets) {
+      const auto found = targets.find(id);
+      if (found == targets.end() || found->second.Address != it.Address) {
+        Callbacks.CloseIdleConnections(it.Address);
       }
     }
-    entry->Addresses = std::move(addresses);
+    entry->Targets = std::move(targets);
     actions.clear();
     balance::updatePlan(*entry->Engine, makePlan(name), now, actions);
     for (balance::Action &it : actions) {
@@ -131,15 +131,15 @@
   processEvents();
 }
 
-std::map<std::string, std::string>
-Proxy::addressesOf(const std::string &service) const {
-  std::map<std::string, std::string> addresses;
+std::map<std::string, Proxy::Target>
+Proxy::targetsOf(const std::string &service) const {
+  std::map<std::string, Target> targets;
   for (const Upstream &it : Snapshot->Upstreams) {
     if (it.Service == service) {
-      addresses.emplace(it.Id, it.Address);
+      targets.emplace(it.Id, Target{it.Address, it.StartedMs});
     }
   }
-  return addresses;
+  return targets;
 }
 
 balance::ServicePlan Proxy::makePlan(const std::string &service) const {
@@ -175,7 +175,7 @@
     if (const ServiceConfig *it = findService(*Snapshot->Config, service)) {
       entry->HealthPath = it->HealthPath;
     }
-    entry->Addresses = addressesOf(service);
+    entry->Targets = targetsOf(service);
     const std::uint64_t firstAttempt =
         (static_cast<std::uint64_t>(Services.size()) << AttemptNumberBits) + 1;
     entry->Engine = balance::makeEngine(
@@ -404,6 +404,9 @@
     RequestMetrics.recordEjection(entry.Name);
   } else if (change.NewStatus == balance::UpstreamStatusChanged::Status::Cold) {
     id = EventId::UpstreamCold;
+  } else if (change.NewStatus ==
+             balance::UpstreamStatusChanged::Status::Refusing) {
+    id = EventId::UpstreamRefusing;
   }
   logEvent(id, {{"service", entry.Name},
                 {"upstream", change.Upstream},
@@ -414,8 +417,8 @@
 void Proxy::startAttempt(ServiceEntry &entry,
                          const balance::StartAttempt &action) {
   const auto found = OpenRequests.find(balance::numberOf(action.Request));
-  const auto address = entry.Addresses.find(action.Upstream);
-  if (found == OpenRequests.end() || address == entry.Addresses.end()) {
+  const auto target = entry.Targets.find(action.Upstream);
+  if (found == OpenRequests.end() || target == entry.Targets.end()) {
     postEvent(entry, balance::AttemptEnded{action.Attempt});
     return;
   }
@@ -426,14 +429,14 @@
       {id, action.Upstream, action.Reason, now, false, {}, 0, {}, {}});
   RequestMetrics.recordAttemptStart(entry.Name, action.Reason,
                                     now - request.Record.ArrivedAt);
-  Calls[id] = {&entry, found->first, action.Upstream, {}, false};
+  Calls[id] = {&entry, found->first, action.Upstream, target->second.StartedMs};
   using std::chrono::floor;
   using std::chrono::milliseconds;
   const auto remainingMs = floor<milliseconds>(action.Deadline - now).count();
   const Dialect &dialect = *Context.PlatformDialect;
   http::Call call;
   call.Id = id;
-  call.Address = address->second;
+  call.Address = target->second.Address;
   call.Bytes = http::serializeRequest(
       request.Content,
       {{dialect.Deadline,
@@ -452,19 +455,19 @@
 }
 
 void Proxy::startProbe(ServiceEntry &entry, const std::string &upstream) {
-  const auto address = entry.Addresses.find(upstream);
-  if (address == entry.Addresses.end()) {
+  const auto target = entry.Targets.find(upstream);
+  if (target == entry.Targets.end()) {
     postEvent(entry, balance::ProbeEnded{upstream});
     return;
   }
   RequestMetrics.recordProbe(entry.Name);
   const http::CallId id = ProbeIdBase + ++LastProbeNumber;
-  Calls[id] = {&entry, 0, upstream, {}, false};
+  Calls[id] = {&entry, 0, upstream, target->second.StartedMs};
   http::Call call;
   call.Id = id;
-  call.Address = address->second;
+  call.Address = target->second.Address;
   call.Bytes = "GET " + entry.HealthPath +
-               " HTTP/1.1\r\nHost: " + address->second + "\r\n\r\n";
+               " HTTP/1.1\r\nHost: " + call.Address + "\r\n\r\n";
   call.ConnectTimeout = ProbeConnectTimeout;
   Callbacks.StartCall(std::move(call));
 }
@@ -512,6 +515,7 @@
   if (it == Calls.end()) {
     return;
   }
+  reportIfLeaving(it->second, result);
   if (it->second.Request == 0) {
     const UpstreamCall call = std::move(it->second);
     Calls.erase(it);
@@ -523,8 +527,45 @@
   processEvents();
 }
 
+// A response with another upstream's id, or 421, came from the upstream that has
+// the address now.
+void Proxy::reportIfLeaving(const UpstreamCall &call,
+                            const http::CallResult &result) {
+  const Dialect &dialect = *Context.PlatformDialect;
+  const http::Response &response = result.Response;
+  const std::string *leaving =
+      http::findHeader(response.Fields, dialect.Leaving);
+  const std::string *id =
+      http::findHeader(response.Fields, dialect.InstanceId);
+  const bool isOther = response.Status == Misdirected ||
+                       (id != nullptr && *id != call.Upstream);
+  if (result.Outcome == http::CallOutcome::Answered && leaving != nullptr &&
+      *leaving == dialect.LeavingValue && !isOther) {
+    Callbacks.UpstreamLeaving(call.Upstream, call.StartedMs);
+  }
+}
+
+// How long an upstream that responded 503 wants no requests; none if it did not
+// say.
+std::optional<Duration> Proxy::retryAfterOf(const http::Response &response,
+                                            const std::string &upstream) {
+  const std::string *text = http::findHeader(response.Fields, "Retry-After");
+  if (response.Status != Unavailable || text == nullptr) {
+    return std::nullopt;
+  }
+  const auto time = http::parseRetryAfter(*text);
+  const Instant now = readClock();
+  if (!time && now >= RetryAfterLoggedAt + std::chrono::seconds{1}) {
+    RetryAfterLoggedAt = now;
+    logEvent(EventId::RetryAfterUnreadable,
+             {{"upstream", upstream}, {"value", *text}});
+  }
+  return time;
+}
+
 void Proxy::endAttempt(http::CallId id, UpstreamCall &call) {
   balance::AttemptEnded event = classifyResult(call.Result);
+  event.RetryAfter = retryAfterOf(call.Result.Response, call.Upstream);
   event.Attempt = balance::AttemptId{id};
   RequestMetrics.recordAttemptEnd(call.Entry->Name, event.End);
   postEvent(*call.Entry, event);
@@ -556,6 +597,9 @@
     event.Healthy = event.Reached && result.Response.Status >= FirstSuccess &&
                     result.Response.Status < FirstRedirect;
     event.Report = Context.PlatformDialect->ReadLoad(fields);
+    event.RetryAfter = event.Reached
+                           ? retryAfterOf(result.Response, call.Upstream)
+                           : std::nullopt;
     event.WarmupRemaining =
         Context.PlatformDialect->ReadRemainingWarmup(fields);
   }
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -54,6 +54,10 @@
   std::function<void(http::ExchangeId, http::Response)> SendResponse;
   std::function<void(http::Call)> StartCall;
   std::function<void(http::CallId)> CancelCall;
+  /// An upstream announced that it leaves.
+  /// \param startedMs its incarnation, as Upstream::StartedMs.
+  std::function<void(const std::string &id, std::uint64_t startedMs)>
+      UpstreamLeaving;
   /// Closes the idle keep-alive connections to an upstream's former address.
   std::function<void(const std::string &address)> CloseIdleConnections;
   std::function<void(const balance::CrashSuspect &)> BroadcastSuspected;
@@ -100,11 +104,16 @@
   boost::json::object describe(Instant now) const;
 
 private:
+  /// Where the requests for an upstream are sent.
+  struct Target {
+    std::string Address;
+    std::uint64_t StartedMs = 0; ///< As Upstream::StartedMs.
+  };
   struct ServiceEntry {
     std::string Name;
     std::string HealthPath;
     balance::EnginePtr Engine;
-    std::map<std::string, std::string> Addresses; ///< By upstream id.
+    std::map<std::string, Target> Targets; ///< By upstream id.
     Instant NextTimer = Instant::max();
   };
   struct OpenRequest {
@@ -117,15 +126,15 @@
     ServiceEntry *Entry = nullptr;
     http::ExchangeId Request = 0; ///< 0 for a health check.
     std::string Upstream;
-    http::CallResult Result; ///< Set when an attempt has ended.
+    std::uint64_t StartedMs = 0; ///< Incarnation that the call was sent to.
+    http::CallResult Result;     ///< Set when an attempt has ended.
     bool HasEnded = false;
   };
 
   const Route *routeOf(const http::Request &request) const;
   ServiceEntry &getOrCreateEntry(const std::string &service);
   balance::ServicePlan makePlan(const std::string &service) const;
-  std::map<std::string, std::string>
-  addressesOf(const std::string &service) const;
+  std::map<std::string, Target> targetsOf(const std::string &service) const;
   const std::string &pickService(const Route &route);
   void refuseUndispatched(http::ExchangeId id, const http::Request &request,
                           unsigned status, const char *reason,
@@ -140,6 +149,10 @@
   void startProbe(ServiceEntry &entry, const std::string &upstream);
   void deliver(const balance::Deliver &action);
   void refuse(const balance::Refuse &action);
+  void reportIfLeaving(const UpstreamCall &call,
+                       const http::CallResult &result);
+  std::optional<Duration> retryAfterOf(const http::Response &response,
+                                       const std::string &upstream);
   void endAttempt(http::CallId id, UpstreamCall &call);
   void endProbe(const UpstreamCall &call, const http::CallResult &result);
   void reportStatusChange(const ServiceEntry &entry,
@@ -162,6 +175,8 @@
   std::deque<std::pair<ServiceEntry *, balance::Event>> PendingEvents;
   bool IsProcessingEvents = false;
   std::set<std::pair<Instant, ServiceEntry *>> Timers;
+  /// When an unreadable Retry-After was last logged.
+  Instant RetryAfterLoggedAt = Instant::min();
 };
 
 } // namespace zinniarail::proxy
--- a/src/proxy/RequestLog.cpp
+++ b/src/proxy/RequestLog.cpp
@@ -71,6 +71,7 @@
   return "in-service=" + std::to_string(it.InService) +
          " ejected=" + std::to_string(it.Ejected) +
          " cold=" + std::to_string(it.Cold) +
+         " refusing=" + std::to_string(it.Refusing) +
          " full=" + std::to_string(it.Full) +
          " slow=" + std::to_string(it.Slow) +
          " unknown=" + std::to_string(it.Stale) +
--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -14,25 +14,55 @@
   return true;
 }
 
+bool enterEra(Mirror &mirror, std::uint64_t era, Instant now) {
+  if (era <= mirror.Era) {
+    return false;
+  }
+  mirror.Era = era;
+  const bool isBlank = !mirror.Config && mirror.Upstreams.Entries.empty() &&
+                       mirror.EvacuatedDomains.empty();
+  if (!isBlank) {
+    recordStoreRestore(mirror.Upstreams, now);
+    mirror.RestoreGraceUntil = now + RestoreGrace;
+  }
+  return true;
+}
+
+bool applyDueChanges(Mirror &mirror, Instant now) {
+  const bool upstreamsChanged = applyDueChanges(mirror.Upstreams, now);
+  const bool evacuationsChanged =
+      std::erase_if(mirror.EvacuatedDomains, [&](const auto &it) {
+        return it.second.EndsAt <= now;
+      }) != 0;
+  return upstreamsChanged || evacuationsChanged;
+}
+
+Instant nextDueChange(const Mirror &mirror) {
+  Instant next = nextDueChange(mirror.Upstreams);
+  for (const auto &[domain, it] : mirror.EvacuatedDomains) {
+    next = std::min(next, it.EndsAt);
+  }
+  return next;
+}
+
 void setEvacuated(Mirror &mirror, const std::string &domain,
-                  std::uint64_t revision, bool evacuated) {
+                  StoreRevision revision, bool evacuated) {
   const auto it = mirror.EvacuatedDomains.find(domain);
-  if (it != mirror.EvacuatedDomains.end() && revision < it->second) {
+  if (it != mirror.EvacuatedDomains.end() && revision < it->second.Revision) {
     return;
   }
   if (evacuated) {
-    mirror.EvacuatedDomains[domain] = revision;
+    mirror.EvacuatedDomains[domain] = {revision};
   } else {
     mirror.EvacuatedDomains.erase(domain);
   }
 }
 
 void replaceUpstreams(Mirror &mirror, std::vector<ListedUpstream> listed,
-                      std::uint64_t asOf, Instant now) {
+                      StoreRevision asOf, Instant now) {
   std::set<std::string> ids;
-  for (ListedUpstream &it : listed) {
+  for (const ListedUpstream &it : listed) {
     ids.insert(it.Record.Id);
-    put(mirror.Upstreams, std::move(it.Record), it.Revision, now);
   }
   std::vector<std::string> removed;
   for (const auto &[id, it] : mirror.Upstreams.Entries) {
@@ -40,36 +70,43 @@
       removed.push_back(id);
     }
   }
-  for (const std::string &id : removed) {
-    remove(mirror.Upstreams, id, asOf, now);
-  }
-  mirror.UpstreamsRevision = std::max(mirror.UpstreamsRevision, asOf);
-  applyDueRemovals(mirror.Upstreams, now);
+  updateUpstreams(mirror, std::move(listed), removed, asOf, now);
 }
 
 void updateUpstreams(Mirror &mirror, std::vector<ListedUpstream> changed,
                      const std::vector<std::string> &removed,
-                     std::uint64_t asOf, Instant now) {
+                     StoreRevision asOf, Instant now) {
   for (ListedUpstream &it : changed) {
+    const std::string id = it.Record.Id;
+    const std::uint64_t startedMs = it.Record.StartedMs;
     put(mirror.Upstreams, std::move(it.Record), it.Revision, now);
+    if (it.IsLeaving) {
+      markLeaving(mirror.Upstreams, id, startedMs);
+    }
   }
   for (const std::string &id : removed) {
     remove(mirror.Upstreams, id, asOf, now);
   }
   mirror.UpstreamsRevision = std::max(mirror.UpstreamsRevision, asOf);
-  applyDueRemovals(mirror.Upstreams, now);
+  applyDueChanges(mirror.Upstreams, now);
 }
 
 void replaceEvacuatedDomains(
-    Mirror &mirror, const std::map<std::string, std::uint64_t> &evacuated,
-    std::uint64_t asOf) {
-  std::erase_if(mirror.EvacuatedDomains, [&](const auto &it) {
-    return !evacuated.contains(it.first) && it.second <= asOf;
-  });
+    Mirror &mirror, const std::map<std::string, StoreRevision> &evacuated,
+    StoreRevision asOf, Instant now) {
+  for (auto &[domain, it] : mirror.EvacuatedDomains) {
+    const bool isMissing = !evacuated.contains(domain) && it.Revision <= asOf;
+    if (isMissing && it.EndsAt == Instant::max()) {
+      const bool isOfEarlierEra = it.Revision.Era < asOf.Era;
+      it.EndsAt =
+          isOfEarlierEra ? std::max(now, mirror.RestoreGraceUntil) : now;
+    }
+  }
   for (const auto &[domain, revision] : evacuated) {
     setEvacuated(mirror, domain, revision, true);
   }
   mirror.EvacuationsRevision = std::max(mirror.EvacuationsRevision, asOf);
+  applyDueChanges(mirror, now);
 }
 
 } // namespace zinniarail::store
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -48,7 +48,7 @@
   if (!isDecoded && !object.Removed) {
     logEvent(EventId::RegistrationUnreadable, {{"kind", nameOf(kind)},
                                                {"entry", object.Name},
-                                               {"revision", object.Revision}});
+                                               {"revision", object.Revision.Number}});
   }
 }
 
@@ -101,8 +101,9 @@
     return;
   }
   const Instant now = readClock();
-  if (applyDueRemovals(LocalMirror.Upstreams, now)) {
+  if (applyDueChanges(LocalMirror, now)) {
     Handlers.Changed(Kind::Upstreams);
+    Handlers.Changed(Kind::Evacuations);
   }
   if (HasAnswered && !Unavailable) {
     startDueCalls(now);
@@ -137,11 +138,12 @@
   Ping.InFlight = true;
   Client.list(
       Kind::Evacuations, "", Freshness::MayBeStale, PingTimeout,
-      [this, generation = PingGeneration](const platform::Reply &reply) {
+      [this, generation = PingGeneration](platform::Reply reply) {
         if (generation != PingGeneration) {
           return;
         }
         const Instant repliedAt = readClock();
+        acceptEra(reply);
         if (reply.Result == Outcome::Done) {
           HasAnswered = true;
           noteAvailable();
@@ -157,7 +159,7 @@
 }
 
 Instant StoreTask::nextDueAt() const {
-  Instant next = nextRemoval(LocalMirror.Upstreams);
+  Instant next = nextDueChange(LocalMirror);
   const auto consider = [&](bool inFlight, Instant at) {
     next = inFlight ? next : std::min(next, at);
   };
@@ -182,25 +184,63 @@
     if (state.PageCursor.empty()) {
       PartialLists[kind] = {};
     }
-    Client.list(kind, state.PageCursor, freshness, CallTimeout,
-                [this, kind,
-                 generation = state.Generation](const platform::Reply &reply) {
-                  if (generation == ListWatches[indexOf(kind)].Generation) {
-                    handleListReply(kind, reply);
-                    advance();
-                  }
-                });
+    Client.list(
+        kind, state.PageCursor, freshness, CallTimeout,
+        [this, kind, generation = state.Generation](platform::Reply reply) {
+          if (generation != ListWatches[indexOf(kind)].Generation) {
+            return;
+          }
+          if (acceptEra(reply)) {
+            handleListReply(kind, reply);
+          }
+          advance();
+        });
     return;
   }
   const Duration wait = latest ? LatestWatchWait : WatchWait;
-  Client.watch(kind, state.AsOf, wait, freshness, wait + CallTimeout,
-               [this, kind,
-                generation = state.Generation](const platform::Reply &reply) {
-                 if (generation == ListWatches[indexOf(kind)].Generation) {
-                   handleWatchReply(kind, reply);
-                   advance();
-                 }
-               });
+  Client.watch(
+      kind, state.AsOf, wait, freshness, wait + CallTimeout,
+      [this, kind, generation = state.Generation](platform::Reply reply) {
+        if (generation != ListWatches[indexOf(kind)].Generation) {
+          return;
+        }
+        if (acceptEra(reply)) {
+          handleWatchReply(kind, reply);
+        }
+        advance();
+      });
+}
+
+// Compares the era of a reply with the latest one seen. The first reply of a
+// later era restarts all reads: a watch would miss the changes that the restore
+// undid or whose revisions were assigned again. A reply of an earlier era turns
+// into a failure.
+// \returns false if the reads were restarted and the reply must be dropped.
+bool StoreTask::acceptEra(platform::Reply &reply) {
+  const std::uint64_t known = LocalMirror.Era;
+  const Instant now = readClock();
+  if (reply.Era && enterEra(LocalMirror, *reply.Era, now)) {
+    if (known != 0 || LocalMirror.Config) {
+      logEvent(EventId::StoreRestored, {{"era", *reply.Era}, {"before", known}});
+    }
+    restartReads(now + LatestReadPeriod);
+    return false;
+  }
+  const bool hasContent =
+      reply.Result == Outcome::Done || reply.Result == Outcome::Conflict;
+  if (hasContent && reply.Era.value_or(0) != known) {
+    reply.Result = Outcome::Malformed;
+    reply.Error = reply.Era ? "answer of an earlier era of the store"
+                            : "the era of the store is missing or unreadable";
+  }
+  return true;
+}
+
+void StoreTask::restartReads(Instant latestReadsUntil) {
+  for (ListWatch &it : ListWatches) {
+    restart(it);
+    it.LatestReadsUntil = latestReadsUntil;
+  }
 }
 
 // Returns whether the call failed.
@@ -246,10 +286,7 @@
                        [](const ListWatch &a, const ListWatch &b) {
                          return a.LatestReadsUntil < b.LatestReadsUntil;
                        });
-  for (ListWatch &it : ListWatches) {
-    restart(it);
-    it.LatestReadsUntil = longest->LatestReadsUntil;
-  }
+  restartReads(longest->LatestReadsUntil);
 }
 
 void StoreTask::reportHealth() {
@@ -274,10 +311,10 @@
     }
   }
   const bool more = reply.HasMore && !reply.Objects.empty();
-  noteListPage(state, reply.AsOf, more ? reply.Objects.back().Name : "",
+  noteListPage(state, reply.AsOf.Number, more ? reply.Objects.back().Name : "",
                readClock());
   if (!more) {
-    finishList(kind, state.AsOf);
+    finishList(kind, {LocalMirror.Era, state.AsOf});
   }
 }
 
@@ -288,8 +325,8 @@
   for (const platform::Object &it : reply.Objects) {
     applyObject(kind, it);
   }
-  noteWatchReply(ListWatches[indexOf(kind)], reply.AsOf, !reply.Objects.empty(),
-                 readClock());
+  noteWatchReply(ListWatches[indexOf(kind)], reply.AsOf.Number,
+                 !reply.Objects.empty(), readClock());
   noteAsOf(kind, reply.AsOf);
   if (!reply.Objects.empty()) {
     Handlers.Changed(kind);
@@ -298,7 +335,7 @@
 
 // Followers of this instance remove objects that are missing from its lists,
 // unless they know a newer revision of the object than this one.
-void StoreTask::noteAsOf(Kind kind, std::uint64_t asOf) {
+void StoreTask::noteAsOf(Kind kind, StoreRevision asOf) {
   if (kind == Kind::Upstreams) {
     LocalMirror.UpstreamsRevision =
         std::max(LocalMirror.UpstreamsRevision, asOf);
@@ -321,7 +358,7 @@
       put(LocalMirror.Upstreams, std::move(*record), object.Revision, now);
     } else {
       remove(LocalMirror.Upstreams, object.Name, object.Revision, now);
-      applyDueRemovals(LocalMirror.Upstreams, now);
+      applyDueChanges(LocalMirror.Upstreams, now);
     }
     return;
   }
@@ -340,7 +377,7 @@
   auto config = platform::decodeConfiguration(object.Content);
   if (!config) {
     logEvent(EventId::DocumentRefused, "revision " +
-                                           std::to_string(object.Revision) +
+                                           std::to_string(object.Revision.Number) +
                                            ": " + config.error());
     return;
   }
@@ -350,7 +387,7 @@
 
 // Applies a complete list. Objects missing from it are removed, except for the
 // configuration.
-void StoreTask::finishList(Kind kind, std::uint64_t asOf) {
+void StoreTask::finishList(Kind kind, StoreRevision asOf) {
   const auto listed = std::exchange(PartialLists[kind], {});
   const Instant now = readClock();
   switch (kind) {
@@ -372,15 +409,19 @@
     break;
   }
   case Kind::Evacuations: {
-    std::map<std::string, std::uint64_t> evacuated;
+    std::map<std::string, StoreRevision> evacuated;
     for (const auto &[name, it] : listed) {
       evacuated.emplace(name, it.Revision);
     }
-    replaceEvacuatedDomains(LocalMirror, evacuated, asOf);
+    replaceEvacuatedDomains(LocalMirror, evacuated, asOf, now);
     break;
   }
   case Kind::Instances:
-    Records.clear();
+    // After a restore, other readers write their records again.
+    std::erase_if(Records, [&](const auto &it) {
+      return it.first == RecordDomain || it.second.Revision.Era == asOf.Era ||
+             now >= LocalMirror.RestoreGraceUntil;
+    });
     for (const auto &[name, it] : listed) {
       applyObject(kind, it);
     }
@@ -436,8 +477,12 @@
     return;
   }
   RecordWrite.InFlight = true;
-  const auto done = [this](const platform::Reply &reply) {
-    handleRecordReply(reply);
+  const auto done = [this](platform::Reply reply) {
+    if (acceptEra(reply)) {
+      handleRecordReply(reply);
+    } else {
+      RecordWrite = {}; // The write may have been undone by the restore.
+    }
     advance();
   };
   const auto it = Records.find(RecordDomain);
@@ -445,8 +490,8 @@
   if (it == Records.end()) {
     Client.create(Kind::Instances, RecordDomain, content, CallTimeout, done);
   } else {
-    Client.replace(Kind::Instances, RecordDomain, it->second.Revision, content,
-                   CallTimeout, done);
+    Client.replace(Kind::Instances, RecordDomain, it->second.Revision.Number,
+                   content, CallTimeout, done);
   }
 }
 
@@ -481,6 +526,7 @@
     calls[std::string(key.first) + "/" + nameOf(key.second)] = count;
   }
   return {{"reading", Reading},
+          {"era", LocalMirror.Era},
           {"lost", Unavailable},
           {"recorded", Records.size()},
           {"feeds", std::move(listWatches)},
--- a/src/store/StoreTask.h
+++ b/src/store/StoreTask.h
@@ -89,11 +89,13 @@
   bool handleFailure(platform::Kind kind, const platform::Reply &reply);
   void noteUnavailable(const std::string &call, const platform::Reply &reply);
   void noteAvailable();
-  void noteAsOf(platform::Kind kind, std::uint64_t asOf);
+  void noteAsOf(platform::Kind kind, StoreRevision asOf);
+  bool acceptEra(platform::Reply &reply);
+  void restartReads(Instant latestReadsUntil);
   void reportHealth();
   void applyObject(platform::Kind kind, const platform::Object &object);
   void applyConfiguration(const platform::Object &object);
-  void finishList(platform::Kind kind, std::uint64_t asOf);
+  void finishList(platform::Kind kind, StoreRevision asOf);
   void applyInstanceRecord(const platform::Object &object);
   bool isRecordOutdated() const;
   void handleRecordReply(const platform::Reply &reply);
@@ -113,7 +115,7 @@
       PartialLists;
   struct DomainRecord {
     std::vector<Instance> Instances;
-    std::uint64_t Revision = 0;
+    StoreRevision Revision;
   };
   std::map<std::string, DomainRecord> Records; ///< By failure domain.
   std::string RecordDomain;
--- a/standins/store/Store.cpp
+++ b/standins/store/Store.cpp
@@ -134,6 +134,20 @@
   disconnectWatches();
 }
 
+Store::Copy Store::takeCopy() const { return {Revision, Objects}; }
+
+void Store::restore(const Copy &copy) {
+  ++Era;
+  Revision = copy.Revision;
+  Objects = copy.Objects;
+  History.clear();
+  CompactedRevision = Revision;
+}
+
+http::Headers Store::eraHeader() const {
+  return {{"Store-Era", std::to_string(Era)}};
+}
+
 void Store::disconnectWatches() {
   const auto disconnected = std::exchange(Watches, {});
   for (const Watch &it : disconnected) {
@@ -169,11 +183,11 @@
 void Store::respondWithOutage(http::ExchangeId id) {
   switch (Faults.ActiveOutage) {
   case OutageMode::NotFound:
-    return Server.sendResponse(id, {NotFound, {}, ""});
+    return Server.sendResponse(id, {NotFound, eraHeader(), ""});
   case OutageMode::TooManyRequests:
-    return Server.sendResponse(id, {TooManyRequests, {}, ""});
+    return Server.sendResponse(id, {TooManyRequests, eraHeader(), ""});
   case OutageMode::Unavailable:
-    return Server.sendResponse(id, {Unavailable, {}, ""});
+    return Server.sendResponse(id, {Unavailable, eraHeader(), ""});
   case OutageMode::Garbage:
     return Server.sendRawResponse(id, "\x01\x02 garbage\r\n\r\n", true);
   case OutageMode::NoResponse:
@@ -220,7 +234,8 @@
       events.push_back(it.Event);
     }
   }
-  if (!events.empty() && afterRevision < CompactedRevision) {
+  const bool isLost = !events.empty() && afterRevision < CompactedRevision;
+  if (isLost || afterRevision > Revision) {
     return respond(id, Gone, nullptr);
   }
   if (events.empty() && wait > Duration{0}) {
@@ -282,9 +297,9 @@
 
 void Store::respond(http::ExchangeId id, unsigned status,
                     const json::value &body) {
-  http::Response response{status,
-                          {{"Content-Type", "application/json"}},
+  http::Response response{status, eraHeader(),
                           body.is_null() ? "" : json::serialize(body)};
+  response.Fields.push_back({"Content-Type", "application/json"});
   if (Faults.Delay == Duration{0}) {
     return Server.sendResponse(id, response);
   }
--- a/standins/store/Store.h
+++ b/standins/store/Store.h
@@ -58,6 +58,15 @@
   /// an earlier revision get 410 once their kind has changed again.
   void compactHistory();
 
+  /// The contents of the store at one moment.
+  struct Copy;
+  Copy takeCopy() const;
+
+  /// Replaces the contents and the revision by those of a copy, and starts the
+  /// next era. Pending watches keep waiting; watches from a revision that the
+  /// store doesn't have get 410.
+  void restore(const Copy &copy);
+
   /// Closes the connection of every pending watch without a response.
   void disconnectWatches();
 
@@ -77,6 +86,8 @@
   /// Number of watches that wait for a change.
   std::size_t pendingWatches() const { return Watches.size(); }
 
+  std::uint64_t era() const { return Era; }
+
 private:
   struct StoredObject {
     std::uint64_t Revision = 0;
@@ -111,6 +122,7 @@
   void respond(http::ExchangeId id, unsigned status,
                const boost::json::value &body);
   void respondWithOutage(http::ExchangeId id);
+  http::Headers eraHeader() const;
   void recordChange(const std::string &kind, const boost::json::value &object,
                     bool deleted);
   boost::json::value toJson(const std::string &name,
@@ -121,12 +133,20 @@
   Random Rng;
   http::Server Server;
   ev_timer Timer{};
+  std::uint64_t Era = 1; ///< Stated in all responses.
   std::uint64_t Revision = 1;
   std::uint64_t CompactedRevision = 1; ///< History holds all later changes.
-  std::map<std::string, std::map<std::string, StoredObject>> Objects;
+  using ObjectsByKind =
+      std::map<std::string, std::map<std::string, StoredObject>>;
+  ObjectsByKind Objects;
   std::deque<Change> History;
   std::list<Watch> Watches;
   std::list<DelayedResponse> DelayedResponses;
 };
 
+struct Store::Copy {
+  std::uint64_t Revision = 0;
+  ObjectsByKind Objects;
+};
+
 } // namespace zinniarail::standins
--- a/standins/upstream/Upstream.cpp
+++ b/standins/upstream/Upstream.cpp
@@ -144,7 +144,7 @@
   }
   Log.Arrivals.push_back(
       {requestId, Id, Config.Service, Config.Domain, readClock(), isCold()});
-  if (shouldInjectFault(Faults.ShedFraction)) {
+  if (shouldInjectFault(Faults.ShedFraction) || !Faults.RetryAfter.empty()) {
     return refuse(id, Unavailable);
   }
   startOrQueue({id, std::move(request), requestId, {}, false});
@@ -152,10 +152,14 @@
 
 void Upstream::handleHealthCheck(http::ExchangeId id) {
   ++HealthChecks;
+  const bool fails = Faults.FailHealthChecks || !Faults.RetryAfter.empty();
   http::Response response{
-      Faults.FailHealthChecks ? Unavailable : Ok,
+      fails ? Unavailable : Ok,
       {{"X-Instance-Id", Id}, {"X-Server-Load", loadReport()}},
       ""};
+  if (!Faults.RetryAfter.empty()) {
+    response.Fields.push_back({"Retry-After", Faults.RetryAfter});
+  }
   if (isCold()) {
     const auto warmupRemaining = ColdUntil - readClock();
     response.Fields.push_back(
@@ -164,15 +168,30 @@
                             warmupRemaining)
                             .count())});
   }
+  respond(id, std::move(response));
+}
+
+void Upstream::announceLeaving(http::Headers &fields) const {
+  if (Faults.Leaving) {
+    fields.push_back({"Server-Leaving", "1"});
+  }
+}
+
+void Upstream::respond(http::ExchangeId id, http::Response response) {
+  announceLeaving(response.Fields);
   Server->sendResponse(id, response);
 }
 
 void Upstream::refuse(http::ExchangeId id, unsigned status) {
-  Server->sendResponse(id, {status,
-                            {{"X-Not-Executed", "1"},
-                             {"X-Instance-Id", Id},
-                             {"X-Server-Load", loadReport()}},
-                            ""});
+  http::Response response{status,
+                          {{"X-Not-Executed", "1"},
+                           {"X-Instance-Id", Id},
+                           {"X-Server-Load", loadReport()}},
+                          ""};
+  if (status == Unavailable && !Faults.RetryAfter.empty()) {
+    response.Fields.push_back({"Retry-After", Faults.RetryAfter});
+  }
+  respond(id, std::move(response));
 }
 
 void Upstream::startOrQueue(ActiveRequest request) {
@@ -229,6 +248,7 @@
                            {"X-Response-Signature", "s." + request.RequestId},
                            {"X-Server-Load", loadReport()}},
                           "answer to " + request.RequestId + " by " + Id};
+  announceLeaving(response.Fields);
   const bool isHead = request.Request.Method == "HEAD";
   std::string bytes = http::serializeResponse(response, isHead, false);
   if (shouldInjectFault(Faults.LostResponseFraction)) {
--- a/standins/upstream/Upstream.h
+++ b/standins/upstream/Upstream.h
@@ -72,6 +72,10 @@
   double DuplicatedFraction = 0; ///< Sends the response twice.
   bool Unresponsive = false;     ///< Reads requests but never responds.
   bool FailHealthChecks = false; ///< Responds 503 to health checks.
+  bool Leaving = false; ///< Announces in all responses that it leaves.
+  /// Refuses requests and health checks with 503 and this Retry-After; empty:
+  /// serves them.
+  std::string RetryAfter;
   /// Added to the start time that the upstream registers.
   std::chrono::milliseconds ClockOffset{0};
 };
@@ -130,6 +134,9 @@
   void handleRequest(http::ExchangeId id, http::Request request);
   void handleHealthCheck(http::ExchangeId id);
   void refuse(http::ExchangeId id, unsigned status);
+  /// Sends a response, with the header of an upstream that leaves.
+  void respond(http::ExchangeId id, http::Response response);
+  void announceLeaving(http::Headers &fields) const;
   void startOrQueue(ActiveRequest request);
   void startRequest(ActiveRequest request);
   void finishRequest(const ActiveRequest &request);
--- a/tests/events/LogTest.cpp
+++ b/tests/events/LogTest.cpp
@@ -155,7 +155,7 @@
   end.Reason = "overloaded";
   end.Outcome = balance::Execution::DidNotRun;
   end.RetryAfter = 120ms;
-  const balance::UpstreamSummary seen{14, 2, 1, 11, 0, 0, 5, 0.5};
+  const balance::UpstreamSummary seen{14, 2, 1, 3, 8, 0, 0, 5, 0.5};
   end.Upstreams = &seen;
   constexpr unsigned requests = 300;
   for (unsigned n = 0; n < requests; ++n) {
@@ -166,5 +166,5 @@
   BOOST_TEST(countOccurrences(text, "id=abc") == requests);
   BOOST_TEST(countOccurrences(text, "reason=overloaded outcome=did-not-run "
                                     "retry_after_ms=120.00") == requests);
-  BOOST_TEST(countOccurrences(text, "ejected=2 cold=1 full=11") == requests);
+  BOOST_TEST(countOccurrences(text, "ejected=2 cold=1 refusing=3 full=8") == requests);
 }
--- a/tests/fleet/CodecTest.cpp
+++ b/tests/fleet/CodecTest.cpp
@@ -43,12 +43,14 @@
   update.Config = std::make_shared<const std::string>(
       encodeConfiguration(sampleConfiguration()));
   update.Upstreams.emplace();
-  update.Upstreams->StoreRevision = 40;
+  update.Upstreams->AsOf = {2, 40};
   update.Upstreams->List.IsComplete = false;
   update.Upstreams->List.RemovedIds = {"v", "w"};
   update.Upstreams->List.Items = {
-      {{"u", "1.2.3.4:80", "s", "a", 4, true, 1500ms, 1700000000000}, 39}};
-  update.EvacuatedDomains = {{{"b", 12}}, 41};
+      {{"u", "1.2.3.4:80", "s", "a", 4, true, 1500ms, 1700000000000},
+       {2, 39},
+       true}};
+  update.EvacuatedDomains = {{{"b", {1, 12}}}, {2, 41}};
   update.Members = {{true, {sampleMember("m")}, {}}, 13};
   return update;
 }
@@ -80,6 +82,14 @@
       std::get<balance::PeerSuspected>(decodedSuspected->Payload).Suspect;
   BOOST_TEST(suspect.Fingerprint == 9);
   BOOST_TEST(suspect.Upstream == "u1");
+
+  const Datagram leaving{
+      LeavingUpstream{"u2", 1700000000000}, sampleMember("x"), {}};
+  const auto decodedLeaving = decodeDatagram(encodeDatagram(leaving));
+  BOOST_REQUIRE(decodedLeaving.has_value());
+  const auto &upstream = std::get<LeavingUpstream>(decodedLeaving->Payload);
+  BOOST_TEST(upstream.Id == "u2");
+  BOOST_TEST(upstream.StartedMs == 1700000000000);
 }
 
 BOOST_AUTO_TEST_CASE(updatesRoundTrip) {
@@ -90,14 +100,16 @@
   BOOST_TEST(decoded->Sequence == 9);
   BOOST_TEST((*decoded->Config == *update.Config));
   const auto &list = decoded->Upstreams->List;
-  BOOST_TEST(decoded->Upstreams->StoreRevision == 40);
+  BOOST_TEST((decoded->Upstreams->AsOf == StoreRevision{2, 40}));
   BOOST_TEST(!list.IsComplete);
   BOOST_TEST((list.Items.front().Record ==
               update.Upstreams->List.Items.front().Record));
-  BOOST_TEST(list.Items.front().Revision == 39);
+  BOOST_TEST((list.Items.front().Revision == StoreRevision{2, 39}));
+  BOOST_TEST(list.Items.front().IsLeaving);
   BOOST_TEST((list.RemovedIds == update.Upstreams->List.RemovedIds));
   BOOST_TEST((decoded->EvacuatedDomains->RevisionByName ==
               update.EvacuatedDomains->RevisionByName));
+  BOOST_TEST((decoded->EvacuatedDomains->AsOf == StoreRevision{2, 41}));
   BOOST_TEST(decoded->Members->List.IsComplete);
   BOOST_TEST((decoded->Members->List.Items == update.Members->List.Items));
   BOOST_TEST(decoded->Members->FleetSize == 13);
--- a/tests/fleet/VersionedStateTest.cpp
+++ b/tests/fleet/VersionedStateTest.cpp
@@ -21,12 +21,12 @@
 store::ListedUpstream upstream(unsigned n, std::uint64_t revision) {
   return {{numbered("i-e4d592b3", n), numbered("10.1.64.", n) + ":8544",
            "credencial", "serra-a", 4, false, 0s, 1700000000000},
-          revision};
+          {1, revision}};
 }
 
 StateUpdate upstreams(unsigned from, unsigned to, std::uint64_t revision) {
   StateUpdate update;
-  update.Upstreams.emplace().StoreRevision = revision;
+  update.Upstreams.emplace().AsOf = {1, revision};
   for (unsigned n = from; n < to; ++n) {
     update.Upstreams->List.Items.push_back(upstream(n, 1));
   }
@@ -76,7 +76,7 @@
   BOOST_TEST(replaceParts(state, upstreams(1, 5, 12)));
   const StateUpdate some = decodedUpdateSince(state, all.Sequence);
   BOOST_TEST(!some.Upstreams->List.IsComplete);
-  BOOST_TEST(some.Upstreams->StoreRevision == 12);
+  BOOST_TEST(some.Upstreams->AsOf.Number == 12);
   BOOST_TEST(idsOf(*some.Upstreams) ==
              std::vector<std::string>{upstream(4, 1).Record.Id});
   BOOST_TEST(some.Upstreams->List.RemovedIds ==
@@ -92,6 +92,20 @@
   BOOST_TEST(replaceParts(state, members({"a", "b"}, 3)));
 }
 
+// The store's revisions start again after a restore, and an upstream may leave
+// or be hidden without a change of its registration.
+BOOST_AUTO_TEST_CASE(changesWithoutAHigherRevisionAreSent) {
+  VersionedState state;
+  StateUpdate update = upstreams(0, 3, 10);
+  replaceParts(state, update);
+  const std::uint64_t after = state.Sequence;
+  update.Upstreams->List.Items[0].Revision.Era = 2;
+  update.Upstreams->List.Items[1].IsLeaving = true;
+  update.Upstreams->List.Items[2].Record.Draining = true;
+  BOOST_TEST(replaceParts(state, update));
+  BOOST_TEST(idsOf(*decodedUpdateSince(state, after).Upstreams).size() == 3);
+}
+
 BOOST_AUTO_TEST_CASE(emptyListIsSentOnce) {
   VersionedState state;
   BOOST_TEST(replaceParts(state, upstreams(0, 0, 10)));
--- a/tests/store/StoreTaskTest.cpp
+++ b/tests/store/StoreTaskTest.cpp
@@ -10,7 +10,7 @@
 using namespace std::chrono_literals;
 namespace json = boost::json;
 
-namespace {
+namespace store_test {
 
 json::object registration(const std::string &service,
                           const std::string &state = "ready") {
@@ -81,7 +81,9 @@
   StoreTask Task;
 };
 
-} // namespace
+} // namespace store_test
+
+using namespace store_test;
 
 BOOST_AUTO_TEST_CASE(mirrorFollowsTheStore) {
   Fixture it;
@@ -215,13 +217,13 @@
   BOOST_TEST(it.Store.LatestReads > before);
 }
 
-namespace {
+namespace store_test {
 
 Instance instance(const std::string &id, const std::string &domain = "a") {
   return {id, domain, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", false};
 }
 
-} // namespace
+} // namespace store_test
 
 BOOST_AUTO_TEST_CASE(instancesOfADomainAreWrittenAsOneRecord) {
   Fixture it;
@@ -279,3 +281,151 @@
   BOOST_TEST(
       it.runUntil([&] { return it.Task.recordedInstances().size() == 1; }));
 }
+
+namespace store_test {
+
+/// A mirror that is up to date with the store, which then changes and is
+/// restored from a copy taken before these changes.
+struct RestoreFixture : Fixture {
+  RestoreFixture() {
+    Store.put("config", "main", configuration(3));
+    Store.put("servers", "stays", registration("s"));
+    Store.put("servers", "drains", registration("s"));
+    Store.put("servers", "leaves", registration("s"));
+    Task.setInstancesToRecord("a", {instance("i1")});
+    Task.startReading();
+    BOOST_REQUIRE(untilHealthy());
+    BOOST_REQUIRE(runUntil([this] { return isRecorded(1); }));
+    Copy = Store.takeCopy();
+    Store.put("config", "main", configuration(5));
+    Store.put("servers", "joins", registration("s"));
+    Store.put("servers", "drains", registration("s", "draining"));
+    Store.remove("servers", "leaves");
+    Store.put("evacuations", "b", json::object{});
+    BOOST_REQUIRE(runUntil([this] { return isInForce(); }));
+  }
+
+  /// Whether an upstream gets requests.
+  bool isUsed(const std::string &id) {
+    for (const Upstream &it :
+         listUpstreams(LocalMirror.Upstreams, readClock())) {
+      if (it.Id == id) {
+        return !it.Draining;
+      }
+    }
+    return false;
+  }
+
+  /// Whether the state before the restore is in force.
+  bool isInForce() {
+    return version() == 5 && isUsed("stays") && isUsed("joins") &&
+           !isUsed("drains") && !isUsed("leaves") &&
+           LocalMirror.EvacuatedDomains.contains("b");
+  }
+
+  /// Whether the store holds a record of this many instances of domain "a".
+  bool isRecorded(unsigned count) {
+    const auto *record = Store.find("zinniarail-instances", "a");
+    return record != nullptr &&
+           record->at("instances").as_array().size() == count;
+  }
+
+  /// Runs until the reads of the restored store are complete.
+  bool untilReadAgain() {
+    return runUntil([this] {
+      return Healthy && LocalMirror.Era == Store.era() &&
+             LocalMirror.UpstreamsRevision.Era == Store.era();
+    });
+  }
+
+  standins::Store::Copy Copy;
+};
+
+std::vector<int> restoreMoments() {
+  std::vector<int> moments;
+  for (int ms = 0; ms <= 120; ms += 8) {
+    moments.push_back(ms);
+  }
+  return moments;
+}
+
+} // namespace store_test
+
+// With answers that take 25 ms, the store is restored while a list, a watch or a
+// write is under way or just after it; answers of the earlier era arrive late.
+BOOST_DATA_TEST_CASE(stateInForceSurvivesARestoreAtAnyMoment, restoreMoments(),
+                     moment) {
+  RestoreFixture it;
+  it.Store.Faults.Delay = 25ms;
+  it.Store.compactHistory(); // The next reads are lists.
+  it.Store.put("servers", "other", registration("s"));
+  it.Task.setInstancesToRecord("a", {instance("i1"), instance("i2")});
+  it.EventLoop.runFor(std::chrono::milliseconds{moment});
+  it.Store.restore(it.Copy);
+  const Instant end = readClock() + 1500ms;
+  while (readClock() < end) {
+    it.EventLoop.runFor(5ms);
+    BOOST_REQUIRE(it.isInForce());
+  }
+  BOOST_REQUIRE(it.untilReadAgain());
+  // What this instance wrote is written again.
+  BOOST_TEST(it.runUntil([&] { return it.isRecorded(2); }));
+
+  // What the operator and the upstreams wrote is written again, and changes.
+  it.Store.put("config", "main", configuration(5));
+  it.Store.put("servers", "joins", registration("s"));
+  it.Store.put("evacuations", "b", json::object{});
+  it.EventLoop.runFor(300ms);
+  BOOST_TEST(it.version() == 5);
+  BOOST_TEST(it.isUsed("stays"));
+  BOOST_TEST(it.isUsed("joins"));
+  BOOST_TEST(!it.isUsed("drains"));
+  BOOST_TEST(!it.isUsed("leaves"));
+  BOOST_TEST(it.LocalMirror.EvacuatedDomains.contains("b"));
+  it.Store.put("config", "main", configuration(6));
+  it.Store.remove("evacuations", "b");
+  it.Store.remove("servers", "stays");
+  BOOST_TEST(it.runUntil([&] {
+    return it.version() == 6 && it.LocalMirror.EvacuatedDomains.empty() &&
+           !it.isUsed("stays");
+  }));
+}
+
+// The store assigns the revisions again and passes the one that this instance
+// watches from, so the watch continues without an error.
+BOOST_AUTO_TEST_CASE(changesUnderReassignedRevisionsAreSeen) {
+  RestoreFixture it;
+  it.Store.restore(it.Copy);
+  for (unsigned n = 0; n < 20; ++n) {
+    it.Store.put("servers", "new" + std::to_string(n), registration("s"));
+  }
+  BOOST_TEST(it.runUntil([&] {
+    bool all = true;
+    for (unsigned n = 0; n < 20; ++n) {
+      all = all && it.isUsed("new" + std::to_string(n));
+    }
+    return all;
+  }));
+}
+
+// An upstream that is not written again after the restore has left.
+BOOST_AUTO_TEST_CASE(upstreamMissingFromTheCopyIsRemovedUnlessItRegistersAgain) {
+  RestoreFixture it;
+  it.Store.restore(it.Copy);
+  BOOST_REQUIRE(it.untilReadAgain());
+  BOOST_TEST(it.isUsed("joins"));
+  BOOST_TEST(it.runUntil([&] { return !it.isUsed("joins"); }));
+  BOOST_TEST(it.isUsed("stays"));
+}
+
+// The copy is of a moment before another reader wrote its record.
+BOOST_AUTO_TEST_CASE(recordsOfOtherReadersAreKeptUntilTheyAreWrittenAgain) {
+  RestoreFixture it;
+  it.Store.put("zinniarail-instances", "b",
+               platform::encodeInstances({instance("i9", "b")}));
+  BOOST_REQUIRE(
+      it.runUntil([&] { return it.Task.recordedInstances().size() == 2; }));
+  it.Store.restore(it.Copy);
+  BOOST_REQUIRE(it.untilReadAgain());
+  BOOST_TEST(it.Task.recordedInstances().size() == 2);
+}
