--- a/include/zinniarail/balance/Messages.h
+++ b/include/zinniarail/balance/Messages.h
@@ -99,7 +99,7 @@
   bool Reached = false; ///< The upstream with this id responded.
   bool Healthy = false; ///< It responded that it is healthy.
   std::optional<LoadReport> Report;
-  Duration WarmupRemaining{0}; ///< As reported; zero after warm-up.
+  Duration WarmupRemaining{0};        ///< As reported; zero after warm-up.
   std::optional<Duration> RetryAfter; ///< As AttemptEnded::RetryAfter.
 };
 /// The caller disconnected before its answer.
@@ -169,7 +169,7 @@
 struct UpstreamSummary {
   unsigned InService = 0;
   unsigned Ejected = 0;
-  unsigned Cold = 0; ///< Warming up; may not get another request yet.
+  unsigned Cold = 0;     ///< Warming up; may not get another request yet.
   unsigned Refusing = 0; ///< Stated a time during which they want no requests.
   unsigned Full = 0;
   unsigned Slow = 0;
--- a/src/balance/Requests.cpp
+++ b/src/balance/Requests.cpp
@@ -103,7 +103,8 @@
 
 // Refuses a request at once if it can't be served before its deadline.
 bool refuseIfTooLate(Step step, RequestState &request) {
-  if (endOfRefusals(step.State, step.Now) + usualServiceTime(step.State, request) <=
+  if (endOfRefusals(step.State, step.Now) +
+          usualServiceTime(step.State, request) <=
       request.Deadline - AnswerMargin) {
     return false;
   }
--- a/src/balance/Upstreams.cpp
+++ b/src/balance/Upstreams.cpp
@@ -123,9 +123,9 @@
   const double rate = std::max(probeRate(engine, it), MinProbeRate);
   const auto wait = static_cast<Duration::rep>(
       std::ceil(std::max(missing, 0.0) / rate * MicrosPerSecond));
-  return std::max({it.Health.EjectedUntil, it.RefusesUntil,
-                   wait == 0 ? Instant{}
-                             : it.ProbeTokensUpdatedAt + Duration(wait)});
+  return std::max(
+      {it.Health.EjectedUntil, it.RefusesUntil,
+       wait == 0 ? Instant{} : it.ProbeTokensUpdatedAt + Duration(wait)});
 }
 
 } // namespace
@@ -171,8 +171,7 @@
   const Duration limited =
       std::clamp(retryAfter, Duration{0}, Duration{MaxRefusalTime});
   const bool wasRefusing = isRefusing(upstream, step.Now);
-  upstream.RefusesUntil =
-      std::max(upstream.RefusesUntil, step.Now + limited);
+  upstream.RefusesUntil = std::max(upstream.RefusesUntil, step.Now + limited);
   if (!wasRefusing) {
     step.Output.emplace_back(UpstreamStatusChanged{
         upstream.Plan.Id, UpstreamStatusChanged::Status::Refusing,
@@ -296,8 +295,7 @@
 
 bool mayProbe(const Engine &engine, const UpstreamState &upstream,
               Instant now) {
-  return !isRefusing(upstream, now) &&
-         probeTokens(engine, upstream, now) >= 1;
+  return !isRefusing(upstream, now) && probeTokens(engine, upstream, now) >= 1;
 }
 
 void sendProbe(Step step, UpstreamState &upstream) {
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -76,7 +76,8 @@
      "A connection could not be accepted, most likely because the process has "
      "no free file descriptors; accepting is retried."},
     {EventId::StoreRestored, "store-restored", EventLevel::Warn,
-     "The store was restored from an older copy. What was in force stays so, all "
+     "The store was restored from an older copy. What was in force stays so, "
+     "all "
      "data is read again, and upstreams that had left before stay out of use; "
      "see \"When the store comes back from a copy\" in OPERATIONS.md."},
     {EventId::RequestServed, "request-served", EventLevel::Info,
--- a/tests/balance/LoadTest.cpp
+++ b/tests/balance/LoadTest.cpp
@@ -267,6 +267,110 @@
   BOOST_TEST((it.RetryAfter > Duration{0}));
 }
 
+// Three of the upstreams refuse all requests for two seconds and say so. The
+// others have room for the load, so nobody waits for these three.
+BOOST_DATA_TEST_CASE(upstreamsThatAskForAPauseGetOne,
+                     (std::vector<std::size_t>{1, 4, 13}), instances) {
+  Simulation simulation(instances, UpstreamProfile{}, 61);
+  simulation.addLoad(lookups(200), 6s);
+  simulation.addLoad(prints(60), 6s);
+  simulation.run(1s);
+  for (unsigned n = 0; n < 3; ++n) {
+    simulation.Upstreams[n].RefusesUntil = simulation.now() + 2s;
+  }
+  simulation.run(2s);
+  std::vector<unsigned> runs;
+  for (unsigned n = 0; n < 3; ++n) {
+    for (const auto &[instance, count] :
+         simulation.Upstreams[n].ArrivalsWhileRefusing) {
+      BOOST_TEST(count <= 2);
+    }
+    runs.push_back(simulation.Upstreams[n].Runs);
+  }
+  simulation.run(4s);
+  const Tally all = simulation.tally(1s, 6s);
+  BOOST_TEST(all.served() >= 0.99);
+  BOOST_TEST(all.inTime() >= 0.97);
+  for (unsigned n = 0; n < 3; ++n) { // They are used again after the pause.
+    BOOST_TEST(simulation.Upstreams[n].Runs > runs[n]);
+  }
+}
+
+// All upstreams refuse for longer than any request can wait: each request is
+// refused at once, with the end of the pause as its Retry-After.
+BOOST_AUTO_TEST_CASE(requestsAreRefusedAtOnceWhileAllUpstreamsAskForAPause) {
+  Simulation simulation(1, UpstreamProfile{}, 67);
+  simulation.addLoad(lookups(50), 2s);
+  simulation.run(1s);
+  for (SimulatedUpstream &it : simulation.Upstreams) {
+    it.RefusesUntil = simulation.now() + 5s;
+  }
+  simulation.run(1s);
+  unsigned upstreamsKnown = 0;
+  for (const SimulatedUpstream &it : simulation.Upstreams) {
+    upstreamsKnown += it.FirstRefusalAt.empty() ? 0 : 1;
+  }
+  BOOST_REQUIRE(upstreamsKnown == simulation.Upstreams.size());
+  const auto id = simulation.sendRequest(lookups(1), 0);
+  const Instant sentAt = simulation.now();
+  simulation.run(1s);
+  const SimulatedRequest &it = simulation.Requests.at(id);
+  BOOST_REQUIRE(it.RefusedOutcome.has_value());
+  BOOST_TEST((*it.RefusedOutcome == Execution::DidNotRun));
+  BOOST_TEST((*it.AnsweredAt == sentAt));
+  BOOST_TEST((it.RetryAfter >= 3900ms && it.RetryAfter <= 4100ms));
+}
+
+namespace {
+
+struct RetryAfterCase {
+  const char *Name;
+  Duration Stated;
+  Duration Expected; ///< How long the upstream gets nothing.
+};
+
+std::ostream &operator<<(std::ostream &out, const RetryAfterCase &it) {
+  return out << it.Name;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(statedPausesAreLimited,
+                     (std::vector<RetryAfterCase>{
+                         {"negative", -5s, 0s},
+                         {"zero", 0s, 0s},
+                         {"fraction of a second", 1500ms, 1500ms},
+                         {"a year", std::chrono::hours{24 * 365}, 5min}}),
+                     it) {
+  ServicePlan plan;
+  plan.Upstreams = {{"u", "a", 4}};
+  Instant now{1h};
+  const auto engine = makeEngine(plan, Random{1}, 1, now);
+  Actions actions;
+  ProbeEnded event{"u", true, false, LoadReport{0, 0, 4, 1}};
+  event.RetryAfter = it.Stated;
+  handleEvent(*engine, event, now, actions);
+  // The request can wait for the end of the pause, but for no longer.
+  handleEvent(*engine,
+              RequestArrived{RequestId{1}, lookups(1).Policy, 1,
+                             now + it.Expected + 1s},
+              now, actions);
+  const auto isSent = [&] {
+    return std::any_of(actions.begin(), actions.end(), [](const Action &any) {
+      return std::holds_alternative<SendProbe>(any) ||
+             std::holds_alternative<StartAttempt>(any);
+    });
+  };
+  if (it.Expected > 0s) {
+    now += it.Expected - 1us;
+    handleEvent(*engine, TimerExpired{}, now, actions);
+    BOOST_TEST(!isSent());
+    now += 1us;
+    handleEvent(*engine, TimerExpired{}, now, actions);
+  }
+  BOOST_TEST(isSent());
+}
+
 BOOST_AUTO_TEST_CASE(aDisconnectedCallerFreesTheUpstreamSlot) {
   Simulation simulation(1, UpstreamProfile{}, 1);
   RequestKind kind = lookups(1);
--- a/tests/balance/Simulation.cpp
+++ b/tests/balance/Simulation.cpp
@@ -253,6 +253,19 @@
           it.Noisy ? Profile.NoiseFactor : 1};
 }
 
+bool Simulation::refuses(SimulatedUpstream &upstream,
+                         std::size_t instance) const {
+  if (Clock >= upstream.RefusesUntil) {
+    return false;
+  }
+  const Instant first =
+      upstream.FirstRefusalAt.try_emplace(instance, Clock).first->second;
+  if (Clock - first > std::chrono::milliseconds{500}) {
+    ++upstream.ArrivalsWhileRefusing[instance];
+  }
+  return true;
+}
+
 void Simulation::probe(std::size_t instance, const std::string &id) {
   const std::size_t n = indexOf(id);
   if (n == Upstreams.size()) {
@@ -265,7 +278,11 @@
     ProbeEnded event;
     event.Upstream = id;
     event.Reached = it.Reachable && !it.Unresponsive;
-    event.Healthy = event.Reached && !it.ReportsUnhealthy;
+    const bool refuses = event.Reached && this->refuses(it, instance);
+    event.Healthy = event.Reached && !it.ReportsUnhealthy && !refuses;
+    if (refuses) {
+      event.RetryAfter = it.RefusesUntil - Clock;
+    }
     if (event.Reached && Profile.ReportsLoad) {
       event.Report = reportOf(it);
     }
@@ -308,7 +325,7 @@
   if (it.Unresponsive) {
     return;
   }
-  if (drawFraction(Rng) < it.ShedShare) {
+  if (refuses(it, attempt->Instance) || drawFraction(Rng) < it.ShedShare) {
     return endAttempt(attempt, AttemptEnd::RefusedUnrun, 503);
   }
   if (request.Poison) {
@@ -384,6 +401,9 @@
   event.End = end;
   event.Status = status;
   const SimulatedUpstream &it = Upstreams[attempt->Upstream];
+  if (end == AttemptEnd::RefusedUnrun && Clock < it.RefusesUntil) {
+    event.RetryAfter = it.RefusesUntil - Clock;
+  }
   const bool carriesReport =
       end == AttemptEnd::Answered || end == AttemptEnd::RefusedUnrun;
   if (carriesReport && Profile.ReportsLoad) {
--- a/tests/balance/Simulation.h
+++ b/tests/balance/Simulation.h
@@ -68,7 +68,13 @@
   bool Unresponsive = false;     ///< Accepts requests and never answers.
   bool ReportsUnhealthy = false; ///< Its health checks fail; requests may not.
   double FailureRate = 0;
-  double ShedShare = 0;          ///< Fraction that it refuses as if full.
+  double ShedShare = 0; ///< Fraction that it refuses as if full.
+  /// Until then it refuses requests and health checks, and says so.
+  Instant RefusesUntil{};
+  /// Requests and health checks that reached it from each instance more than
+  /// half a second after it had first refused one of that instance.
+  std::map<std::size_t, unsigned> ArrivalsWhileRefusing;
+  std::map<std::size_t, Instant> FirstRefusalAt; ///< By instance.
   double UnreportedSlowdown = 1; ///< Missing from its load reports.
   Instant ColdUntil{};
   unsigned ColdArrivals = 0;
@@ -178,6 +184,8 @@
   void startNextWaiting(std::size_t upstream);
   void probe(std::size_t instance, const std::string &id);
   std::size_t indexOf(const std::string &id) const;
+  /// Whether an upstream refuses what has arrived from an instance.
+  bool refuses(SimulatedUpstream &upstream, std::size_t instance) const;
   LoadReport reportOf(const SimulatedUpstream &it) const;
   Duration oneWayDelay(std::size_t instance, const SimulatedUpstream &it) const;
   void scheduleNoise();
