store: what is in force survives a restore of the store from a copy; upstreams that leave by header

Cause: revisions of the store were compared as bare numbers. After a restore from an older copy they go back and are assigned again, so that watches missed changes, and changes of the restored store were ignored as outdated or older ones taken as new. Upstreams that had left or drained were in use again, and evacuations of the last seconds were lost. Ruled out: keeping the revision of each era apart per object, since followers get objects of both eras from their readers. An upstream that announces its leaving is drained at once, and the reader of the domain passes that on. The upstream stand-in refused without the request id, so that its refusals were taken for stray responses.

--- a/include/zinniarail/core/StoreRevision.h
+++ b/include/zinniarail/core/StoreRevision.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace zinniarail {
 
@@ -14,7 +15,10 @@
   std::uint64_t Era = 0;    ///< Number of the restore; 0 when unknown.
   std::uint64_t Number = 0; ///< The store's revision counter.
 
-  auto operator<=>(const StoreRevision &) const = default;
+  bool operator==(const StoreRevision &) const = default;
+  std::strong_ordering operator<=>(const StoreRevision &other) const {
+    return std::tie(Era, Number) <=> std::tie(other.Era, other.Number);
+  }
 };
 
 } // namespace zinniarail
--- a/include/zinniarail/registry/Registry.h
+++ b/include/zinniarail/registry/Registry.h
@@ -41,8 +41,8 @@
   /// When to drop the registration; Instant::max() while the store contains it.
   Instant RemoveAt = Instant::max();
   StoreRevision RemovalRevision; ///< Of the pending removal.
-  /// Until then the upstream counts as draining: it was removed before the store
-  /// was restored, and may have left.
+  /// Until then the upstream counts as draining: it was removed before the
+  /// store was restored, and may have left.
   Instant UnconfirmedUntil{};
   /// The upstream itself announced that it leaves, or it was draining before
   /// the store was restored. Only another incarnation is used again.
@@ -88,9 +88,8 @@
 bool markLeaving(Registry &registry, const std::string &id,
                  std::uint64_t startedMs);
 
-/// Drops the registrations whose removal is due, and ends UnconfirmedUntil where
-/// its time has come.
-/// \returns whether any upstream changed.
+/// Drops the registrations whose removal is due, and ends UnconfirmedUntil
+/// where its time has come. \returns whether any upstream changed.
 bool applyDueChanges(Registry &registry, Instant now);
 
 /// When the next change by applyDueChanges is due; Instant::max() when none is
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -91,6 +91,7 @@
 
   void onDutyChanged(Duty duty);
   void applyUpdate(const fleet::StateUpdate &update);
+  void reportLeavingUnknownTo(const fleet::UpstreamsUpdate &update);
   void fillUpdate(fleet::StateUpdate &update, fleet::StatePart part) const;
   void onStoreChanged(platform::Kind kind);
   void onLiveMembersChanged();
@@ -236,6 +237,8 @@
       [this](const std::string &id, std::uint64_t startedMs) {
         if (noteLeaving({id, startedMs}, "its response")) {
           Peers.reportLeaving({id, startedMs});
+          // The response may also be what a queued request waits for.
+          updateRoutingSnapshot();
         }
       },
       [this](const std::string &address) { Pool.closeIdle(address); },
@@ -416,9 +419,9 @@
 
 void Daemon::applyUpdate(const fleet::StateUpdate &update) {
   const Instant now = readClock();
-  const std::uint64_t era = std::max(
-      update.Upstreams ? update.Upstreams->AsOf.Era : 0,
-      update.EvacuatedDomains ? update.EvacuatedDomains->AsOf.Era : 0);
+  const std::uint64_t era =
+      std::max(update.Upstreams ? update.Upstreams->AsOf.Era : 0,
+               update.EvacuatedDomains ? update.EvacuatedDomains->AsOf.Era : 0);
   enterEra(LocalMirror, era, now);
   if (update.Config) {
     if (auto config = fleet::decodeConfiguration(*update.Config)) {
@@ -433,6 +436,7 @@
       updateUpstreams(LocalMirror, list.Items, list.RemovedIds, asOf, now);
     }
     HasUpstreamList = true;
+    reportLeavingUnknownTo(*update.Upstreams);
   }
   if (update.EvacuatedDomains) {
     replaceEvacuatedDomains(LocalMirror,
@@ -442,6 +446,21 @@
   SnapshotOutdated = true;
 }
 
+// A reader that has just started may not know which upstreams announced that
+// they leave.
+void Daemon::reportLeavingUnknownTo(const fleet::UpstreamsUpdate &update) {
+  for (const store::ListedUpstream &it : update.List.Items) {
+    const auto known = LocalMirror.Upstreams.Entries.find(it.Record.Id);
+    const bool isUnknown =
+        known != LocalMirror.Upstreams.Entries.end() &&
+        known->second.IsLeaving && !it.IsLeaving &&
+        known->second.Record.StartedMs == it.Record.StartedMs;
+    if (isUnknown) {
+      Peers.reportLeaving({it.Record.Id, it.Record.StartedMs});
+    }
+  }
+}
+
 void Daemon::fillUpdate(fleet::StateUpdate &update,
                         fleet::StatePart part) const {
   const Instant now = readClock();
--- a/src/fleet/Codec.cpp
+++ b/src/fleet/Codec.cpp
@@ -214,8 +214,8 @@
   EvacuatedDomainsUpdate out;
   out.AsOf = {in.getStoreEra(), in.getStoreRevision()};
   for (const auto it : in.getDomains()) {
-    out.RevisionByName.emplace(
-        textOf(it.getName()), StoreRevision{it.getEra(), it.getRevision()});
+    out.RevisionByName.emplace(textOf(it.getName()),
+                               StoreRevision{it.getEra(), it.getRevision()});
   }
   return out;
 }
--- a/src/fleet/VersionedState.cpp
+++ b/src/fleet/VersionedState.cpp
@@ -6,18 +6,20 @@
 
 namespace {
 
-// The cached snapshot is encoded again after this many changes, not after each
-// one: while many instances start, each start is a change.
+// The cached snapshot is encoded again after this many changes of the members,
+// not after each one: while many instances start, each start is a change.
 constexpr std::uint64_t MaxSnapshotLag = 16;
 
 // Maximum number of recorded removals. Beyond it all are discarded, and
 // followers that may have missed a removal get the complete list.
 constexpr std::size_t MaxRemovals = 1000;
 
-// Compares revisions only, since the remaining warm-up time always changes.
+// Compares what can change: the record changes with its revision, except for
+// Draining, and the remaining warm-up time always changes.
 bool isUnchanged(const store::ListedUpstream &a,
                  const store::ListedUpstream &b) {
-  return a.Revision == b.Revision;
+  return a.Revision == b.Revision && a.IsLeaving == b.IsLeaving &&
+         a.Record.Draining == b.Record.Draining;
 }
 
 bool isUnchanged(const Member &a, const Member &b) { return a == b; }
@@ -81,7 +83,7 @@
   for (const store::ListedUpstream &it : update.List.Items) {
     current.emplace(it.Record.Id, it);
   }
-  state.UpstreamsRevision = update.StoreRevision;
+  state.UpstreamsRevision = update.AsOf;
   return updateList(state.Upstreams, current, sequence);
 }
 
@@ -113,7 +115,7 @@
   }
   if (state.Upstreams.ChangeSequence > after) {
     UpstreamsUpdate &list = update.Upstreams.emplace();
-    list.StoreRevision = state.UpstreamsRevision;
+    list.AsOf = state.UpstreamsRevision;
     fillListUpdate(list.List, state.Upstreams, after);
     any = true;
   }
@@ -130,6 +132,16 @@
   return any ? encodeUpdate(update) : "";
 }
 
+// A new follower uses the cached snapshot before it gets the changes since
+// then, so the snapshot must not contain upstreams that have left.
+bool isSnapshotUsable(const VersionedState &state) {
+  const std::uint64_t at = state.SnapshotSequence;
+  return at != 0 && state.Sequence - at <= MaxSnapshotLag &&
+         state.ConfigChangeSequence <= at &&
+         state.Upstreams.ChangeSequence <= at &&
+         state.EvacuatedDomainsChangeSequence <= at;
+}
+
 } // namespace
 
 bool replaceParts(VersionedState &state, const StateUpdate &update) {
@@ -170,8 +182,7 @@
 
 const std::string *updateSince(VersionedState &state, std::uint64_t after) {
   if (after == 0) {
-    if (state.SnapshotSequence == 0 ||
-        state.Sequence - state.SnapshotSequence > MaxSnapshotLag) {
+    if (!isSnapshotUsable(state)) {
       state.EncodedSnapshot = encodeChangesAfter(state, 0);
       state.SnapshotSequence =
           state.EncodedSnapshot.empty() ? 0 : state.Sequence;
--- a/src/fleet/VersionedState.h
+++ b/src/fleet/VersionedState.h
@@ -44,7 +44,7 @@
   /// follower's last update.
   std::map<std::uint64_t, std::string> EncodedUpdates;
   /// Cached complete update for new followers. It may lack the last few
-  /// changes; the next poll returns them.
+  /// changes of the members; the next poll returns them.
   std::string EncodedSnapshot;
   std::uint64_t SnapshotSequence = 0; ///< Sequence of that update; 0: none.
 };
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -511,11 +511,12 @@
 }
 
 void Proxy::onCallEnded(http::CallId id, http::CallResult result) {
-  const auto it = Calls.find(id);
-  if (it == Calls.end()) {
+  const auto known = Calls.find(id);
+  if (known == Calls.end()) {
     return;
   }
-  reportIfLeaving(it->second, result);
+  reportIfLeaving(known->second, result); // May add calls.
+  const auto it = Calls.find(id);
   if (it->second.Request == 0) {
     const UpstreamCall call = std::move(it->second);
     Calls.erase(it);
@@ -527,18 +528,17 @@
   processEvents();
 }
 
-// A response with another upstream's id, or 421, came from the upstream that has
-// the address now.
+// A response with another upstream's id, or 421, came from the upstream that
+// has the address now.
 void Proxy::reportIfLeaving(const UpstreamCall &call,
                             const http::CallResult &result) {
   const Dialect &dialect = *Context.PlatformDialect;
   const http::Response &response = result.Response;
   const std::string *leaving =
       http::findHeader(response.Fields, dialect.Leaving);
-  const std::string *id =
-      http::findHeader(response.Fields, dialect.InstanceId);
-  const bool isOther = response.Status == Misdirected ||
-                       (id != nullptr && *id != call.Upstream);
+  const std::string *id = http::findHeader(response.Fields, dialect.InstanceId);
+  const bool isOther =
+      response.Status == Misdirected || (id != nullptr && *id != call.Upstream);
   if (result.Outcome == http::CallOutcome::Answered && leaving != nullptr &&
       *leaving == dialect.LeavingValue && !isOther) {
     Callbacks.UpstreamLeaving(call.Upstream, call.StartedMs);
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -54,7 +54,7 @@
   std::function<void(http::ExchangeId, http::Response)> SendResponse;
   std::function<void(http::Call)> StartCall;
   std::function<void(http::CallId)> CancelCall;
-  /// An upstream announced that it leaves.
+  /// An upstream announced that it leaves. May call onRoutingSnapshot.
   /// \param startedMs its incarnation, as Upstream::StartedMs.
   std::function<void(const std::string &id, std::uint64_t startedMs)>
       UpstreamLeaving;
--- a/src/registry/Registry.cpp
+++ b/src/registry/Registry.cpp
@@ -17,9 +17,8 @@
 
 // Whether a registration is older than the known one or than its removal.
 bool isOutdated(const Registration &known, const Registration &next) {
-  const bool isRemoved =
-      known.RemoveAt != Instant::max() &&
-      isSameIncarnation(known.Record.StartedMs, next.Record);
+  const bool isRemoved = known.RemoveAt != Instant::max() &&
+                         isSameIncarnation(known.Record.StartedMs, next.Record);
   return next.Revision < known.Revision ||
          (isRemoved && next.Revision <= known.RemovalRevision);
 }
@@ -31,12 +30,11 @@
     return;
   }
   const bool isRestored = next.Revision.Era > known.Revision.Era;
-  next.IsLeaving =
-      known.IsLeaving || (isRestored && known.Record.Draining);
+  next.IsLeaving = known.IsLeaving || (isRestored && known.Record.Draining);
   const bool isRemovalUndone = known.RemoveAt != Instant::max() &&
                                next.Revision.Era > known.RemovalRevision.Era;
-  next.UnconfirmedUntil = isRemovalUndone ? registry.RestoredUntil
-                                          : known.UnconfirmedUntil;
+  next.UnconfirmedUntil =
+      isRemovalUndone ? registry.RestoredUntil : known.UnconfirmedUntil;
 }
 
 } // namespace
--- a/src/store/Mirror.h
+++ b/src/store/Mirror.h
@@ -18,9 +18,9 @@
 
 namespace zinniarail::store {
 
-/// How long after a restore of the store objects stay in force that the restored
-/// store does not contain: operators and other readers write them again
-/// meanwhile.
+/// How long after a restore of the store objects stay in force that the
+/// restored store does not contain: operators and other readers write them
+/// again meanwhile.
 constexpr Duration RestoreGrace = std::chrono::seconds{10};
 
 /// A failure domain that is out of service.
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -46,9 +46,10 @@
 void logIfUnreadable(Kind kind, const platform::Object &object,
                      bool isDecoded) {
   if (!isDecoded && !object.Removed) {
-    logEvent(EventId::RegistrationUnreadable, {{"kind", nameOf(kind)},
-                                               {"entry", object.Name},
-                                               {"revision", object.Revision.Number}});
+    logEvent(EventId::RegistrationUnreadable,
+             {{"kind", nameOf(kind)},
+              {"entry", object.Name},
+              {"revision", object.Revision.Number}});
   }
 }
 
@@ -136,26 +137,25 @@
     return;
   }
   Ping.InFlight = true;
-  Client.list(
-      Kind::Evacuations, "", Freshness::MayBeStale, PingTimeout,
-      [this, generation = PingGeneration](platform::Reply reply) {
-        if (generation != PingGeneration) {
-          return;
-        }
-        const Instant repliedAt = readClock();
-        acceptEra(reply);
-        if (reply.Result == Outcome::Done) {
-          HasAnswered = true;
-          noteAvailable();
-          Ping = {false, 0, repliedAt + PingInterval};
-        } else {
-          noteUnavailable("health check", reply);
-          noteFailure(Ping, Rng, repliedAt);
-          Ping.NextAt += (Ping.NextAt - repliedAt) *
-                         static_cast<Duration::rep>(ElectionRank);
-        }
-        advance();
-      });
+  Client.list(Kind::Evacuations, "", Freshness::MayBeStale, PingTimeout,
+              [this, generation = PingGeneration](platform::Reply reply) {
+                if (generation != PingGeneration) {
+                  return;
+                }
+                const Instant repliedAt = readClock();
+                acceptEra(reply);
+                if (reply.Result == Outcome::Done) {
+                  HasAnswered = true;
+                  noteAvailable();
+                  Ping = {false, 0, repliedAt + PingInterval};
+                } else {
+                  noteUnavailable("health check", reply);
+                  noteFailure(Ping, Rng, repliedAt);
+                  Ping.NextAt += (Ping.NextAt - repliedAt) *
+                                 static_cast<Duration::rep>(ElectionRank);
+                }
+                advance();
+              });
 }
 
 Instant StoreTask::nextDueAt() const {
@@ -221,7 +221,8 @@
   const Instant now = readClock();
   if (reply.Era && enterEra(LocalMirror, *reply.Era, now)) {
     if (known != 0 || LocalMirror.Config) {
-      logEvent(EventId::StoreRestored, {{"era", *reply.Era}, {"before", known}});
+      logEvent(EventId::StoreRestored,
+               {{"era", *reply.Era}, {"before", known}});
     }
     restartReads(now + LatestReadPeriod);
     return false;
@@ -376,9 +377,9 @@
   }
   auto config = platform::decodeConfiguration(object.Content);
   if (!config) {
-    logEvent(EventId::DocumentRefused, "revision " +
-                                           std::to_string(object.Revision.Number) +
-                                           ": " + config.error());
+    logEvent(EventId::DocumentRefused,
+             "revision " + std::to_string(object.Revision.Number) + ": " +
+                 config.error());
     return;
   }
   updateConfiguration(LocalMirror, std::make_shared<const Configuration>(
--- a/standins/upstream/Upstream.cpp
+++ b/standins/upstream/Upstream.cpp
@@ -135,17 +135,17 @@
     return handleHealthCheck(id);
   }
   const std::string expected = headerValue(request, "X-Expected-Instance");
+  const std::string requestId = headerValue(request, "X-Request-Id");
   if (!expected.empty() && expected != Id) {
-    return refuse(id, Misdirected);
+    return refuse(id, requestId, Misdirected);
   }
-  const std::string requestId = headerValue(request, "X-Request-Id");
   if (requestId.empty()) {
-    return refuse(id, BadRequest);
+    return refuse(id, requestId, BadRequest);
   }
   Log.Arrivals.push_back(
       {requestId, Id, Config.Service, Config.Domain, readClock(), isCold()});
   if (shouldInjectFault(Faults.ShedFraction) || !Faults.RetryAfter.empty()) {
-    return refuse(id, Unavailable);
+    return refuse(id, requestId, Unavailable);
   }
   startOrQueue({id, std::move(request), requestId, {}, false});
 }
@@ -182,12 +182,16 @@
   Server->sendResponse(id, response);
 }
 
-void Upstream::refuse(http::ExchangeId id, unsigned status) {
+void Upstream::refuse(http::ExchangeId id, const std::string &requestId,
+                      unsigned status) {
   http::Response response{status,
                           {{"X-Not-Executed", "1"},
                            {"X-Instance-Id", Id},
                            {"X-Server-Load", loadReport()}},
                           ""};
+  if (!requestId.empty()) {
+    response.Fields.push_back({"X-Request-Id", requestId});
+  }
   if (status == Unavailable && !Faults.RetryAfter.empty()) {
     response.Fields.push_back({"Retry-After", Faults.RetryAfter});
   }
@@ -199,7 +203,7 @@
     return startRequest(std::move(request));
   }
   if (Queue.size() >= Config.QueueLimit) {
-    return refuse(request.Exchange, Unavailable);
+    return refuse(request.Exchange, request.RequestId, Unavailable);
   }
   Queue.push_back(std::move(request));
 }
--- a/standins/upstream/Upstream.h
+++ b/standins/upstream/Upstream.h
@@ -72,7 +72,7 @@
   double DuplicatedFraction = 0; ///< Sends the response twice.
   bool Unresponsive = false;     ///< Reads requests but never responds.
   bool FailHealthChecks = false; ///< Responds 503 to health checks.
-  bool Leaving = false; ///< Announces in all responses that it leaves.
+  bool Leaving = false;          ///< Announces in all responses that it leaves.
   /// Refuses requests and health checks with 503 and this Retry-After; empty:
   /// serves them.
   std::string RetryAfter;
@@ -133,7 +133,8 @@
 
   void handleRequest(http::ExchangeId id, http::Request request);
   void handleHealthCheck(http::ExchangeId id);
-  void refuse(http::ExchangeId id, unsigned status);
+  void refuse(http::ExchangeId id, const std::string &requestId,
+              unsigned status);
   /// Sends a response, with the header of an upstream that leaves.
   void respond(http::ExchangeId id, http::Response response);
   void announceLeaving(http::Headers &fields) const;
--- a/tests/drill/DrillTest.cpp
+++ b/tests/drill/DrillTest.cpp
@@ -1,21 +1,20 @@
 // Checks that the commands of docs/OPERATIONS.md, run on the logs and metrics
 // of real processes, show why a request failed or was served by an old
 // configuration.
+#include <array>
 #include <cstdio>
-#include <filesystem>
 #include <fstream>
 #include <functional>
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "../http/RawConnection.h"
-#include "deployment/Deployment.h"
+#include "Drill.h"
 
 using namespace zinniarail;
 using namespace std::chrono_literals;
 
-namespace drill_test {
+namespace zinniarail::drill_test {
 
 constexpr auto OperationsPage = ZINNIARAIL_SOURCE_DIR "/docs/OPERATIONS.md";
 
@@ -58,96 +57,13 @@
   return out;
 }
 
-/// Three instances, each alone in its failure domain, with logs in a temporary
-/// folder.
-class Drill {
-public:
-  Drill()
-      : Deployed(EventLoop.Loop, makePlan()),
-        Pool(EventLoop.Loop, [this](auto id, auto result) {
-          Results[id] = std::move(result);
-        }) {
-    BOOST_REQUIRE(Deployed.start().empty());
-    for (std::size_t n = 0; n < Deployed.Instances.size(); ++n) {
-      BOOST_REQUIRE(EventLoop.runUntil([&] { return isReady(n); }));
-    }
-  }
-  ~Drill() { std::filesystem::remove_all(Deployed.Plan.LogFolder); }
-
-  static standins::DeploymentPlan makePlan() {
-    char folder[] = "/tmp/zinniarail-drill-XXXXXX";
-    BOOST_REQUIRE(mkdtemp(folder) != nullptr);
-    standins::DeploymentPlan plan;
-    plan.Program = ZINNIARAIL_BINARY_DIR "/programs/zinniaraild";
-    plan.LogFolder = folder;
-    plan.Net = standins::loopbackNet() + 40;
-    plan.InstanceCount = 3;
-    plan.HasLinks = true;
-    plan.Services = {{"orders", 3, 20ms}, {"archive", 3, 20ms}};
-    plan.Routes = {{"/order/", "orders", false, 1, 0, 200ms, 2000ms},
-                   {"/moving/", "archive", true, 1, 0, 200ms, 2000ms}};
-    return plan;
-  }
-
-  bool isReady(std::size_t n) {
-    const http::CallResult it =
-        get(Deployed.Instances[n].OperatorAddress, "/health");
-    return it.Response.Status == 200;
-  }
-
-  http::CallResult get(const std::string &address, const std::string &target,
-                       const std::string &fields = "",
-                       const std::string &method = "GET") {
-    http::Call call;
-    const http::CallId id = call.Id = ++LastCall;
-    call.Address = address;
-    call.Bytes = method + " " + target +
-                 " HTTP/1.1\r\nHost: orders.example\r\n" + fields +
-                 "Content-Length: 0\r\n\r\n";
-    Pool.start(std::move(call));
-    EventLoop.runUntil([&] { return Results.contains(id); });
-    return Results[id];
-  }
-
-  /// Sends a caller's request to the first instance.
-  /// \returns the HTTP status.
-  unsigned sendRequest(const std::string &method, const std::string &path,
-                       const std::string &id) {
-    return get(Deployed.Instances[0].CallerAddress, path + id,
-               "X-Request-Id: " + id + "\r\nX-Deadline-Milliseconds: 2000\r\n",
-               method)
-        .Response.Status;
-  }
-
-  std::string metrics() {
-    return get(Deployed.Instances[0].OperatorAddress, "/metrics").Response.Body;
-  }
-
-  std::string logPath(std::size_t n) {
-    return Deployed.Plan.LogFolder + "/" + Deployed.Instances[n].Id + ".log";
-  }
-
-  std::string runPageCommands(const std::string &kind, const std::string &id) {
-    const std::string file = Deployed.Plan.LogFolder + "/metrics.txt";
-    std::ofstream(file) << metrics();
-    return runCommands(commandsOf(kind), id, Deployed.Plan.LogFolder,
-                       logPath(0), file);
-  }
-
-  bool waitForLog(const std::string &text) {
-    return EventLoop.runUntil([&] {
-      std::ifstream in(logPath(0));
-      const std::string all(std::istreambuf_iterator<char>(in), {});
-      return all.find(text) != std::string::npos;
-    });
-  }
-
-  http::TestLoop EventLoop;
-  standins::Deployment Deployed;
-  http::ClientPool Pool;
-  std::map<http::CallId, http::CallResult> Results;
-  http::CallId LastCall = 0;
-};
+std::string runPageCommands(Drill &drill, const std::string &kind,
+                            const std::string &id) {
+  const std::string file = drill.Deployed.Plan.LogFolder + "/metrics.txt";
+  std::ofstream(file) << drill.metrics();
+  return runCommands(commandsOf(kind), id, drill.Deployed.Plan.LogFolder,
+                     drill.logPath(0), file);
+}
 
 /// A failure, the request that is affected by it, and texts that the output of
 /// the page's commands must contain.
@@ -206,14 +122,14 @@
       "name=document-in-force version=7", "zinniarail_belief_age_seconds"}},
 };
 
-} // namespace drill_test
+} // namespace zinniarail::drill_test
 using namespace drill_test;
 
 BOOST_DATA_TEST_CASE(operationsPageCommandsShowTheCause, Cases, it) {
   Drill drill;
   it.CauseFailure(drill);
   drill.EventLoop.runFor(200ms);
-  const std::string output = drill.runPageCommands(it.Kind, it.Id);
+  const std::string output = runPageCommands(drill, it.Kind, it.Id);
   for (const std::string &text : it.ExpectedTexts) {
     BOOST_TEST(output.find(text) != std::string::npos, "missing: " << text
                                                                    << "\n"
--- a/tests/fleet/VersionedStateTest.cpp
+++ b/tests/fleet/VersionedStateTest.cpp
@@ -192,20 +192,42 @@
   BOOST_TEST(bytes < LinkBytesPerSecond * seconds / 2);
 }
 
-// The cached snapshot may be a few changes old; the next poll gets the rest.
+// The cached snapshot may lack the last changes of the members; the next poll
+// gets them.
 BOOST_AUTO_TEST_CASE(followerWithACachedSnapshotGetsTheRest) {
   VersionedState state;
   replaceParts(state, upstreams(0, 4, 10));
+  replaceParts(state, members({"a", "b"}, 2));
   const std::uint64_t old = decodedUpdateSince(state, 0).Sequence;
-  replaceParts(state, upstreams(1, 5, 11));
+  replaceParts(state, members({"b", "c"}, 2));
   const StateUpdate snapshot = decodedUpdateSince(state, 0);
   BOOST_TEST(snapshot.Sequence == old);
   const StateUpdate rest = decodedUpdateSince(state, snapshot.Sequence);
-  BOOST_TEST(!rest.Upstreams->List.IsComplete);
-  BOOST_TEST(idsOf(*rest.Upstreams).size() == 1);
-  BOOST_TEST(rest.Upstreams->List.RemovedIds.size() == 1);
-  for (unsigned n = 5; n < 40; ++n) {
-    replaceParts(state, upstreams(1, n, 12 + n));
+  BOOST_TEST(!rest.Members->List.IsComplete);
+  BOOST_TEST(rest.Members->List.Items.size() == 1);
+  BOOST_TEST(rest.Members->List.RemovedIds.size() == 1);
+  std::vector<std::string> ids;
+  for (unsigned n = 0; n < 40; ++n) {
+    ids.push_back(numbered("instance-", n));
+    replaceParts(state, members(ids, 40));
   }
   BOOST_TEST(decodedUpdateSince(state, 0).Sequence > old);
 }
+
+// A new follower uses what it gets at once. If its first snapshot were older
+// than the last change, it would send requests to upstreams that have left.
+BOOST_AUTO_TEST_CASE(newFollowerGetsTheLatestUpstreams) {
+  VersionedState state;
+  StateUpdate update = upstreams(0, 4, 10);
+  replaceParts(state, update);
+  decodedUpdateSince(state, 0); // Fills the cache.
+  update.Upstreams->List.Items[0].IsLeaving = true;
+  replaceParts(state, update);
+  BOOST_TEST(decodedUpdateSince(state, 0).Upstreams->List.Items[0].IsLeaving);
+  replaceParts(state, upstreams(1, 4, 11));
+  BOOST_TEST(idsOf(*decodedUpdateSince(state, 0).Upstreams).size() == 3);
+  StateUpdate evacuation;
+  evacuation.EvacuatedDomains = {{{"a", {1, 12}}}, {1, 12}};
+  replaceParts(state, evacuation);
+  BOOST_TEST(decodedUpdateSince(state, 0).EvacuatedDomains.has_value());
+}
--- a/tests/platform/DecodeTest.cpp
+++ b/tests/platform/DecodeTest.cpp
@@ -17,17 +17,17 @@
   json::object action = std::move(destination);
   action["timeout"] = "800ms";
   action["max_attempts"] = 2;
-  return {{"version", 1},
-          {"listeners",
-           json::array{{{"host", "h.example"},
-                        {"rules", json::array{{{"name", "r"},
-                                               {"kind", kind},
-                                               {"target_latency", "200ms"},
-                                               {"priority", 2},
-                                               {"match",
-                                                {{"path_prefix", "/r/"}}},
-                                               {"action", action}}}}}}},
-          {"clusters", json::array{}}};
+  return {
+      {"version", 1},
+      {"listeners",
+       json::array{{{"host", "h.example"},
+                    {"rules", json::array{{{"name", "r"},
+                                           {"kind", kind},
+                                           {"target_latency", "200ms"},
+                                           {"priority", 2},
+                                           {"match", {{"path_prefix", "/r/"}}},
+                                           {"action", action}}}}}}},
+      {"clusters", json::array{}}};
 }
 
 struct KindCase {
@@ -47,7 +47,7 @@
 
 struct SplitCase {
   std::string Name;
-  std::string Parts; ///< The value of traffic_split as JSON.
+  std::string Parts;                 ///< The value of traffic_split as JSON.
   std::vector<Destination> Expected; ///< Empty: the configuration is invalid.
 };
 
--- a/tests/store/MirrorTest.cpp
+++ b/tests/store/MirrorTest.cpp
@@ -45,7 +45,8 @@
   BOOST_TEST(mirror.Era == 3);
 }
 
-// The first era that a new process sees is no restore: removals are not delayed.
+// The first era that a new process sees is no restore: removals are not
+// delayed.
 BOOST_AUTO_TEST_CASE(firstEraIsNoRestore) {
   Mirror mirror;
   BOOST_TEST(enterEra(mirror, 4, Start));
@@ -75,8 +76,8 @@
   BOOST_TEST(mirror.EvacuatedDomains.empty());
 }
 
-// A follower gets the domains that its reader keeps after a restore, and later a
-// list without them.
+// A follower gets the domains that its reader keeps after a restore, and later
+// a list without them.
 BOOST_AUTO_TEST_CASE(followerKeepsWhatItsReaderKeeps) {
   Mirror mirror = sampleMirror();
   enterEra(mirror, 2, Start);
--- a/tests/store/StoreTaskTest.cpp
+++ b/tests/store/StoreTaskTest.cpp
@@ -351,8 +351,9 @@
 
 } // namespace store_test
 
-// With answers that take 25 ms, the store is restored while a list, a watch or a
-// write is under way or just after it; answers of the earlier era arrive late.
+// With answers that take 25 ms, the store is restored while a list, a watch or
+// a write is under way or just after it; answers of the earlier era arrive
+// late.
 BOOST_DATA_TEST_CASE(stateInForceSurvivesARestoreAtAnyMoment, restoreMoments(),
                      moment) {
   RestoreFixture it;
@@ -409,7 +410,8 @@
 }
 
 // An upstream that is not written again after the restore has left.
-BOOST_AUTO_TEST_CASE(upstreamMissingFromTheCopyIsRemovedUnlessItRegistersAgain) {
+BOOST_AUTO_TEST_CASE(
+    upstreamMissingFromTheCopyIsRemovedUnlessItRegistersAgain) {
   RestoreFixture it;
   it.Store.restore(it.Copy);
   BOOST_REQUIRE(it.untilReadAgain());
