http: a caller's head up to the configured limit is read

Cause: reading paused at 64 KiB of unparsed bytes, and a head is parsed only once it is whole, so that a head within a higher limit was never read. Change: the pause follows the limit of the head. Before and after: headsUpToALargeLimitAreRead failed and passes.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -33,9 +33,9 @@
 
 constexpr std::size_t ReadChunkBytes = std::size_t{16} << 10;
 
-// Unparsed bytes of one connection above which reading pauses. A request's
-// head, of 32 KiB at most by default, is parsed only once it is whole.
-constexpr std::size_t MaxUnparsedBytes = std::size_t{64} << 10;
+// Unparsed bytes of one connection above which reading pauses, or the limit of
+// a request's head if that is larger: a head is parsed only once it is whole.
+constexpr std::size_t MinUnparsedLimit = std::size_t{64} << 10;
 
 // How long a closing connection is still read after its last response. Unread
 // bytes would make the kernel reset it before the caller has that response.
@@ -194,6 +194,10 @@
   }
 }
 
+std::size_t Server::maxUnparsedBytes() const {
+  return std::max(MinUnparsedLimit, Limits.MaxHeaderBytes + ReadChunkBytes);
+}
+
 /// \returns false when the connection was closed.
 bool Server::receive(Connection &connection) {
   std::array<char, ReadChunkBytes> chunk;
@@ -215,7 +219,7 @@
     }
     connection.Input.append(chunk.data(), static_cast<std::size_t>(n));
     if (static_cast<std::size_t>(n) < chunk.size() ||
-        connection.Input.size() > MaxUnparsedBytes) {
+        connection.Input.size() > maxUnparsedBytes()) {
       return true;
     }
   }
@@ -270,7 +274,7 @@
     connection.RequestParser.reset();
   }
   // Reading pauses while too much input is unparsed.
-  if (connection.Input.size() > MaxUnparsedBytes && !connection.Closing) {
+  if (connection.Input.size() > maxUnparsedBytes() && !connection.Closing) {
     ev_io_stop(Loop, &connection.ReadWatcher);
   } else {
     ev_io_start(Loop, &connection.ReadWatcher);
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -83,6 +83,7 @@
   void accept();
   void logAcceptFailure();
   void readFrom(Connection &connection);
+  std::size_t maxUnparsedBytes() const;
   bool receive(Connection &connection);
   void parse(Connection &connection);
   void dispatchRequests(Connection &connection);
--- a/tests/http/ServerTest.cpp
+++ b/tests/http/ServerTest.cpp
@@ -296,3 +296,29 @@
   BOOST_TEST(it.EventLoop.runUntil([&] { return busy->has("whole"); }));
   BOOST_TEST(it.connect() == nullptr);
 }
+
+// The configured limit of the head is above the bytes that are buffered by
+// default.
+BOOST_AUTO_TEST_CASE(headsUpToALargeLimitAreRead) {
+  ServerFixture it;
+  CallerLimits limits = smallLimits();
+  limits.MaxHeaderBytes = std::size_t{200} << 10;
+  limits.HeaderTimeout = 5s;
+  it.TestedServer.setLimits(limits);
+  const auto caller = it.connect();
+  std::string request = "GET /large HTTP/1.1\r\nHost: h\r\n";
+  for (unsigned n = 0; n < 3; ++n) {
+    request += "X-Long: " + std::string(std::size_t{50} << 10, 'x') + "\r\n";
+  }
+  request += "\r\n";
+  std::size_t sent = 0;
+  const bool arrived = it.EventLoop.runUntil([&] {
+    constexpr std::size_t part = 4096;
+    if (sent < request.size()) {
+      caller->send(request.substr(sent, part));
+      sent += part;
+    }
+    return it.Ids.contains("/large");
+  });
+  BOOST_TEST(arrived);
+}
