--- a/include/zinniarail/registry/Registry.h
+++ b/include/zinniarail/registry/Registry.h
@@ -88,8 +88,9 @@
 bool markLeaving(Registry &registry, const std::string &id,
                  std::uint64_t startedMs);
 
-/// Drops the registrations whose removal is due, and ends UnconfirmedUntil
-/// where its time has come. \returns whether any upstream changed.
+/// Drops the registrations whose removal is due and ends each UnconfirmedUntil
+/// whose time has come.
+/// \returns whether any upstream changed.
 bool applyDueChanges(Registry &registry, Instant now);
 
 /// When the next change by applyDueChanges is due; Instant::max() when none is
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -77,9 +77,8 @@
      "no free file descriptors; accepting is retried."},
     {EventId::StoreRestored, "store-restored", EventLevel::Warn,
      "The store was restored from an older copy. What was in force stays so, "
-     "all "
-     "data is read again, and upstreams that had left before stay out of use; "
-     "see \"When the store comes back from a copy\" in OPERATIONS.md."},
+     "all data is read again, and upstreams that had left before stay out of "
+     "use; see \"When the store comes back from a copy\" in OPERATIONS.md."},
     {EventId::RequestServed, "request-served", EventLevel::Info,
      "A request was answered in time. Under load only some of these are "
      "listed; see requests-not-listed."},
--- a/src/http/Message.h
+++ b/src/http/Message.h
@@ -55,9 +55,9 @@
 /// The decoded value of a query parameter; empty when it is missing.
 std::string queryParameter(std::string_view target, std::string_view name);
 
-/// Parses the value of a Retry-After header: seconds, with an optional
-/// fraction. \returns the duration, which may be negative, limited to a year
-/// either way; none if the value is not a number. Dates are not supported.
+/// Parses the value of a Retry-After header, a number of seconds that may have
+/// a fraction. Dates are not supported. \returns the duration, which may be
+/// negative, limited to a year either way; none if the value is not a number.
 std::optional<Duration> parseRetryAfter(std::string_view text);
 
 /// The standard reason phrase of a status code.
