--- a/tests/settings/SettingsTest.cpp
+++ b/tests/settings/SettingsTest.cpp
@@ -121,14 +121,14 @@
                      flag) {
   std::vector<std::string> arguments = RequiredFlags;
   std::string callers;
+  const std::string callerStart = "--caller-address=";
   for (const std::string &it : RequiredFlags) {
-    const std::string start = "--caller-address=";
-    callers = it.starts_with(start) ? it.substr(start.size()) : callers;
+    callers =
+        it.starts_with(callerStart) ? it.substr(callerStart.size()) : callers;
   }
+  const std::string start = "--" + flag + "=";
   for (std::string &it : arguments) {
-    if (it.starts_with("--" + flag + "=")) {
-      it = "--" + flag + "=" + callers;
-    }
+    it = it.starts_with(start) ? start + callers : it;
   }
   const auto read = readSettings(arguments, noVariable, noFile);
   BOOST_REQUIRE(!read);
