--- a/tests/settings/SettingsTest.cpp
+++ b/tests/settings/SettingsTest.cpp
@@ -128,7 +128,9 @@
   }
   const std::string start = "--" + flag + "=";
   for (std::string &it : arguments) {
-    it = it.starts_with(start) ? start + callers : it;
+    if (it.starts_with(start)) {
+      it.replace(start.size(), std::string::npos, callers);
+    }
   }
   const auto read = readSettings(arguments, noVariable, noFile);
   BOOST_REQUIRE(!read);
