--- a/include/zinniarail/events/Events.h
+++ b/include/zinniarail/events/Events.h
@@ -37,6 +37,7 @@
   MessagesUnreadable = 215,
   ConnectionNotTaken = 216,
   StoreRestored = 217,
+  StoreRead = 218,
   RequestServed = 310,
   RequestSlow = 311,
   RequestRefused = 312,
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -79,6 +79,10 @@
      "The store was restored from an older copy. What was in force stays so, "
      "all data is read again, and upstreams that had left before stay out of "
      "use; see \"When the store comes back from a copy\" in OPERATIONS.md."},
+    {EventId::StoreRead, "store-read", EventLevel::Info,
+     "A list or a watch of the store ended. The fields give its kind, its "
+     "result, the number of objects, the store revision that they reflect, "
+     "and how long the call took."},
     {EventId::RequestServed, "request-served", EventLevel::Info,
      "A request was answered in time. Under load only some of these are "
      "listed; see requests-not-listed."},
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -53,6 +53,16 @@
   }
 }
 
+void logRead(Kind kind, const char *call, const platform::Reply &reply,
+             Duration took) {
+  logEvent(EventId::StoreRead, {{"kind", nameOf(kind)},
+                                {"call", call},
+                                {"result", nameOf(reply.Result)},
+                                {"objects", reply.Objects.size()},
+                                {"as-of", reply.AsOf.Number},
+                                {"took_ms", took}});
+}
+
 } // namespace
 
 StoreTask::StoreTask(struct ev_loop *loop, const std::string &address,
@@ -176,7 +186,8 @@
 
 void StoreTask::startCall(Kind kind, ListWatchCall call) {
   ListWatch &state = ListWatches[indexOf(kind)];
-  const bool latest = needsLatestRead(state, readClock());
+  const Instant startedAt = readClock();
+  const bool latest = needsLatestRead(state, startedAt);
   const Freshness freshness =
       latest ? Freshness::Latest : Freshness::MayBeStale;
   noteCallStarted(state);
@@ -184,31 +195,33 @@
     if (state.PageCursor.empty()) {
       PartialLists[kind] = {};
     }
-    Client.list(
-        kind, state.PageCursor, freshness, CallTimeout,
-        [this, kind, generation = state.Generation](platform::Reply reply) {
-          if (generation != ListWatches[indexOf(kind)].Generation) {
-            return;
-          }
-          if (acceptEra(reply)) {
-            handleListReply(kind, reply);
-          }
-          advance();
-        });
+    Client.list(kind, state.PageCursor, freshness, CallTimeout,
+                [this, kind, startedAt,
+                 generation = state.Generation](platform::Reply reply) {
+                  if (generation != ListWatches[indexOf(kind)].Generation) {
+                    return;
+                  }
+                  logRead(kind, "list", reply, readClock() - startedAt);
+                  if (acceptEra(reply)) {
+                    handleListReply(kind, reply);
+                  }
+                  advance();
+                });
     return;
   }
   const Duration wait = latest ? LatestWatchWait : WatchWait;
-  Client.watch(
-      kind, state.AsOf, wait, freshness, wait + CallTimeout,
-      [this, kind, generation = state.Generation](platform::Reply reply) {
-        if (generation != ListWatches[indexOf(kind)].Generation) {
-          return;
-        }
-        if (acceptEra(reply)) {
-          handleWatchReply(kind, reply);
-        }
-        advance();
-      });
+  Client.watch(kind, state.AsOf, wait, freshness, wait + CallTimeout,
+               [this, kind, startedAt,
+                generation = state.Generation](platform::Reply reply) {
+                 if (generation != ListWatches[indexOf(kind)].Generation) {
+                   return;
+                 }
+                 logRead(kind, "watch", reply, readClock() - startedAt);
+                 if (acceptEra(reply)) {
+                   handleWatchReply(kind, reply);
+                 }
+                 advance();
+               });
 }
 
 // Compares the era of a reply with the latest one seen. The first reply of a
