Test that fails: a silent watch hides a change beyond the propagation limit

The store may hold a watch without reporting a change, and a read that may be stale may not show it. The stand-in store learns both faults.

--- a/standins/store/Store.cpp
+++ b/standins/store/Store.cpp
@@ -115,19 +115,31 @@
                          bool deleted) {
   const json::value event{{"deleted", deleted}, {"object", object}};
   History.push_back({Revision, kind, event});
+  if (!Faults.LoseNotifications) {
+    answerAffectedWatches(kind);
+  }
+}
+
+void Store::answerAffectedWatches(const std::string &kind) {
   std::list<Watch> affected;
   for (auto it = Watches.begin(); it != Watches.end();) {
     const auto next = std::next(it);
-    if (it->Kind == kind) {
+    if (it->Kind == kind && !(it->MayBeStale && StaleCopy)) {
       affected.splice(affected.end(), Watches, it);
     }
     it = next;
   }
   for (const Watch &it : affected) {
-    handleWatch(it.Id, kind, it.AfterRevision, Duration{0});
+    handleWatch(it, Duration{0});
   }
 }
 
+void Store::beginStaleReads() {
+  StaleCopy = std::make_unique<const Copy>(takeCopy());
+}
+
+void Store::endStaleReads() { StaleCopy.reset(); }
+
 void Store::compactHistory() {
   History.clear();
   CompactedRevision = Revision;
@@ -198,15 +210,24 @@
 
 void Store::handleRead(http::ExchangeId id, const std::string &kind,
                        const std::string &name, const http::Request &request) {
+  const bool mayBeStale =
+      http::queryParameter(request.Target, "serializable") == "1";
   const std::string afterRevision =
       http::queryParameter(request.Target, "watch");
   if (!afterRevision.empty()) {
     const auto wait =
         parseNumber(http::queryParameter(request.Target, "wait_ms"));
-    return handleWatch(id, kind, parseNumber(afterRevision),
-                       std::chrono::milliseconds{wait});
+    return handleWatch(
+        {id, kind, parseNumber(afterRevision), mayBeStale, Instant{}},
+        std::chrono::milliseconds{wait});
   }
-  const auto &objects = Objects[kind];
+  const bool isStale = mayBeStale && StaleCopy;
+  const auto found =
+      isStale ? StaleCopy->Objects.find(kind) : Objects.find(kind);
+  const std::map<std::string, StoredObject> none;
+  const auto &objects = found == (isStale ? StaleCopy->Objects : Objects).end()
+                            ? none
+                            : found->second;
   if (!name.empty()) {
     const auto it = objects.find(name);
     return it == objects.end() ? respond(id, NotFound, nullptr)
@@ -223,26 +244,30 @@
   respond(id, Ok,
           {{"items", std::move(items)},
            {"has_more", it != objects.end()},
-           {"as_of", Revision}});
+           {"as_of", isStale ? StaleCopy->Revision : Revision}});
 }
 
-void Store::handleWatch(http::ExchangeId id, const std::string &kind,
-                        std::uint64_t afterRevision, Duration wait) {
+void Store::handleWatch(Watch watch, Duration wait) {
+  const std::uint64_t asOf =
+      watch.MayBeStale && StaleCopy ? StaleCopy->Revision : Revision;
   json::array events;
   for (const Change &it : History) {
-    if (it.Kind == kind && it.Revision > afterRevision) {
+    if (it.Kind == watch.Kind && it.Revision > watch.AfterRevision &&
+        it.Revision <= asOf) {
       events.push_back(it.Event);
     }
   }
-  const bool isLost = !events.empty() && afterRevision < CompactedRevision;
-  if (isLost || afterRevision > Revision) {
-    return respond(id, Gone, nullptr);
+  const bool isLost =
+      !events.empty() && watch.AfterRevision < CompactedRevision;
+  if (isLost || watch.AfterRevision > Revision) {
+    return respond(watch.Id, Gone, nullptr);
   }
   if (events.empty() && wait > Duration{0}) {
-    Watches.push_back({id, kind, afterRevision, readClock() + wait});
+    watch.Deadline = readClock() + wait;
+    Watches.push_back(std::move(watch));
     return;
   }
-  respond(id, Ok, {{"events", std::move(events)}, {"as_of", Revision}});
+  respond(watch.Id, Ok, {{"events", std::move(events)}, {"as_of", asOf}});
 }
 
 void Store::handleWrite(http::ExchangeId id, const std::string &kind,
@@ -322,7 +347,7 @@
     if (current->Deadline <= now) {
       const Watch expired = *current;
       Watches.erase(current);
-      respond(expired.Id, Ok, {{"events", json::array{}}, {"as_of", Revision}});
+      handleWatch(expired, Duration{0});
     }
   }
 }
--- a/standins/store/Store.h
+++ b/standins/store/Store.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <memory>
 #include <string>
 
 #include <boost/json/value.hpp>
@@ -35,6 +36,9 @@
   /// Fraction of writes that are applied but whose connection closes without a
   /// response.
   double LostResponseFraction = 0;
+  /// A change does not end the watches that wait for it; they end when their
+  /// wait is over.
+  bool LoseNotifications = false;
 };
 
 /// Serves the store over HTTP. Used only on the thread of its loop.
@@ -67,6 +71,11 @@
   /// store doesn't have get 410.
   void restore(const Copy &copy);
 
+  /// Until endStaleReads, reads that may be stale reflect the store as it is
+  /// now.
+  void beginStaleReads();
+  void endStaleReads();
+
   /// Closes the connection of every pending watch without a response.
   void disconnectWatches();
 
@@ -104,6 +113,7 @@
     http::ExchangeId Id = 0;
     std::string Kind;
     std::uint64_t AfterRevision = 0;
+    bool MayBeStale = false;
     Instant Deadline{};
   };
   struct DelayedResponse {
@@ -115,8 +125,8 @@
   void handleRequest(http::ExchangeId id, const http::Request &request);
   void handleRead(http::ExchangeId id, const std::string &kind,
                   const std::string &name, const http::Request &request);
-  void handleWatch(http::ExchangeId id, const std::string &kind,
-                   std::uint64_t afterRevision, Duration wait);
+  void handleWatch(Watch watch, Duration wait);
+  void answerAffectedWatches(const std::string &kind);
   void handleWrite(http::ExchangeId id, const std::string &kind,
                    const std::string &name, const http::Request &request);
   void respond(http::ExchangeId id, unsigned status,
@@ -139,6 +149,7 @@
   using ObjectsByKind =
       std::map<std::string, std::map<std::string, StoredObject>>;
   ObjectsByKind Objects;
+  std::unique_ptr<const Copy> StaleCopy; ///< What stale reads see, if set.
   std::deque<Change> History;
   std::list<Watch> Watches;
   std::list<DelayedResponse> DelayedResponses;
--- a/tests/store/StoreTaskTest.cpp
+++ b/tests/store/StoreTaskTest.cpp
@@ -219,6 +219,89 @@
 
 namespace store_test {
 
+/// What may be wrong with the store while a change is made.
+enum class ReadFault : std::uint8_t {
+  LostNotification,      ///< Watches of the change stay silent.
+  LostAfterDroppedWatch, ///< Likewise, on the watches after dropped ones.
+  StaleReads,            ///< Reads that may be stale do not show the change.
+};
+
+/// A change to each kind of objects, by its kind.
+struct ChangeCase {
+  const char *Kind;
+  std::function<void(standins::Store &)> Make;
+  std::function<bool(const Fixture &)> IsSeen;
+};
+
+const std::vector<ChangeCase> &changeCases() {
+  static const std::vector<ChangeCase> Cases{
+      {"configuration",
+       [](standins::Store &it) { it.put("config", "main", configuration(2)); },
+       [](const Fixture &it) { return it.version() == 2; }},
+      {"new upstream",
+       [](standins::Store &it) { it.put("servers", "u2", registration("s")); },
+       [](const Fixture &it) { return it.hasUpstream("u2"); }},
+      {"draining upstream",
+       [](standins::Store &it) {
+         it.put("servers", "u1", registration("s", "draining"));
+       },
+       [](const Fixture &it) {
+         return it.LocalMirror.Upstreams.Entries.at("u1").Record.Draining;
+       }},
+      {"removed upstream",
+       [](standins::Store &it) { it.remove("servers", "u1"); },
+       [](const Fixture &it) { return !it.hasUpstream("u1"); }},
+      {"evacuation",
+       [](standins::Store &it) { it.put("evacuations", "b", json::object{}); },
+       [](const Fixture &it) {
+         return it.LocalMirror.EvacuatedDomains.contains("b");
+       }}};
+  return Cases;
+}
+
+std::ostream &operator<<(std::ostream &out, const ChangeCase &it) {
+  return out << it.Kind;
+}
+
+std::ostream &operator<<(std::ostream &out, ReadFault it) {
+  return out << static_cast<int>(it);
+}
+
+// The users' bound on how soon an acknowledged change is in force.
+constexpr Duration PropagationLimit = 2s;
+
+} // namespace store_test
+
+BOOST_DATA_TEST_CASE(silentWatchHidesAChangeBeyondThePropagationLimit,
+                     changeCases() * (std::vector<ReadFault>{
+                                         ReadFault::LostNotification,
+                                         ReadFault::LostAfterDroppedWatch,
+                                         ReadFault::StaleReads}),
+                     change, fault) {
+  Fixture it;
+  it.LocalMirror.Era = it.Store.era(); // Stale reads are used from the start.
+  it.Store.put("config", "main", configuration(1));
+  it.Store.put("servers", "u1", registration("s"));
+  it.Task.startReading();
+  BOOST_REQUIRE(it.untilHealthy());
+  BOOST_REQUIRE(it.runUntil([&] { return it.Store.pendingWatches() == 4; }));
+  if (fault == ReadFault::LostAfterDroppedWatch) {
+    it.Store.compactHistory();
+    BOOST_REQUIRE(it.runUntil([&] { return it.Store.pendingWatches() == 4; }));
+  }
+  if (fault == ReadFault::StaleReads) {
+    it.Store.beginStaleReads();
+  } else {
+    it.Store.Faults.LoseNotifications = true;
+  }
+  change.Make(it.Store);
+  const Instant madeAt = readClock();
+  BOOST_TEST(it.runUntil([&] { return change.IsSeen(it); }));
+  BOOST_TEST((readClock() - madeAt <= PropagationLimit));
+}
+
+namespace store_test {
+
 Instance instance(const std::string &id, const std::string &domain = "a") {
   return {id, domain, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", false};
 }
