--- a/include/zinniarail/settings/Settings.h
+++ b/include/zinniarail/settings/Settings.h
@@ -31,6 +31,8 @@
   double Cores = 0;               ///< CPU cores available to this instance.
   double LinkMbps = 0;            ///< Outgoing bandwidth in Mbit/s.
   std::string LogLevel;
+  /// Time within which a change in the store must be in force everywhere.
+  Duration PropagationLimit{};
   Duration StopTimeout{};     ///< Maximum duration of a graceful stop.
   Duration ResolveLifetime{}; ///< How long callers may cache addresses.
   /// Retries and hedges per request, over all instances.
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -192,8 +192,8 @@
       RequestProxy(makeProxyContext(Options), proxyCallbacks(), Registry),
       CallerServer(Loop, callerHandlers()), ReadyServer(Loop, readyHandlers()),
       DirectoryServer(Loop, directoryHandlers()),
-      Store(Loop, Options.StoreAddress, LocalMirror, Options.Seed,
-            storeHandlers()),
+      Store(Loop, Options.StoreAddress, LocalMirror, Options.PropagationLimit,
+            Options.Seed, storeHandlers()),
       Peers(Loop, describeSelf(Options, drawSeed()), Options.Seeds,
             Options.FirstStart ? FirstStartDiscoveryTime : DiscoveryTime,
             Options.LinkMbps, peerHandlers()),
@@ -333,9 +333,9 @@
   const auto age = [&](Instant then) {
     return std::chrono::duration<double>(now - then).count();
   };
-  // The state is current while the store answers the health checks that this
-  // instance sends every half second, or while the reader that it follows
-  // reports that the store answers it.
+  // The state is current as of the last read of the store that showed that no
+  // change was missed, or while the reader that this instance follows reports
+  // that the store answers it.
   StateAge.Add({{"of", "store"}}).Set(age(StateCurrentAt));
   const auto set = [&](const char *what, std::size_t value) {
     StateCounts.Add({{"what", what}}).Set(static_cast<double>(value));
@@ -358,7 +358,9 @@
 }
 
 void Daemon::tick() {
-  if (Peers.isStateCurrent()) {
+  if (Peers.duty() == Duty::Read) {
+    StateCurrentAt = std::max(StateCurrentAt, Store.currentAt());
+  } else if (Peers.isStateCurrent()) {
     StateCurrentAt = readClock();
   }
   if (Peers.duty() == Duty::Read) {
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -181,6 +181,10 @@
                     "outgoing bandwidth in Mbit/s; instances with more are "
                     "preferred likewise"),
       logLevelSetting(),
+      durationSetting("propagation-limit", &S::PropagationLimit, "2s", 100ms,
+                      60s,
+                      "time within which a change in the store must be in "
+                      "force everywhere"),
       durationSetting("stop-timeout", &S::StopTimeout, "30s", 100ms, 600s,
                       "maximum duration of a graceful stop"),
       durationSetting(
--- a/src/store/ListWatch.cpp
+++ b/src/store/ListWatch.cpp
@@ -15,61 +15,116 @@
 constexpr double MinJitterFactor = 0.5;
 
 void noteSuccess(ListWatch &state) {
-  state.InFlight = false;
+  state.InFlight = ListWatchCall::None;
   state.NextAt = Instant{};
 }
 
+bool isBehind(const ListWatch &state) {
+  return state.AsOf < state.StoreRevision;
+}
+
+void noteProgress(ListWatch &state) {
+  if (!isBehind(state)) {
+    state.CheckAt = Instant::max();
+    state.CurrentAt = std::max(state.CurrentAt, state.StoreRevisionAt);
+  }
+}
+
 bool needsList(const ListWatch &state, Instant now) {
   return !state.ListComplete || !state.PageCursor.empty() ||
-         now >= state.RelistAt;
+         now >= std::min(state.RelistAt, state.CheckAt);
 }
 
 } // namespace
 
 ListWatchCall nextCall(const ListWatch &state, Instant now) {
-  if (state.InFlight || now < state.NextAt) {
+  if (now < nextCallAt(state)) {
     return ListWatchCall::None;
   }
   return needsList(state, now) ? ListWatchCall::List : ListWatchCall::Watch;
 }
 
+Instant nextCallAt(const ListWatch &state) {
+  switch (state.InFlight) {
+  case ListWatchCall::None:
+    return state.NextAt;
+  case ListWatchCall::List:
+    return Instant::max();
+  case ListWatchCall::Watch:
+    return state.CheckAt;
+  }
+  return Instant::max();
+}
+
 bool needsLatestRead(const ListWatch &state, Instant now) {
-  return now < state.LatestReadsUntil || needsList(state, now);
+  const bool mayListStale = state.ListComplete && !state.LastListWasStale;
+  return now < state.LatestReadsUntil ||
+         (needsList(state, now) && !mayListStale);
 }
 
-void noteCallStarted(ListWatch &state) { state.InFlight = true; }
+void noteCallStarted(ListWatch &state, ListWatchCall call) {
+  if (state.InFlight != ListWatchCall::None) {
+    ++state.Generation;
+  }
+  state.InFlight = call;
+}
 
-void noteListPage(ListWatch &state, std::uint64_t asOf,
+void noteStoreRevision(ListWatch &state, std::uint64_t revision, Instant at,
+                       Instant now) {
+  if (!state.ListComplete || revision < state.StoreRevision) {
+    return;
+  }
+  state.StoreRevision = revision;
+  state.StoreRevisionAt = at;
+  state.CheckAt = std::min(state.CheckAt, now + MaxNotificationDelay);
+  noteProgress(state);
+}
+
+bool noteListPage(ListWatch &state, std::uint64_t asOf,
                   const std::string &lastName, Instant now) {
   noteSuccess(state);
+  if (asOf < state.StoreRevision) {
+    state.LastListWasStale = true;
+    state.PageCursor.clear();
+    state.CheckAt = now;
+    return false;
+  }
+  if (state.PageCursor.empty()) {
+    state.StoreRevision = asOf;
+    state.StoreRevisionAt = now;
+  }
   // The watch starts at the revision of the first page, so that changes between
   // two pages are not missed.
   state.AsOf = state.PageCursor.empty() ? asOf : std::min(state.AsOf, asOf);
   state.PageCursor = lastName;
   if (lastName.empty()) {
     state.ListComplete = true;
+    state.LastListWasStale = false;
     state.RelistAt = now + RelistInterval;
+    noteProgress(state);
   }
+  return true;
 }
 
 void noteWatchReply(ListWatch &state, std::uint64_t asOf, bool hasChanges,
                     Instant now) {
   noteSuccess(state);
   state.AsOf = std::max(state.AsOf, asOf);
+  noteProgress(state);
   if (hasChanges) {
     state.NextAt = now + WatchBatchDelay;
   }
 }
 
 void noteHistoryGone(ListWatch &state, Instant now) {
-  state.InFlight = false;
+  state.InFlight = ListWatchCall::None;
   state.ListComplete = false;
   state.LatestReadsUntil = now + LatestReadPeriod;
   state.PageCursor.clear();
 }
 
 void noteFailure(ListWatch &state, bool connectionLost, Instant now) {
-  state.InFlight = false;
+  state.InFlight = ListWatchCall::None;
   state.NextAt = Instant::max();
   if (connectionLost && state.ListComplete) {
     state.LatestReadsUntil = now + LatestReadPeriod;
@@ -78,10 +133,14 @@
 
 void restart(ListWatch &state) {
   ++state.Generation;
-  state.InFlight = false;
+  state.InFlight = ListWatchCall::None;
   state.ListComplete = false;
   state.PageCursor.clear();
   state.NextAt = Instant{};
+  // The revisions of a restored store start over from a lower one.
+  state.StoreRevision = 0;
+  state.CheckAt = Instant::max();
+  state.LastListWasStale = false;
 }
 
 void noteFailure(RetryState &retry, Random &rng, Instant now) {
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -33,6 +33,10 @@
 // not show that the store has become unreachable.
 constexpr Duration PingInterval = std::chrono::milliseconds{500};
 
+// Fraction of the propagation limit between two reads of the store's revision.
+// The rest is for the list that follows and for telling the followers.
+constexpr double RevisionReadFraction = 0.75;
+
 // Minimum time between two writes of the record: instances start and stop in
 // groups.
 constexpr Duration RecordWriteInterval = std::chrono::milliseconds{1000};
@@ -66,9 +70,12 @@
 } // namespace
 
 StoreTask::StoreTask(struct ev_loop *loop, const std::string &address,
-                     Mirror &mirror, std::uint64_t seed, StoreHandlers handlers)
+                     Mirror &mirror, Duration propagationLimit,
+                     std::uint64_t seed, StoreHandlers handlers)
     : Loop(loop), LocalMirror(mirror), Handlers(std::move(handlers)), Rng(seed),
-      Client(loop, address) {
+      Client(loop, address),
+      RevisionReadInterval(std::chrono::duration_cast<Duration>(
+          propagationLimit * RevisionReadFraction)) {
   ev_timer_init(
       &Timer,
       [](struct ev_loop *, ev_timer *it, int) {
@@ -140,32 +147,47 @@
   }
 }
 
-// Lists the kind with the fewest objects as a health check of the store. After
-// a failure, the backoff is multiplied by the election rank plus one.
+// Lists the kind with the fewest objects as a health check of the store. Some
+// of these lists must return the latest state: they show the store's revision.
+// After a failure, the backoff is multiplied by the election rank plus one.
 void StoreTask::pingIfDue(Instant now) {
   if (Ping.InFlight || now < Ping.NextAt) {
     return;
   }
   Ping.InFlight = true;
-  Client.list(Kind::Evacuations, "", Freshness::MayBeStale, PingTimeout,
-              [this, generation = PingGeneration](platform::Reply reply) {
-                if (generation != PingGeneration) {
-                  return;
-                }
-                const Instant repliedAt = readClock();
-                acceptEra(reply);
-                if (reply.Result == Outcome::Done) {
-                  HasAnswered = true;
-                  noteAvailable();
-                  Ping = {false, 0, repliedAt + PingInterval};
-                } else {
-                  noteUnavailable("health check", reply);
-                  noteFailure(Ping, Rng, repliedAt);
-                  Ping.NextAt += (Ping.NextAt - repliedAt) *
-                                 static_cast<Duration::rep>(ElectionRank);
-                }
-                advance();
-              });
+  const bool readsRevision = HasAnswered && !Unavailable &&
+                             now - RevisionReadAt >= RevisionReadInterval;
+  if (readsRevision) {
+    RevisionReadAt = now;
+  }
+  Client.list(
+      Kind::Evacuations, "",
+      readsRevision ? Freshness::Latest : Freshness::MayBeStale, PingTimeout,
+      [this, readsRevision, now,
+       generation = PingGeneration](platform::Reply reply) {
+        if (generation != PingGeneration) {
+          return;
+        }
+        const Instant repliedAt = readClock();
+        acceptEra(reply);
+        if (reply.Result == Outcome::Done) {
+          HasAnswered = true;
+          noteAvailable();
+          if (readsRevision) {
+            for (ListWatch &it : ListWatches) {
+              noteStoreRevision(it, reply.AsOf.Number, now, repliedAt);
+            }
+          }
+          Ping = {false, 0,
+                  repliedAt + std::min(PingInterval, RevisionReadInterval)};
+        } else {
+          noteUnavailable("health check", reply);
+          noteFailure(Ping, Rng, repliedAt);
+          Ping.NextAt += (Ping.NextAt - repliedAt) *
+                         static_cast<Duration::rep>(ElectionRank);
+        }
+        advance();
+      });
 }
 
 Instant StoreTask::nextDueAt() const {
@@ -178,7 +200,7 @@
     return next;
   }
   for (const ListWatch &it : ListWatches) {
-    consider(it.InFlight, it.NextAt);
+    next = std::min(next, nextCallAt(it));
   }
   consider(RecordWrite.InFlight || !isRecordOutdated(), RecordWrite.NextAt);
   return next;
@@ -190,7 +212,7 @@
   const bool latest = needsLatestRead(state, startedAt);
   const Freshness freshness =
       latest ? Freshness::Latest : Freshness::MayBeStale;
-  noteCallStarted(state);
+  noteCallStarted(state, call);
   if (call == ListWatchCall::List) {
     if (state.PageCursor.empty()) {
       PartialLists[kind] = {};
@@ -325,8 +347,10 @@
     }
   }
   const bool more = reply.HasMore && !reply.Objects.empty();
-  noteListPage(state, reply.AsOf.Number, more ? reply.Objects.back().Name : "",
-               readClock());
+  const std::string lastName = more ? reply.Objects.back().Name : "";
+  if (!noteListPage(state, reply.AsOf.Number, lastName, readClock())) {
+    return;
+  }
   if (!more) {
     finishList(kind, {LocalMirror.Era, state.AsOf});
   }
@@ -526,14 +550,23 @@
   Handlers.Changed(Kind::Instances);
 }
 
+Instant StoreTask::currentAt() const {
+  Instant at = Instant::max();
+  for (const ListWatch &it : ListWatches) {
+    at = std::min(at, it.CurrentAt);
+  }
+  return at;
+}
+
 boost::json::object StoreTask::describe(Instant now) const {
   boost::json::object listWatches;
   for (const Kind kind : AllKinds) {
     const ListWatch &it = ListWatches[indexOf(kind)];
-    listWatches[nameOf(kind)] = {{"watches", it.ListComplete},
-                                 {"running", it.InFlight},
-                                 {"asOf", it.AsOf},
-                                 {"latest", needsLatestRead(it, now)}};
+    listWatches[nameOf(kind)] = {
+        {"watches", it.ListComplete},
+        {"running", it.InFlight != ListWatchCall::None},
+        {"asOf", it.AsOf},
+        {"latest", needsLatestRead(it, now)}};
   }
   boost::json::object calls;
   for (const auto &[key, count] : Client.counts()) {
--- a/src/store/StoreTask.h
+++ b/src/store/StoreTask.h
@@ -37,8 +37,11 @@
 public:
   /// \param loop outlives the task, and so does \p mirror.
   /// \param address "ip:port" of the store.
+  /// \param propagationLimit time within which a change in the store must be in
+  /// force everywhere.
   StoreTask(struct ev_loop *loop, const std::string &address, Mirror &mirror,
-            std::uint64_t seed, StoreHandlers handlers);
+            Duration propagationLimit, std::uint64_t seed,
+            StoreHandlers handlers);
   ~StoreTask();
   StoreTask(const StoreTask &) = delete;
   StoreTask &operator=(const StoreTask &) = delete;
@@ -70,6 +73,10 @@
   /// The recorded instances of all failure domains, live or not.
   std::vector<Instance> recordedInstances() const;
 
+  /// Time up to which all changes in the store are known; Instant::min() until
+  /// every kind has been listed.
+  Instant currentAt() const;
+
   const platform::CallCounts &callCounts() const { return Client.counts(); }
 
   /// The state as JSON with stable keys, for a dump.
@@ -106,6 +113,8 @@
   Random Rng;
   platform::StoreClient Client;
   ev_timer Timer{};
+  Duration RevisionReadInterval; ///< Between reads of the store's revision.
+  Instant RevisionReadAt{};      ///< Start of the last one.
   bool Reading = false;
   bool ReportedHealthy = false; ///< Last value passed to HealthChanged.
   std::size_t ElectionRank = 0;
--- a/tests/store/StoreTaskTest.cpp
+++ b/tests/store/StoreTaskTest.cpp
@@ -12,6 +12,9 @@
 
 namespace store_test {
 
+// The users' bound on how soon an acknowledged change is in force.
+constexpr Duration PropagationLimit = 2s;
+
 json::object registration(const std::string &service,
                           const std::string &state = "ready") {
   return {
@@ -53,7 +56,7 @@
       : Store(EventLoop.Loop),
         Address(http::listenOnFreePort(
             [&](const auto &it) { return Store.listen(it); })),
-        Task(EventLoop.Loop, Address, LocalMirror, 1,
+        Task(EventLoop.Loop, Address, LocalMirror, PropagationLimit, 1,
              {[](platform::Kind) {},
               [this](bool healthy) { Healthy = healthy; }}) {}
 
@@ -267,9 +270,6 @@
   return out << static_cast<int>(it);
 }
 
-// The users' bound on how soon an acknowledged change is in force.
-constexpr Duration PropagationLimit = 2s;
-
 } // namespace store_test
 
 BOOST_DATA_TEST_CASE(silentWatchHidesAChangeBeyondThePropagationLimit,
@@ -288,6 +288,8 @@
   if (fault == ReadFault::LostAfterDroppedWatch) {
     it.Store.compactHistory();
     BOOST_REQUIRE(it.runUntil([&] { return it.Store.pendingWatches() == 4; }));
+    // Removals are delayed until registrations that expired are renewed.
+    it.EventLoop.runFor(ReregistrationGrace);
   }
   if (fault == ReadFault::StaleReads) {
     it.Store.beginStaleReads();
