store: the first answer of the store calls for no current watches

Cause: the first era that a process sees was treated as a restore, so that a whole system that starts for the first time held watches at ten times the price for 20 s. A process that starts in a running system asks for them itself.

Test: firstAnswerOfTheStoreDoesNotMakeWatchesExpensive, failed before (8 current reads, 4 expected).

--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -255,11 +255,13 @@
   const std::uint64_t known = LocalMirror.Era;
   const Instant now = readClock();
   if (reply.Era && enterEra(LocalMirror, *reply.Era, now)) {
-    if (known != 0 || LocalMirror.Config) {
+    const bool isRestore = known != 0 || LocalMirror.Config;
+    if (isRestore) {
       logEvent(EventId::StoreRestored,
                {{"era", *reply.Era}, {"before", known}});
+      avoidStaleReads();
     }
-    restartReads(now + LatestReadPeriod);
+    restartReads();
     return false;
   }
   const bool hasContent =
@@ -272,7 +274,11 @@
   return true;
 }
 
-void StoreTask::restartReads(Instant latestReadsUntil) {
+void StoreTask::restartReads() {
+  Instant latestReadsUntil{};
+  for (const ListWatch &it : ListWatches) {
+    latestReadsUntil = std::max(latestReadsUntil, it.LatestReadsUntil);
+  }
   for (ListWatch &it : ListWatches) {
     restart(it);
     it.LatestReadsUntil = latestReadsUntil;
@@ -317,12 +323,7 @@
   logEvent(EventId::PlatformBack,
            "after " + std::to_string(Ping.Failures) + " failed health checks");
   recordStoreRecovery(LocalMirror.Upstreams, readClock());
-  const auto longest =
-      std::max_element(ListWatches.begin(), ListWatches.end(),
-                       [](const ListWatch &a, const ListWatch &b) {
-                         return a.LatestReadsUntil < b.LatestReadsUntil;
-                       });
-  restartReads(longest->LatestReadsUntil);
+  restartReads();
 }
 
 void StoreTask::reportHealth() {
--- a/src/store/StoreTask.h
+++ b/src/store/StoreTask.h
@@ -98,7 +98,7 @@
   void noteAvailable();
   void noteAsOf(platform::Kind kind, StoreRevision asOf);
   bool acceptEra(platform::Reply &reply);
-  void restartReads(Instant latestReadsUntil);
+  void restartReads();
   void reportHealth();
   void applyObject(platform::Kind kind, const platform::Object &object);
   void applyConfiguration(const platform::Object &object);
--- a/tests/store/StoreTaskTest.cpp
+++ b/tests/store/StoreTaskTest.cpp
@@ -203,6 +203,17 @@
   BOOST_TEST(it.hasUpstream("u2"));
 }
 
+// Only a restore of the store that this process has read calls for it.
+BOOST_AUTO_TEST_CASE(firstAnswerOfTheStoreDoesNotMakeWatchesExpensive) {
+  Fixture it;
+  it.Store.put("config", "main", configuration(1));
+  it.Task.startReading();
+  BOOST_REQUIRE(it.untilHealthy());
+  BOOST_REQUIRE(it.runUntil([&] { return it.Store.pendingWatches() == 4; }));
+  const unsigned lists = 4;
+  BOOST_TEST(it.Store.LatestReads == lists);
+}
+
 BOOST_AUTO_TEST_CASE(lostHistoryCausesAListAndLatestReadsForAWhile) {
   Fixture it;
   it.Store.put("config", "main", configuration(1));
