Test: dead kept connections to the store delay a change no longer than allowed

Connections may go silent without a reset while new ones work. The health check notices, and all reads start over. Nothing had to be changed.

--- a/tests/store/StoreTaskTest.cpp
+++ b/tests/store/StoreTaskTest.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "../http/RawConnection.h"
+#include "link/Link.h"
 #include "store/Store.h"
 #include "store/StoreTask.h"
 
@@ -15,6 +16,9 @@
 // The users' bound on how soon an acknowledged change is in force.
 constexpr Duration PropagationLimit = 2s;
 
+// How long after a disruption the users' bounds do not hold.
+constexpr Duration StableWindow = 3s;
+
 json::object registration(const std::string &service,
                           const std::string &state = "ready") {
   return {
@@ -50,16 +54,27 @@
         {"idle_timeout", "15000ms"}}}};
 }
 
-/// A stand-in store and a StoreTask on one event loop.
+/// A stand-in store, a link to it and a StoreTask on one event loop.
 struct Fixture {
   Fixture()
       : Store(EventLoop.Loop),
         Address(http::listenOnFreePort(
             [&](const auto &it) { return Store.listen(it); })),
-        Task(EventLoop.Loop, Address, LocalMirror, PropagationLimit, 1,
+        Link(makeLink(EventLoop.Loop, Address)),
+        Task(EventLoop.Loop, Link->address(), LocalMirror, PropagationLimit, 1,
              {[](platform::Kind) {},
               [this](bool healthy) { Healthy = healthy; }}) {}
 
+  static std::unique_ptr<standins::Link> makeLink(struct ev_loop *loop,
+                                                  const std::string &target) {
+    std::unique_ptr<standins::Link> link;
+    http::listenOnFreePort([&](const std::string &it) {
+      link = std::make_unique<standins::Link>(loop, it, target);
+      return link->listen();
+    });
+    return link;
+  }
+
   template <typename Condition> bool runUntil(Condition holds) {
     return EventLoop.runUntil(holds);
   }
@@ -79,6 +94,7 @@
   http::TestLoop EventLoop;
   standins::Store Store;
   std::string Address;
+  std::unique_ptr<standins::Link> Link;
   Mirror LocalMirror;
   bool Healthy = false;
   StoreTask Task;
@@ -313,6 +329,23 @@
   BOOST_TEST((readClock() - madeAt <= PropagationLimit));
 }
 
+// The users allow the limit from when such connections are no excuse any more.
+BOOST_DATA_TEST_CASE(deadKeptConnectionsHideAChangeBeyondThePropagationLimit,
+                     changeCases(), change) {
+  Fixture it;
+  it.Store.put("config", "main", configuration(1));
+  it.Store.put("servers", "u1", registration("s"));
+  it.Task.startReading();
+  BOOST_REQUIRE(it.untilHealthy());
+  BOOST_REQUIRE(it.runUntil([&] { return it.Store.pendingWatches() == 4; }));
+  it.EventLoop.runFor(1s); // Lists and health checks leave idle connections.
+  it.Link->blackhole();
+  change.Make(it.Store);
+  const Instant madeAt = readClock();
+  BOOST_TEST(it.runUntil([&] { return change.IsSeen(it); }));
+  BOOST_TEST((readClock() - madeAt <= StableWindow + PropagationLimit));
+}
+
 namespace store_test {
 
 Instance instance(const std::string &id, const std::string &domain = "a") {
