proxy: an instance with an outdated view denies no route for good

What callers saw: 404 from an instance that had lost the store, for a route that others had in force. Callers don't repeat after a 404, though the next instance would have served them.

Cause: no-route was stated whatever the age of the view. Change: while it has been unknown for longer than the propagation limit whether the store holds a newer configuration, a request that matches no route gets 503 state-outdated with Retry-After. A reader is as current as its last proof, a follower as its reader says.

Test: unknownRouteIsNotDeniedForGoodByAnOutdatedInstance (real processes), failed before with 404.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -108,6 +108,8 @@
   /// Ends the loop when the stop is complete or takes too long.
   void checkStop();
   bool isReady() const;
+  /// Time up to which LocalMirror is known to contain all changes.
+  Instant stateCurrentAt() const;
 
   template <auto Method, typename Watcher>
   static void invoke(struct ev_loop *, Watcher *it, int) {
@@ -137,7 +139,7 @@
   store::StoreTask Store;
   fleet::PeerTask Peers;
   OperatorPort Operators;
-  Instant StateCurrentAt{}; ///< When LocalMirror was last known to be current.
+  Instant StateCurrentAt{};      ///< The last value of stateCurrentAt.
   bool SnapshotOutdated = false; ///< RequestProxy needs a new snapshot.
   bool HasUpstreamList = false;  ///< A complete list was received.
   bool Stopping = false;
@@ -243,7 +245,10 @@
       },
       [this](const std::string &address) { Pool.closeIdle(address); },
       [this](const balance::CrashSuspect &it) { Peers.broadcastSuspected(it); },
-      [this](std::uint64_t it) { Peers.broadcastQuarantined(it); }};
+      [this](std::uint64_t it) { Peers.broadcastQuarantined(it); },
+      [this] {
+        return readClock() - stateCurrentAt() > Options.PropagationLimit;
+      }};
 }
 
 http::ServerHandlers Daemon::callerHandlers() {
@@ -336,7 +341,7 @@
   // The state is current as of the last read of the store that showed that no
   // change was missed, or while the reader that this instance follows reports
   // that the store answers it.
-  StateAge.Add({{"of", "store"}}).Set(age(StateCurrentAt));
+  StateAge.Add({{"of", "store"}}).Set(age(stateCurrentAt()));
   const auto set = [&](const char *what, std::size_t value) {
     StateCounts.Add({{"what", what}}).Set(static_cast<double>(value));
   };
@@ -358,11 +363,7 @@
 }
 
 void Daemon::tick() {
-  if (Peers.duty() == Duty::Read) {
-    StateCurrentAt = std::max(StateCurrentAt, Store.currentAt());
-  } else if (Peers.isStateCurrent()) {
-    StateCurrentAt = readClock();
-  }
+  StateCurrentAt = stateCurrentAt();
   if (Peers.duty() == Duty::Read) {
     Store.setInstancesToRecord(Options.FailureDomain,
                                Peers.instancesInOwnDomain());
@@ -374,6 +375,13 @@
   flushLog();
 }
 
+Instant Daemon::stateCurrentAt() const {
+  if (Peers.duty() == Duty::Read) {
+    return std::max(StateCurrentAt, Store.currentAt());
+  }
+  return Peers.isStateCurrent() ? readClock() : StateCurrentAt;
+}
+
 bool Daemon::open() {
   const std::pair<http::Server *, const std::string *> ports[]{
       {&CallerServer, &Options.CallerAddress},
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -39,6 +39,10 @@
 // needs from its start until it has one.
 constexpr Duration NoConfigurationRetryAfter = std::chrono::milliseconds{100};
 
+// Retry-After for a request that matches no route while a newer configuration
+// may have one: another instance may know it already.
+constexpr Duration OutdatedStateRetryAfter = std::chrono::milliseconds{100};
+
 // The longest deadline accepted, one hour; a longer one is rejected as invalid.
 constexpr std::int64_t MaxDeadlineMs = 3'600'000;
 
@@ -243,6 +247,10 @@
                               NoConfigurationRetryAfter);
   }
   const Route *route = routeOf(request);
+  if (route == nullptr && Callbacks.IsStateOutdated()) {
+    return refuseUndispatched(id, request, Unavailable, "state-outdated",
+                              OutdatedStateRetryAfter);
+  }
   if (route == nullptr) {
     return refuseUndispatched(id, request, NotFound, "no-route", Duration{0});
   }
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -62,6 +62,8 @@
   std::function<void(const std::string &address)> CloseIdleConnections;
   std::function<void(const balance::CrashSuspect &)> BroadcastSuspected;
   std::function<void(std::uint64_t fingerprint)> BroadcastQuarantined;
+  /// Whether the store may hold a newer configuration than the one in force.
+  std::function<bool()> IsStateOutdated;
 };
 
 /// Owns each request from its arrival until its response is sent. Each
--- a/tests/drill/DrillTest.cpp
+++ b/tests/drill/DrillTest.cpp
@@ -137,3 +137,25 @@
   }
   BOOST_TEST_MESSAGE(output);
 }
+
+// The instance has lost the store; a newer configuration may have the route.
+BOOST_AUTO_TEST_CASE(unknownRouteIsNotDeniedForGoodByAnOutdatedInstance) {
+  Drill drill;
+  BOOST_TEST(drill.sendRequest("GET", "/new/", "before") == 404);
+  drill.Deployed.Instances[0].StoreLink->Faults.HoldToClient = true;
+  drill.Deployed.Plan.Routes.push_back(
+      {"/new/", "archive", true, 1, 0, 200ms, 2000ms});
+  drill.Deployed.writeConfiguration(7, drill.Deployed.Plan.Routes);
+  drill.EventLoop.runFor(4s);
+  const http::CallResult refused =
+      drill.get(drill.Deployed.Instances[0].CallerAddress, "/new/x");
+  BOOST_TEST(refused.Response.Status == 503);
+  BOOST_TEST(http::findHeader(refused.Response.Fields, "Retry-After") !=
+             nullptr);
+  BOOST_TEST(drill.sendRequest("GET", "/new/", "elsewhere", 1) == 200);
+  drill.Deployed.Instances[0].StoreLink->Faults.HoldToClient = false;
+  BOOST_REQUIRE(drill.waitForLog("name=document-in-force version=7"));
+  BOOST_TEST(drill.sendRequest("GET", "/new/", "after") == 200);
+  drill.EventLoop.runFor(2s);
+  BOOST_TEST(drill.sendRequest("GET", "/none/", "none") == 404);
+}
