fleet: a follower whose connection to its reader went silent gets the changes

Callers saw: 404 for routes that were in force elsewhere, without end, from an instance whose kept connection to its reader had gone silent while datagrams passed. It counted as current.

Cause: the poll of the reader has no time limit, and its silence was taken for proof that nothing had changed.

Ruled out: a time limit on each poll (a silent connection and a calm reader look alike: either the limit is short and polls cost connections and bytes all the time, or a change comes late); keep-alive probes of the kernel (they need seconds, and say nothing of what the reader has sent).

Change: a reader's pong tells the sequence of the update that the receiver should have. Polls name their follower: one that waits because large responses are spaced out is told the sequence that it has, and is not made to start again. The sequence is no part of Member, so that it triggers no notifications. Instances of the previous version tell no sequence (unknown, as before) and ignore the new field; StateUpdate's format stays.

--- a/include/zinniarail/events/Events.h
+++ b/include/zinniarail/events/Events.h
@@ -38,6 +38,7 @@
   ConnectionNotTaken = 216,
   StoreRestored = 217,
   StoreRead = 218,
+  PollAbandoned = 219,
   RequestServed = 310,
   RequestSlow = 311,
   RequestRefused = 312,
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -47,6 +47,9 @@
   sender @3 :Member;
   # In a pong, other members of the receiver's failure domain; else empty.
   members @4 :List(Member);
+  # In a reader's pong, the sequence of its StateUpdates that the receiver should
+  # have by now; 0: unknown.
+  sequence @7 :UInt64;
 }
 
 struct Destination {
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -83,6 +83,12 @@
      "A list or a watch of the store ended. The fields give its kind, its "
      "result, the number of objects, the store revision that they reflect, "
      "and how long the call took."},
+    {EventId::PollAbandoned, "poll-abandoned", EventLevel::Warn,
+     "The reader that this instance follows says that it has sent news which "
+     "did not arrive: the connection to it may have gone silent, and the poll "
+     "starts again on a new one. The fields give the sequence that the "
+     "instance has, that of the reader, and for how long it has been behind. "
+     "If this repeats, look at the network between the two."},
     {EventId::RequestServed, "request-served", EventLevel::Info,
      "A request was answered in time. Under load only some of these are "
      "listed; see requests-not-listed."},
--- a/src/fleet/Codec.cpp
+++ b/src/fleet/Codec.cpp
@@ -283,6 +283,7 @@
   for (unsigned n = 0; n < members.size(); ++n) {
     write(members[n], datagram.Members[n]);
   }
+  root.setSequence(datagram.Sequence);
   return pack(message);
 }
 
@@ -308,6 +309,7 @@
     for (const auto it : root.getMembers()) {
       out.Members.push_back(read(it));
     }
+    out.Sequence = root.getSequence();
     return out;
   });
 }
--- a/src/fleet/Codec.h
+++ b/src/fleet/Codec.h
@@ -32,6 +32,9 @@
   Member Sender;
   /// In a pong, other members of the receiver's failure domain; else empty.
   std::vector<Member> Members;
+  /// In a reader's pong, the sequence number of the update that the receiver
+  /// should have by now; 0: unknown.
+  std::uint64_t Sequence = 0;
 };
 
 std::string encodeDatagram(const Datagram &datagram);
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -32,6 +32,10 @@
 // Delay before the reader is polled again after a failed poll.
 constexpr Duration PollRetryDelay = std::chrono::milliseconds{50};
 
+// A poll reuses a connection that was idle for no longer: one that was kept
+// from an earlier time with the same reader may have gone silent.
+constexpr Duration MaxPollIdleTime = 2 * PollRetryDelay;
+
 // A new reader relies on the live list of the previous reader for this long.
 // By then it has received messages from the live members itself.
 constexpr Duration InheritedListTime = std::chrono::seconds{1};
@@ -135,6 +139,7 @@
     sendPings();
   }
   runElection();
+  abandonOverduePoll();
   if (ReaderElection.CurrentDuty == Duty::Follow && !PollInFlight &&
       now >= NextPollAt) {
     pollReader();
@@ -278,6 +283,7 @@
     }
     std::sort(pong.Members.begin(), pong.Members.end(), hasHigherPriority);
     pong.Members.resize(std::min(pong.Members.size(), MaxMembersInPong));
+    pong.Sequence = Publisher.sequenceFor(datagram.Sender.BootId);
     send(from, pong);
   } else if (const auto *suspected =
                  std::get_if<balance::PeerSuspected>(&datagram.Payload)) {
@@ -293,6 +299,12 @@
     runElection();
     notifyIfLiveChanged();
   }
+  if (std::holds_alternative<Datagram::Pong>(datagram.Payload) &&
+      ReaderElection.CurrentDuty == Duty::Follow &&
+      datagram.Sender.Record.Id == ReaderElection.Reader) {
+    recordReaderSequence(Lag, datagram.Sender.BootId, datagram.Sequence, now);
+    abandonOverduePoll();
+  }
 }
 
 void PeerTask::runElection() {
@@ -344,25 +356,48 @@
     return;
   }
   PollInFlight = true;
+  PollStartedAt = readClock();
   const Member &it = reader->second.LastStatus;
-  const bool sameReader = ReaderBootId == it.BootId;
+  const bool sameReader = Lag.ReaderBootId == it.BootId;
   http::Call call;
   call.Id = ++LastCall;
   call.Address = it.Record.PeerAddress;
   call.Bytes = std::string("GET ") + UpdatesPath +
-               "?boot=" + std::to_string(ReaderBootId) +
-               "&after=" + std::to_string(sameReader ? LastSequence : 0) +
+               "?boot=" + std::to_string(Lag.ReaderBootId) +
+               "&after=" + std::to_string(sameReader ? Lag.LastSequence : 0) +
+               "&follower=" + std::to_string(Membership.LocalMember.BootId) +
                " HTTP/1.1\r\nHost: " + it.Record.PeerAddress + "\r\n\r\n";
+  call.MaxIdleTime = MaxPollIdleTime;
   Pool.start(std::move(call));
 }
 
-void PeerTask::resetPolling() {
+// A connection may go silent without a reset. The poll starts again on a new
+// one.
+void PeerTask::abandonOverduePoll() {
+  const Instant now = readClock();
+  if (!PollInFlight || !isPollOverdue(Lag, PollStartedAt, now)) {
+    return;
+  }
+  logEvent(EventId::PollAbandoned, {{"reader", ReaderElection.Reader},
+                                    {"sequence", Lag.LastSequence},
+                                    {"reader_sequence", Lag.ReaderSequence},
+                                    {"pending_ms", now - PollStartedAt},
+                                    {"behind_ms", now - *Lag.BehindSince}});
+  ++Lag.AbandonedPolls;
+  cancelPoll();
+  pollReader();
+}
+
+void PeerTask::cancelPoll() {
   PollInFlight = false;
-  ReaderBootId = 0;
-  LastSequence = 0;
-  ReaderLiveList.clear();
   Pool.cancel(LastCall);
-  ++LastCall; // A late result of the previous call is ignored.
+  ++LastCall; // A late result of the cancelled call is ignored.
+}
+
+void PeerTask::resetPolling() {
+  cancelPoll();
+  Lag = {};
+  ReaderLiveList.clear();
 }
 
 void PeerTask::handlePollResult(http::CallId id,
@@ -382,8 +417,7 @@
     NextPollAt = readClock() + PollRetryDelay;
     return;
   }
-  ReaderBootId = update->BootId;
-  LastSequence = update->Sequence;
+  recordUpdate(Lag, update->BootId, update->Sequence);
   if (update->Members) {
     applyReaderMembers(*update->Members);
   }
@@ -474,11 +508,12 @@
   if (ReaderElection.CurrentDuty == Duty::Read) {
     return Membership.LocalMember.StoreHealthy;
   }
+  const Instant now = readClock();
   const auto reader = Membership.Others.find(ReaderElection.Reader);
   return ReaderElection.CurrentDuty == Duty::Follow &&
          reader != Membership.Others.end() &&
-         hasRecentMessage(reader->second, readClock()) &&
-         reader->second.LastStatus.StoreHealthy;
+         hasRecentMessage(reader->second, now) &&
+         reader->second.LastStatus.StoreHealthy && !isBehind(Lag, now);
 }
 
 std::size_t PeerTask::electionRank() const {
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -14,6 +14,7 @@
 #include <ev.h>
 
 #include "fleet/Codec.h"
+#include "fleet/FollowerLag.h"
 #include "fleet/SnapshotFetcher.h"
 #include "fleet/UpdateServer.h"
 #include "http/ClientPool.h"
@@ -91,7 +92,8 @@
   std::size_t electionRank() const;
 
   /// Whether this instance's state is current as far as it can tell: the store
-  /// answers it, or it follows a live reader that the store answers.
+  /// answers it, or it follows a live reader that the store answers and has its
+  /// updates.
   bool isStateCurrent() const;
 
   Duty duty() const { return ReaderElection.CurrentDuty; }
@@ -114,6 +116,8 @@
   void sendToAll(const Datagram &datagram) const;
   void send(const std::string &address, const Datagram &datagram) const;
   void pollReader();
+  void abandonOverduePoll();
+  void cancelPoll();
   void handlePollResult(http::CallId id, const http::CallResult &result);
   void applyReaderMembers(const MembersUpdate &update);
   void resetPolling();
@@ -148,8 +152,8 @@
   http::CallId LastCall = 0;
   bool PollInFlight = false;
   Instant NextPollAt{};
-  std::uint64_t ReaderBootId = 0;
-  std::uint64_t LastSequence = 0;
+  Instant PollStartedAt{};
+  FollowerLag Lag;
   std::map<std::string, Member> ReaderLiveList; ///< By id, from the reader.
 };
 
--- a/src/fleet/UpdateServer.cpp
+++ b/src/fleet/UpdateServer.cpp
@@ -1,5 +1,6 @@
 #include "fleet/UpdateServer.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -68,6 +69,22 @@
   }
 }
 
+std::uint64_t UpdateServer::sequenceFor(std::uint64_t followerBootId) const {
+  if (!Reading) {
+    return 0;
+  }
+  std::uint64_t sequence = State.Sequence;
+  // While the timer is not active, no poll waits that could be answered.
+  if (ev_is_active(&LargeResponseTimer)) {
+    for (const auto &[id, it] : PendingPolls) {
+      if (it.FollowerBootId == followerBootId) {
+        sequence = std::min(sequence, it.LastSequence);
+      }
+    }
+  }
+  return sequence;
+}
+
 void UpdateServer::handleRequest(http::ExchangeId id,
                                  const http::Request &request) {
   const auto path = http::pathOf(request.Target);
@@ -77,7 +94,8 @@
   if (!Reading || path != UpdatesPath) {
     return Server.sendResponse(id, {NotFound, {}, {}});
   }
-  PendingPoll poll{id, 0};
+  PendingPoll poll{
+      id, parseNumber(http::queryParameter(request.Target, "follower")), 0};
   const std::string bootId = http::queryParameter(request.Target, "boot");
   if (parseNumber(bootId) == State.BootId) {
     poll.LastSequence =
--- a/src/fleet/UpdateServer.h
+++ b/src/fleet/UpdateServer.h
@@ -59,9 +59,15 @@
   /// this instance reads the store.
   void publish(StatePart part);
 
+  /// The sequence number of the update that a follower should have by now: the
+  /// last one, unless its poll waits because large responses are spaced out.
+  /// 0: unknown, or this instance does not read.
+  std::uint64_t sequenceFor(std::uint64_t followerBootId) const;
+
 private:
   struct PendingPoll {
     http::ExchangeId Id = 0;
+    std::uint64_t FollowerBootId = 0; ///< 0: unknown.
     /// Sequence number of the follower's last update; 0: it has none.
     std::uint64_t LastSequence = 0;
   };
--- a/tests/fleet/CodecTest.cpp
+++ b/tests/fleet/CodecTest.cpp
@@ -57,6 +57,29 @@
 
 } // namespace
 
+// Encoded before datagrams had a sequence, as during a rolling upgrade.
+BOOST_AUTO_TEST_CASE(datagramWithoutSequenceIsRead) {
+  using namespace std::string_view_literals;
+  const auto decoded = decodeDatagram(
+      "\x10\x16\x50\x02\x03\x01\x01\x00\x00\x51\x08\x03\x05\x11\x41\x07"
+      "\x00\x00\xff\x10\x32\x54\x76\x98\xba\xdc\xfe\x00\x11\xc8\x07\x00"
+      "\x00\x11\x11\x12\x11\x11\x12\x11\x11\x52\x11\x15\x52\x11\x19\x0a"
+      "\x01\x78\x01\x61\xff\x31\x2e\x32\x2e\x33\x2e\x34\x3a\x00\x01\x35"
+      "\xff\x31\x2e\x32\x2e\x33\x2e\x34\x3a\x00\x01\x36\x00\x00\x50\x03"
+      "\x05"sv);
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(std::holds_alternative<Datagram::Pong>(decoded->Payload));
+  BOOST_TEST((decoded->Sender == sampleMember("x")));
+  BOOST_TEST(decoded->Sequence == 0);
+}
+
+BOOST_AUTO_TEST_CASE(sequenceOfADatagramRoundTrips) {
+  const auto decoded = decodeDatagram(
+      encodeDatagram({Datagram::Pong{}, sampleMember("x"), {}, 300}));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->Sequence == 300);
+}
+
 BOOST_AUTO_TEST_CASE(datagramsRoundTrip) {
   const Datagram ping{Datagram::Ping{},
                       sampleMember("x"),
--- a/tests/fleet/PeerTaskTest.cpp
+++ b/tests/fleet/PeerTaskTest.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "../http/RawConnection.h"
+#include "PeerRelay.h"
 #include "fleet/PeerTask.h"
 
 using namespace zinniarail;
@@ -128,6 +129,38 @@
   std::vector<std::unique_ptr<Peer>> Peers;
 };
 
+/// A reader with version 5 and a follower that has it, with a relay in between.
+struct RelayedPair {
+  RelayedPair()
+      : Relay(EventLoop.Loop, Peer::addressOf(1), Peer::addressOf(101),
+              Peer::addressOf(2), Peer::addressOf(102)),
+        Reader(EventLoop.Loop, 1, {Peer::addressOf(102)}),
+        Follower(EventLoop.Loop, 2, {Peer::addressOf(101)}) {
+    BOOST_REQUIRE(Relay.open());
+    BOOST_REQUIRE(Reader.Task->open());
+    BOOST_REQUIRE(Follower.Task->open());
+  }
+
+  void start() {
+    Reader.Task->start();
+    Follower.Task->start();
+    BOOST_REQUIRE(
+        EventLoop.runUntil([&] { return Reader.Task->duty() == Duty::Read; }));
+    Reader.setVersion(5);
+    BOOST_REQUIRE(EventLoop.runUntil([&] { return Follower.Version == 5; }));
+    EventLoop.runFor(100ms); // The next poll is pending.
+    BOOST_REQUIRE(Relay.LinkToFirst.connections() == 1);
+  }
+
+  http::TestLoop EventLoop;
+  PeerRelay Relay;
+  Peer Reader;
+  Peer Follower;
+};
+
+// The users' bound on how late a change is in force.
+constexpr Duration ConfigPropagation = 2s;
+
 } // namespace peer_test
 using namespace peer_test;
 
@@ -272,3 +305,45 @@
         [](const auto &any) { return any->Task->liveMembers().size() == 7; });
   }));
 }
+
+BOOST_AUTO_TEST_CASE(changeReachesAFollowerWhoseConnectionWentSilent) {
+  RelayedPair it;
+  it.start();
+  for (const std::uint64_t version : {6, 7, 8}) {
+    it.Relay.blackhole();
+    it.Reader.setVersion(version);
+    const Instant changedAt = readClock();
+    it.EventLoop.runUntil([&] {
+      return it.Follower.Version == version ||
+             readClock() - changedAt > ConfigPropagation;
+    });
+    BOOST_TEST(it.Follower.Version == version);
+    BOOST_TEST(it.Follower.Task->isStateCurrent());
+    it.EventLoop.runFor(100ms);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(followerThatGetsNoUpdatesIsNotCurrent) {
+  RelayedPair it;
+  it.start();
+  BOOST_TEST(it.Follower.Task->isStateCurrent());
+  it.Relay.blackhole();
+  it.Relay.LinkToFirst.Faults.Refuse = true;
+  it.Reader.setVersion(6);
+  BOOST_TEST(it.EventLoop.runUntil(
+      [&] { return !it.Follower.Task->isStateCurrent(); }));
+  it.Relay.LinkToFirst.Faults.Refuse = false;
+  BOOST_TEST(it.EventLoop.runUntil([&] { return it.Follower.Version == 6; }));
+  BOOST_TEST(it.Follower.Task->isStateCurrent());
+}
+
+// As during a rolling upgrade from a version that tells no sequence.
+BOOST_AUTO_TEST_CASE(followerOfAReaderWithoutSequenceGetsChanges) {
+  RelayedPair it;
+  it.Relay.Change = [](Datagram &datagram) { datagram.Sequence = 0; };
+  it.start();
+  it.Reader.setVersion(6);
+  BOOST_TEST(it.EventLoop.runUntil([&] { return it.Follower.Version == 6; }));
+  BOOST_TEST(it.Follower.Task->isStateCurrent());
+  BOOST_TEST(it.Relay.LinkToFirst.connections() == 1);
+}
