fleet: a live instance is not forgotten after a calm minute

Callers saw: nothing yet; found by reading the code for places that take an old message for the present state. After 60 s without a change of the live list, followers would have named callers only the few instances that they ping.

Cause: a member was removed 60 s after the reader's list last came, although the reader sends its list only when it changes and the member is still on it.

Ruled out: sending the list once in a while (bytes for no news; whether the follower has the latest list is now told by the reader's sequence).

Change: a member on the reader's list stays; the time for its removal begins when it is taken off the list.

Before: memberOnTheReadersListIsNotRemovedWhileAllIsCalm failed (1 live instead of 2). After: it passes.

Conclusion: the list of the live is kept for as long as it is in force.

--- a/include/zinniarail/fleet/Members.h
+++ b/include/zinniarail/fleet/Members.h
@@ -21,8 +21,8 @@
 /// than the loss of an instance.
 constexpr Duration LivenessTimeout = std::chrono::milliseconds{700};
 
-/// A member that was neither heard from nor reported live for this long is
-/// removed and gets no more messages.
+/// A member that was neither heard from nor on the reader's list for this long
+/// is removed and gets no more messages.
 constexpr Duration RemovalTimeout = std::chrono::seconds{60};
 
 /// An instance and the status that it reports of itself.
@@ -50,6 +50,7 @@
   Instant ReportedLiveAt = Instant::min();
   /// Time of the oldest unanswered ping; max: none.
   Instant UnansweredSince = Instant::max();
+  /// Time when it became known or was last taken off the reader's list.
   Instant KnownSince{};
 };
 
--- a/src/fleet/Members.cpp
+++ b/src/fleet/Members.cpp
@@ -70,6 +70,7 @@
     if (!isListed && it.ReportedLiveAt != Instant::min()) {
       changed = changed || isLive(it, now);
       it.ReportedLiveAt = Instant::min();
+      it.KnownSince = now;
     }
   }
   return changed;
@@ -78,9 +79,10 @@
 void removeExpired(Members &members, Instant now) {
   std::erase_if(members.Others, [&](const auto &it) {
     const Instant last =
-        std::max({it.second.LastMessageAt, it.second.ReportedLiveAt,
-                  it.second.KnownSince});
-    return now - last > RemovalTimeout;
+        std::max(it.second.LastMessageAt, it.second.KnownSince);
+    // The reader sends its list only when it changes.
+    const bool isListed = it.second.ReportedLiveAt != Instant::min();
+    return !isListed && now - last > RemovalTimeout;
   });
 }
 
--- a/tests/fleet/ElectionTest.cpp
+++ b/tests/fleet/ElectionTest.cpp
@@ -261,6 +261,21 @@
   BOOST_TEST(members.Others.empty());
 }
 
+// The reader sends its list only when it changes.
+BOOST_AUTO_TEST_CASE(memberOnTheReadersListIsNotRemovedWhileAllIsCalm) {
+  Members members = onlySelf();
+  applyReaderLiveList(members, {member("far", 1)}, Start);
+  const Instant later = Start + 10 * RemovalTimeout;
+  removeExpired(members, later);
+  BOOST_TEST(listLiveMembers(members, later).size() == 2);
+  applyReaderLiveList(members, {}, later);
+  removeExpired(members, later + RemovalTimeout);
+  BOOST_TEST(members.Others.size() == 1);
+  BOOST_TEST(listLiveMembers(members, later + RemovalTimeout).size() == 1);
+  removeExpired(members, later + RemovalTimeout + 1us);
+  BOOST_TEST(members.Others.empty());
+}
+
 BOOST_AUTO_TEST_CASE(memberKnownFromOthersIsNotLive) {
   Members members = onlySelf();
   addIfUnknown(members, reading(member("m", 20)), Start);
