fleet: an abandoned poll takes no place in the line for large responses

Callers saw: nothing yet; found while judging what happens when the connections of many followers go silent at once.

Cause: a reader may never see that a follower closed a silent connection. The poll on it stays pending, gets a large response in its turn, and the follower's new poll waits behind it. While nothing changes its connection stays open too.

Ruled out: an idle timeout for pending polls (a calm reader's polls last long).

Change: a poll ends the earlier ones of the same follower, with 404.

Before: newPollOfAFollowerReplacesItsEarlierOne failed (no answer within 20 s). After: it passes.

Conclusion: a follower has one pending poll at its reader.

--- a/src/fleet/UpdateServer.cpp
+++ b/src/fleet/UpdateServer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <utility>
+#include <vector>
 
 namespace zinniarail::fleet {
 
@@ -101,9 +102,25 @@
     poll.LastSequence =
         parseNumber(http::queryParameter(request.Target, "after"));
   }
+  endEarlierPolls(poll.FollowerBootId);
   answerOrDefer(poll);
 }
 
+// A follower has one poll in flight. It abandoned the earlier ones, perhaps on
+// connections that went silent, whose end never shows here.
+void UpdateServer::endEarlierPolls(std::uint64_t followerBootId) {
+  std::vector<http::ExchangeId> earlier;
+  for (const auto &[id, it] : PendingPolls) {
+    if (followerBootId != 0 && it.FollowerBootId == followerBootId) {
+      earlier.push_back(id);
+    }
+  }
+  for (const http::ExchangeId id : earlier) {
+    PendingPolls.erase(id);
+    Server.sendResponse(id, {NotFound, {}, {}});
+  }
+}
+
 // Answers a long poll if there are changes, and defers the response otherwise.
 // Large responses are spaced out to leave bandwidth for pings and pongs: when
 // many instances poll for the complete state at once, late pongs would make the
--- a/src/fleet/UpdateServer.h
+++ b/src/fleet/UpdateServer.h
@@ -73,6 +73,7 @@
   };
 
   void handleRequest(http::ExchangeId id, const http::Request &request);
+  void endEarlierPolls(std::uint64_t followerBootId);
   void answerOrDefer(const PendingPoll &poll);
   void answerPending();
   const std::string &encodedSnapshot();
--- a/tests/fleet/UpdateServerTest.cpp
+++ b/tests/fleet/UpdateServerTest.cpp
@@ -26,32 +26,59 @@
   return update;
 }
 
-} // namespace
+/// A reader whose only state is a large list of members.
+struct Reader {
+  Reader()
+      : Server(EventLoop.Loop, BootId, LinkMbps,
+               [](StateUpdate &update, StatePart) {
+                 update.Members = largeMembersUpdate();
+               }),
+        Address(http::listenOnFreePort(
+            [&](const std::string &it) { return Server.listen(it); })) {}
 
-// A follower told of news while its poll waits in line would start it again.
-BOOST_AUTO_TEST_CASE(followerInLineForALargeResponseIsNotToldOfNews) {
-  http::TestLoop loop;
-  UpdateServer server(loop.Loop, BootId, LinkMbps,
-                      [](StateUpdate &update, StatePart) {
-                        update.Members = largeMembersUpdate();
-                      });
-  const std::string address = http::listenOnFreePort(
-      [&](const std::string &it) { return server.listen(it); });
-  BOOST_TEST(server.sequenceFor(1) == 0);
-  server.setReading(true);
-  server.publish(StatePart::Members);
-  const auto poll = [&](unsigned follower) {
-    auto connection = http::RawConnection::connect(address);
+  /// Sends a poll for the complete state.
+  std::unique_ptr<http::RawConnection> poll(unsigned follower) const {
+    auto connection = http::RawConnection::connect(Address);
     connection->send("GET /news?boot=0&after=0&follower=" +
                      std::to_string(follower) + " HTTP/1.1\r\nHost: x\r\n\r\n");
     return connection;
-  };
-  BOOST_TEST(server.sequenceFor(1) == 1);
-  const auto first = poll(1);
-  BOOST_REQUIRE(loop.runUntil([&] { return first->has("200"); }));
-  const auto second = poll(2);
-  BOOST_TEST(loop.runUntil([&] { return server.sequenceFor(2) == 0; }));
-  BOOST_TEST(server.sequenceFor(1) == 1);
-  BOOST_TEST(loop.runUntil([&] { return second->has("200"); }));
-  BOOST_TEST(server.sequenceFor(2) == 1);
+  }
+
+  http::TestLoop EventLoop;
+  UpdateServer Server;
+  std::string Address;
+};
+
+} // namespace
+
+// A follower told of news while its poll waits in line would start it again.
+BOOST_AUTO_TEST_CASE(followerInLineForALargeResponseIsNotToldOfNews) {
+  Reader it;
+  BOOST_TEST(it.Server.sequenceFor(1) == 0);
+  it.Server.setReading(true);
+  it.Server.publish(StatePart::Members);
+  BOOST_TEST(it.Server.sequenceFor(1) == 1);
+  const auto first = it.poll(1);
+  BOOST_REQUIRE(it.EventLoop.runUntil([&] { return first->has("200"); }));
+  const auto second = it.poll(2);
+  BOOST_TEST(
+      it.EventLoop.runUntil([&] { return it.Server.sequenceFor(2) == 0; }));
+  BOOST_TEST(it.Server.sequenceFor(1) == 1);
+  BOOST_TEST(it.EventLoop.runUntil([&] { return second->has("200"); }));
+  BOOST_TEST(it.Server.sequenceFor(2) == 1);
+}
+
+// The reader may never see that a follower closed a silent connection; its poll
+// there would take a place in the line for large responses.
+BOOST_AUTO_TEST_CASE(newPollOfAFollowerReplacesItsEarlierOne) {
+  Reader it;
+  it.Server.setReading(true);
+  const auto earlier = it.poll(1);
+  const auto other = it.poll(2);
+  it.EventLoop.runFor(std::chrono::milliseconds{50});
+  const auto later = it.poll(1);
+  BOOST_TEST(it.EventLoop.runUntil([&] { return earlier->has("404"); }));
+  it.Server.publish(StatePart::Members);
+  BOOST_TEST(it.EventLoop.runUntil(
+      [&] { return later->has("200") && other->has("200"); }));
 }
