fleet: a failed poll closes its connection

Cause: since 0.1 s is the longest idle time after which a poll reuses a connection, and a failed poll is repeated at the next tick (up to 0.2 s later), each failed poll left an idle connection open.

Ruled out: a longer idle time: a connection to a reader that is followed again may have gone silent in any time.

Change: a connection is kept only from an answer to the next poll, which follows at once; failed polls and changes of the reader close it.

Before: pollsThatFailLeaveNoConnectionsOpen failed (9 and 8 connections after 2 s). After: 1 at most.

Conclusion: a follower has one connection to its reader.

--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -32,10 +32,6 @@
 // Delay before the reader is polled again after a failed poll.
 constexpr Duration PollRetryDelay = std::chrono::milliseconds{50};
 
-// A poll reuses a connection that was idle for no longer: one that was kept
-// from an earlier time with the same reader may have gone silent.
-constexpr Duration MaxPollIdleTime = 2 * PollRetryDelay;
-
 // A new reader relies on the live list of the previous reader for this long.
 // By then it has received messages from the live members itself.
 constexpr Duration InheritedListTime = std::chrono::seconds{1};
@@ -361,13 +357,12 @@
   const bool sameReader = Lag.ReaderBootId == it.BootId;
   http::Call call;
   call.Id = ++LastCall;
-  call.Address = it.Record.PeerAddress;
+  call.Address = PollAddress = it.Record.PeerAddress;
   call.Bytes = std::string("GET ") + UpdatesPath +
                "?boot=" + std::to_string(Lag.ReaderBootId) +
                "&after=" + std::to_string(sameReader ? Lag.LastSequence : 0) +
                "&follower=" + std::to_string(Membership.LocalMember.BootId) +
                " HTTP/1.1\r\nHost: " + it.Record.PeerAddress + "\r\n\r\n";
-  call.MaxIdleTime = MaxPollIdleTime;
   Pool.start(std::move(call));
 }
 
@@ -388,10 +383,13 @@
   pollReader();
 }
 
+// Closes its connection even if it is idle: it may go silent until the next
+// poll.
 void PeerTask::cancelPoll() {
   PollInFlight = false;
   Pool.cancel(LastCall);
   ++LastCall; // A late result of the cancelled call is ignored.
+  Pool.closeIdle(PollAddress);
 }
 
 void PeerTask::resetPolling() {
@@ -414,6 +412,7 @@
     const bool answered = result.Outcome == http::CallOutcome::Answered &&
                           result.Response.Status == Ok;
     UnreadableCount += answered ? 1 : 0;
+    Pool.closeIdle(PollAddress);
     NextPollAt = readClock() + PollRetryDelay;
     return;
   }
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -153,6 +153,7 @@
   bool PollInFlight = false;
   Instant NextPollAt{};
   Instant PollStartedAt{};
+  std::string PollAddress; ///< Address that the last poll was sent to.
   FollowerLag Lag;
   std::map<std::string, Member> ReaderLiveList; ///< By id, from the reader.
 };
--- a/tests/fleet/PeerTaskTest.cpp
+++ b/tests/fleet/PeerTaskTest.cpp
@@ -347,3 +347,18 @@
   BOOST_TEST(it.Follower.Task->isStateCurrent());
   BOOST_TEST(it.Relay.LinkToFirst.connections() == 1);
 }
+
+// An instance that stopped reading answers its polls with 404.
+BOOST_AUTO_TEST_CASE(pollsThatFailLeaveNoConnectionsOpen) {
+  RelayedPair it;
+  it.Relay.Change = [](Datagram &datagram) {
+    datagram.Sender.Reading = datagram.Sender.StoreHealthy = true;
+  };
+  it.Reader.Task->start();
+  it.Follower.Task->start();
+  it.EventLoop.runFor(2s);
+  BOOST_TEST((it.Reader.Task->duty() == Duty::Follow));
+  BOOST_TEST((it.Follower.Task->duty() == Duty::Follow));
+  BOOST_TEST(it.Relay.LinkToFirst.connections() <= 1);
+  BOOST_TEST(it.Relay.LinkToSecond.connections() <= 1);
+}
