fleet: quarantine notices are sent three times

Callers saw: nothing; found by looking for messages that are sent once.

Cause: a notice that requests of one kind crash upstreams is one datagram to each instance. One that loses it goes on to send them until it has seen enough crashes itself, and no silence tells it what it missed.

Ruled out: repeating suspicions (each extends the time for which requests are held, and a quarantine or the end of that time follows) and announcements that an upstream leaves (the store binds the others, and tells them).

Before: quarantineNoticeReachesAnInstanceThatMissesTheFirst failed. After: it passes.

Conclusion: an instance misses a quarantine only if three datagrams in a row are lost.

--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -32,6 +32,10 @@
 // Delay before the reader is polled again after a failed poll.
 constexpr Duration PollRetryDelay = std::chrono::milliseconds{50};
 
+// A quarantine notice is sent again this many times, once per PingInterval: an
+// instance that missed it would go on to send such requests.
+constexpr unsigned NoticeRepetitions = 2;
+
 // A new reader relies on the live list of the previous reader for this long.
 // By then it has received messages from the live members itself.
 constexpr Duration InheritedListTime = std::chrono::seconds{1};
@@ -134,6 +138,7 @@
   if (isStartup || now - PingedAt >= PingInterval) {
     sendPings();
   }
+  repeatNotices();
   runElection();
   abandonOverduePoll();
   if (ReaderElection.CurrentDuty == Duty::Follow && !PollInFlight &&
@@ -468,6 +473,20 @@
 void PeerTask::broadcastQuarantined(std::uint64_t fingerprint) {
   sendToAll(
       {balance::PeerQuarantined{fingerprint}, Membership.LocalMember, {}});
+  NoticesToRepeat[fingerprint] = {NoticeRepetitions, readClock()};
+}
+
+void PeerTask::repeatNotices() {
+  const Instant now = readClock();
+  for (auto &[fingerprint, it] : NoticesToRepeat) {
+    if (now - it.SentAt >= PingInterval) {
+      sendToAll(
+          {balance::PeerQuarantined{fingerprint}, Membership.LocalMember, {}});
+      it = {it.TimesLeft - 1, now};
+    }
+  }
+  std::erase_if(NoticesToRepeat,
+                [](const auto &it) { return it.second.TimesLeft == 0; });
 }
 
 void PeerTask::reportLeaving(const LeavingUpstream &upstream) {
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -105,6 +105,12 @@
   boost::json::object describe(Instant now) const;
 
 private:
+  /// A quarantine notice that is sent again.
+  struct RepeatedNotice {
+    unsigned TimesLeft = 0;
+    Instant SentAt{};
+  };
+
   void tick();
   void receive();
   void handleDatagram(const Datagram &datagram, const std::string &from);
@@ -113,6 +119,7 @@
   void fetchSnapshotIfNeeded();
   void sendPings();
   void announceToDomain();
+  void repeatNotices();
   void sendToAll(const Datagram &datagram) const;
   void send(const std::string &address, const Datagram &datagram) const;
   void pollReader();
@@ -137,6 +144,7 @@
   Instant StartedAt{};
   Instant ReadingSince{};
   std::uint64_t UnreadableCount = 0; ///< Undecodable messages not yet logged.
+  std::map<std::uint64_t, RepeatedNotice> NoticesToRepeat; ///< By fingerprint.
   std::size_t FleetSize = 1;
   std::uint64_t LiveDigest = 0; ///< Hash of the live members last notified.
 
--- a/tests/fleet/PeerRelay.h
+++ b/tests/fleet/PeerRelay.h
@@ -95,8 +95,9 @@
 
   standins::Link LinkToFirst;
   standins::Link LinkToSecond;
-  /// Changes each datagram before it is passed on; empty: it stays as it is.
-  std::function<void(Datagram &)> Change;
+  /// Changes each datagram, and returns whether it is passed on; empty: all
+  /// are, as they are.
+  std::function<bool(Datagram &)> Change;
 
 private:
   void replaceAddress(Member &member) const {
@@ -112,8 +113,8 @@
     for (Member &it : datagram->Members) {
       replaceAddress(it);
     }
-    if (Change) {
-      Change(*datagram);
+    if (Change && !Change(*datagram)) {
+      return;
     }
     ToFirst.send(to, encodeDatagram(*datagram));
   }
--- a/tests/fleet/PeerTaskTest.cpp
+++ b/tests/fleet/PeerTaskTest.cpp
@@ -340,7 +340,10 @@
 // As during a rolling upgrade from a version that tells no sequence.
 BOOST_AUTO_TEST_CASE(followerOfAReaderWithoutSequenceGetsChanges) {
   RelayedPair it;
-  it.Relay.Change = [](Datagram &datagram) { datagram.Sequence = 0; };
+  it.Relay.Change = [](Datagram &datagram) {
+    datagram.Sequence = 0;
+    return true;
+  };
   it.start();
   it.Reader.setVersion(6);
   BOOST_TEST(it.EventLoop.runUntil([&] { return it.Follower.Version == 6; }));
@@ -353,6 +356,7 @@
   RelayedPair it;
   it.Relay.Change = [](Datagram &datagram) {
     datagram.Sender.Reading = datagram.Sender.StoreHealthy = true;
+    return true;
   };
   it.Reader.Task->start();
   it.Follower.Task->start();
@@ -362,3 +366,18 @@
   BOOST_TEST(it.Relay.LinkToFirst.connections() <= 1);
   BOOST_TEST(it.Relay.LinkToSecond.connections() <= 1);
 }
+
+BOOST_AUTO_TEST_CASE(quarantineNoticeReachesAnInstanceThatMissesTheFirst) {
+  RelayedPair it;
+  unsigned lost = 0;
+  it.Relay.Change = [&](const Datagram &datagram) {
+    const bool isNotice =
+        std::holds_alternative<balance::PeerQuarantined>(datagram.Payload);
+    lost += isNotice ? 1 : 0;
+    return !isNotice || lost > 2;
+  };
+  it.start();
+  it.Reader.Task->broadcastQuarantined(99);
+  BOOST_TEST(it.EventLoop.runUntil(
+      [&] { return it.Follower.QuarantinedFingerprint == 99; }));
+}
