--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -14,6 +14,7 @@
 #include <ev.h>
 
 #include "fleet/Codec.h"
+#include "fleet/FollowerLag.h"
 #include "fleet/SnapshotFetcher.h"
 #include "fleet/UpdateServer.h"
 #include "http/ClientPool.h"
@@ -91,7 +92,8 @@
   std::size_t electionRank() const;
 
   /// Whether this instance's state is current as far as it can tell: the store
-  /// answers it, or it follows a live reader that the store answers.
+  /// answers it, or it follows a live reader that the store answers and has its
+  /// updates.
   bool isStateCurrent() const;
 
   Duty duty() const { return ReaderElection.CurrentDuty; }
@@ -103,6 +105,12 @@
   boost::json::object describe(Instant now) const;
 
 private:
+  /// A quarantine notice that is sent again.
+  struct RepeatedNotice {
+    unsigned TimesLeft = 0;
+    Instant SentAt{};
+  };
+
   void tick();
   void receive();
   void handleDatagram(const Datagram &datagram, const std::string &from);
@@ -111,9 +119,12 @@
   void fetchSnapshotIfNeeded();
   void sendPings();
   void announceToDomain();
+  void repeatNotices();
   void sendToAll(const Datagram &datagram) const;
   void send(const std::string &address, const Datagram &datagram) const;
   void pollReader();
+  void abandonOverduePoll();
+  void cancelPoll();
   void handlePollResult(http::CallId id, const http::CallResult &result);
   void applyReaderMembers(const MembersUpdate &update);
   void resetPolling();
@@ -133,6 +144,7 @@
   Instant StartedAt{};
   Instant ReadingSince{};
   std::uint64_t UnreadableCount = 0; ///< Undecodable messages not yet logged.
+  std::map<std::uint64_t, RepeatedNotice> NoticesToRepeat; ///< By fingerprint.
   std::size_t FleetSize = 1;
   std::uint64_t LiveDigest = 0; ///< Hash of the live members last notified.
 
@@ -148,8 +160,9 @@
   http::CallId LastCall = 0;
   bool PollInFlight = false;
   Instant NextPollAt{};
-  std::uint64_t ReaderBootId = 0;
-  std::uint64_t LastSequence = 0;
+  Instant PollStartedAt{};
+  std::string PollAddress; ///< Address that the last poll was sent to.
+  FollowerLag Lag;
   std::map<std::string, Member> ReaderLiveList; ///< By id, from the reader.
 };
 
--- a/src/fleet/UpdateServer.cpp
+++ b/src/fleet/UpdateServer.cpp
@@ -1,7 +1,9 @@
 #include "fleet/UpdateServer.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
+#include <vector>
 
 namespace zinniarail::fleet {
 
@@ -68,6 +70,22 @@
   }
 }
 
+std::uint64_t UpdateServer::sequenceFor(std::uint64_t followerBootId) const {
+  if (!Reading) {
+    return 0;
+  }
+  std::uint64_t sequence = State.Sequence;
+  // While the timer is not active, no poll waits that could be answered.
+  if (ev_is_active(&LargeResponseTimer)) {
+    for (const auto &[id, it] : PendingPolls) {
+      if (it.FollowerBootId == followerBootId) {
+        sequence = std::min(sequence, it.LastSequence);
+      }
+    }
+  }
+  return sequence;
+}
+
 void UpdateServer::handleRequest(http::ExchangeId id,
                                  const http::Request &request) {
   const auto path = http::pathOf(request.Target);
@@ -77,15 +95,32 @@
   if (!Reading || path != UpdatesPath) {
     return Server.sendResponse(id, {NotFound, {}, {}});
   }
-  PendingPoll poll{id, 0};
+  PendingPoll poll{
+      id, parseNumber(http::queryParameter(request.Target, "follower")), 0};
   const std::string bootId = http::queryParameter(request.Target, "boot");
   if (parseNumber(bootId) == State.BootId) {
     poll.LastSequence =
         parseNumber(http::queryParameter(request.Target, "after"));
   }
+  endEarlierPolls(poll.FollowerBootId);
   answerOrDefer(poll);
 }
 
+// A follower has one poll in flight. It abandoned the earlier ones, perhaps on
+// connections that went silent, whose end never shows here.
+void UpdateServer::endEarlierPolls(std::uint64_t followerBootId) {
+  std::vector<http::ExchangeId> earlier;
+  for (const auto &[id, it] : PendingPolls) {
+    if (followerBootId != 0 && it.FollowerBootId == followerBootId) {
+      earlier.push_back(id);
+    }
+  }
+  for (const http::ExchangeId id : earlier) {
+    PendingPolls.erase(id);
+    Server.sendResponse(id, {NotFound, {}, {}});
+  }
+}
+
 // Answers a long poll if there are changes, and defers the response otherwise.
 // Large responses are spaced out to leave bandwidth for pings and pongs: when
 // many instances poll for the complete state at once, late pongs would make the
