store: only changes and lists that are new enough prove a view current

(2) A cheap list was compared with the store's revision, which may trail what the watch has reported: records of instances could go back. (3) A cheap list of a known revision renewed the age of the proof.

Change: a watch's reply raises the revision only with changes; a list older than what is known is repeated with the latest state, whether the store or the watch showed it; only the first list and reads of the store's revision count as proof, from when they were sent. The propagation limit is 1 s at least.

Two tests are renamed after what they guard against; their checks stay.

--- a/include/zinniarail/store/ListWatch.h
+++ b/include/zinniarail/store/ListWatch.h
@@ -44,6 +44,7 @@
 struct ListWatch {
   bool ListComplete = false; ///< A list was read to its last page.
   ListWatchCall InFlight = ListWatchCall::None;
+  Instant CallStartedAt{}; ///< Of the last call.
   /// Incremented when the call in flight is abandoned; replies to calls of an
   /// older generation are ignored.
   unsigned Generation = 0;
@@ -77,7 +78,7 @@
 bool needsLatestRead(const ListWatch &state, Instant now);
 
 /// Records that a call was sent; a call in flight is abandoned.
-void noteCallStarted(ListWatch &state, ListWatchCall call);
+void noteCallStarted(ListWatch &state, ListWatchCall call, Instant now);
 
 /// Records the revision that the store showed in a call about another kind,
 /// which returned the latest state.
@@ -87,12 +88,13 @@
 
 /// Records that a page of the list was received.
 /// \param lastName name of the page's last object; empty for the last page.
-/// \returns false if the page is older than StoreRevision. It must be ignored;
+/// \returns false if the page is older than what is known. It must be ignored;
 /// the next call lists the latest state.
 bool noteListPage(ListWatch &state, std::uint64_t asOf,
                   const std::string &lastName, Instant now);
 
-/// Records the reply to a watch.
+/// Records the reply to a watch. One without changes does not raise AsOf: the
+/// store does not tell a watch of changes whose history is gone.
 /// \param hasChanges whether the reply contains changes.
 void noteWatchReply(ListWatch &state, std::uint64_t asOf, bool hasChanges,
                     Instant now);
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -181,8 +181,7 @@
                     "outgoing bandwidth in Mbit/s; instances with more are "
                     "preferred likewise"),
       logLevelSetting(),
-      durationSetting("propagation-limit", &S::PropagationLimit, "2s", 100ms,
-                      60s,
+      durationSetting("propagation-limit", &S::PropagationLimit, "2s", 1s, 60s,
                       "time within which a change in the store must be in "
                       "force everywhere"),
       durationSetting("stop-timeout", &S::StopTimeout, "30s", 100ms, 600s,
--- a/src/store/ListWatch.cpp
+++ b/src/store/ListWatch.cpp
@@ -62,11 +62,12 @@
          (needsList(state, now) && !mayListStale);
 }
 
-void noteCallStarted(ListWatch &state, ListWatchCall call) {
+void noteCallStarted(ListWatch &state, ListWatchCall call, Instant now) {
   if (state.InFlight != ListWatchCall::None) {
     ++state.Generation;
   }
   state.InFlight = call;
+  state.CallStartedAt = now;
 }
 
 void noteStoreRevision(ListWatch &state, std::uint64_t revision, Instant at,
@@ -83,15 +84,19 @@
 bool noteListPage(ListWatch &state, std::uint64_t asOf,
                   const std::string &lastName, Instant now) {
   noteSuccess(state);
-  if (asOf < state.StoreRevision) {
+  const bool isOlder =
+      state.ListComplete && asOf < std::max(state.StoreRevision, state.AsOf);
+  if (isOlder && !state.LastListWasStale) {
     state.LastListWasStale = true;
     state.PageCursor.clear();
     state.CheckAt = now;
     return false;
   }
-  if (state.PageCursor.empty()) {
+  if (state.PageCursor.empty() && asOf > state.StoreRevision) {
     state.StoreRevision = asOf;
-    state.StoreRevisionAt = now;
+  }
+  if (state.PageCursor.empty() && !state.ListComplete) {
+    state.StoreRevisionAt = state.CallStartedAt;
   }
   // The watch starts at the revision of the first page, so that changes between
   // two pages are not missed.
@@ -101,6 +106,7 @@
     state.ListComplete = true;
     state.LastListWasStale = false;
     state.RelistAt = now + RelistInterval;
+    state.CheckAt = now + MaxNotificationDelay;
     noteProgress(state);
   }
   return true;
@@ -109,9 +115,9 @@
 void noteWatchReply(ListWatch &state, std::uint64_t asOf, bool hasChanges,
                     Instant now) {
   noteSuccess(state);
-  state.AsOf = std::max(state.AsOf, asOf);
-  noteProgress(state);
   if (hasChanges) {
+    state.AsOf = std::max(state.AsOf, asOf);
+    noteProgress(state);
     state.NextAt = now + WatchBatchDelay;
   }
 }
--- a/standins/store/Store.cpp
+++ b/standins/store/Store.cpp
@@ -140,9 +140,13 @@
 
 void Store::endStaleReads() { StaleCopy.reset(); }
 
-void Store::compactHistory() {
+void Store::dropHistory() {
   History.clear();
   CompactedRevision = Revision;
+}
+
+void Store::compactHistory() {
+  dropHistory();
   disconnectWatches();
 }
 
@@ -177,6 +181,9 @@
   if (Faults.ActiveOutage != OutageMode::None) {
     return respondWithOutage(id);
   }
+  if (Faults.RefuseLatestReads && request.Method == "GET" && !mayBeStale) {
+    return respond(id, TooManyRequests, nullptr);
+  }
   if (!path.starts_with(PathPrefix)) {
     return respond(id, NotFound, nullptr);
   }
--- a/standins/store/Store.h
+++ b/standins/store/Store.h
@@ -39,6 +39,8 @@
   /// A change does not end the watches that wait for it; they end when their
   /// wait is over.
   bool LoseNotifications = false;
+  /// Reads that must not be stale get 429.
+  bool RefuseLatestReads = false;
 };
 
 /// Serves the store over HTTP. Used only on the thread of its loop.
@@ -58,8 +60,11 @@
            boost::json::value content);
   void remove(const std::string &kind, const std::string &name);
 
-  /// Discards the history of changes and disconnects all watches. Watches from
-  /// an earlier revision get 410 once their kind has changed again.
+  /// Discards the history of changes. Watches from an earlier revision get 410
+  /// once their kind has changed again.
+  void dropHistory();
+
+  /// Discards the history of changes and disconnects all watches.
   void compactHistory();
 
   /// The contents of the store at one moment.
--- a/tests/store/StoreTaskTest.cpp
+++ b/tests/store/StoreTaskTest.cpp
@@ -299,7 +299,7 @@
 
 } // namespace store_test
 
-BOOST_DATA_TEST_CASE(silentWatchHidesAChangeBeyondThePropagationLimit,
+BOOST_DATA_TEST_CASE(changeIsInForceInTimeThoughItsWatchIsSilent,
                      changeCases() * (std::vector<ReadFault>{
                                          ReadFault::LostNotification,
                                          ReadFault::LostAfterDroppedWatch,
@@ -329,8 +329,62 @@
   BOOST_TEST((readClock() - madeAt <= PropagationLimit));
 }
 
+BOOST_DATA_TEST_CASE(changeIsInForceInTimeThoughItsHistoryIsGone, changeCases(),
+                     change) {
+  Fixture it;
+  it.LocalMirror.Era = it.Store.era();
+  it.Store.put("config", "main", configuration(1));
+  it.Store.put("servers", "u1", registration("s"));
+  it.Task.startReading();
+  BOOST_REQUIRE(it.untilHealthy());
+  BOOST_REQUIRE(it.runUntil([&] { return it.Store.pendingWatches() == 4; }));
+  it.EventLoop.runFor(2400ms); // The watches end before the next revision read.
+  it.Store.Faults.LoseNotifications = true;
+  change.Make(it.Store);
+  const Instant madeAt = readClock();
+  it.Store.dropHistory();
+  BOOST_TEST(it.runUntil([&] { return change.IsSeen(it); }));
+  BOOST_TEST((readClock() - madeAt <= PropagationLimit));
+}
+
+// The change follows a read of the store's revision at once.
+BOOST_DATA_TEST_CASE(changeIsInForceInTimeThoughTheStoreIsSlow,
+                     (std::vector<int>{0, 20, 50}), delayMs) {
+  Fixture it;
+  it.LocalMirror.Era = it.Store.era();
+  it.Store.put("config", "main", configuration(1));
+  it.Store.Faults.Delay = std::chrono::milliseconds(delayMs);
+  it.Task.startReading();
+  BOOST_REQUIRE(it.untilHealthy());
+  it.EventLoop.runFor(800ms);
+  const unsigned reads = it.Store.LatestReads;
+  BOOST_REQUIRE(it.runUntil([&] { return it.Store.LatestReads > reads; }));
+  it.Store.beginStaleReads();
+  it.Store.Faults.LoseNotifications = true;
+  it.Store.put("config", "main", configuration(2));
+  const Instant madeAt = readClock();
+  BOOST_TEST(it.runUntil([&] { return it.version() == 2; }));
+  BOOST_TEST((readClock() - madeAt <= PropagationLimit));
+}
+
+BOOST_AUTO_TEST_CASE(refusedLatestReadsAreRetriedAfterABackoff) {
+  Fixture it;
+  it.LocalMirror.Era = it.Store.era();
+  it.Store.put("config", "main", configuration(1));
+  it.Task.startReading();
+  BOOST_REQUIRE(it.untilHealthy());
+  it.Store.Faults.RefuseLatestReads = true;
+  const unsigned before = it.Store.totalCalls();
+  it.EventLoop.runFor(3s);
+  const unsigned maxCalls = 4 + 4 + 3'000 / 250;
+  BOOST_TEST(it.Store.totalCalls() - before <= maxCalls);
+  it.Store.Faults.RefuseLatestReads = false;
+  it.Store.put("config", "main", configuration(2));
+  BOOST_TEST(it.runUntil([&] { return it.Healthy && it.version() == 2; }));
+}
+
 // The users allow the limit from when such connections are no excuse any more.
-BOOST_DATA_TEST_CASE(deadKeptConnectionsHideAChangeBeyondThePropagationLimit,
+BOOST_DATA_TEST_CASE(changeIsInForceInTimeThoughKeptConnectionsAreDead,
                      changeCases(), change) {
   Fixture it;
   it.Store.put("config", "main", configuration(1));
