store: a refused current read backs off; the revision is read on time

(1) A store that refuses current reads and answers cheap ones was called without a pause: the health check succeeded, the lists after it failed, and so on: 48,691 calls in 3 s. (2) The revision was read by the first health check after its interval, so with a store that takes 50 ms a change was seen after 2.0 s.

Change: after a failure the health check is a current read; it succeeds only where the lists will. The next health check is due when the revision is.

Tests, both failed before: refusedLatestReadsAreRetriedAfterABackoff, changeIsInForceInTimeThoughTheStoreIsSlow (50 ms).

--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -98,6 +98,7 @@
   HasAnswered = false;
   Unavailable = false;
   Ping = {};
+  RevisionReadAt = readClock(); // The lists that follow show the revision.
   for (ListWatch &it : ListWatches) {
     restart(it);
   }
@@ -155,39 +156,42 @@
     return;
   }
   Ping.InFlight = true;
-  const bool readsRevision = HasAnswered && !Unavailable &&
-                             now - RevisionReadAt >= RevisionReadInterval;
+  // After a failure the check must return the latest state too: the store may
+  // refuse such reads and answer others.
+  const bool readsRevision =
+      Unavailable ? HasAnswered : now - RevisionReadAt >= RevisionReadInterval;
   if (readsRevision) {
     RevisionReadAt = now;
   }
-  Client.list(
-      Kind::Evacuations, "",
-      readsRevision ? Freshness::Latest : Freshness::MayBeStale, PingTimeout,
-      [this, readsRevision, now,
-       generation = PingGeneration](platform::Reply reply) {
-        if (generation != PingGeneration) {
-          return;
-        }
-        const Instant repliedAt = readClock();
-        acceptEra(reply);
-        if (reply.Result == Outcome::Done) {
-          HasAnswered = true;
-          noteAvailable();
-          if (readsRevision) {
-            for (ListWatch &it : ListWatches) {
-              noteStoreRevision(it, reply.AsOf.Number, now, repliedAt);
-            }
-          }
-          Ping = {false, 0,
-                  repliedAt + std::min(PingInterval, RevisionReadInterval)};
-        } else {
-          noteUnavailable("health check", reply);
-          noteFailure(Ping, Rng, repliedAt);
-          Ping.NextAt += (Ping.NextAt - repliedAt) *
-                         static_cast<Duration::rep>(ElectionRank);
-        }
-        advance();
-      });
+  Client.list(Kind::Evacuations, "",
+              readsRevision ? Freshness::Latest : Freshness::MayBeStale,
+              PingTimeout,
+              [this, readsRevision, now,
+               generation = PingGeneration](platform::Reply reply) {
+                if (generation != PingGeneration) {
+                  return;
+                }
+                const Instant repliedAt = readClock();
+                acceptEra(reply);
+                if (reply.Result == Outcome::Done) {
+                  HasAnswered = true;
+                  noteAvailable();
+                  if (readsRevision) {
+                    for (ListWatch &it : ListWatches) {
+                      noteStoreRevision(it, reply.AsOf.Number, now, repliedAt);
+                    }
+                  }
+                  Ping = {false, 0,
+                          std::min(repliedAt + PingInterval,
+                                   RevisionReadAt + RevisionReadInterval)};
+                } else {
+                  noteUnavailable("health check", reply);
+                  noteFailure(Ping, Rng, repliedAt);
+                  Ping.NextAt += (Ping.NextAt - repliedAt) *
+                                 static_cast<Duration::rep>(ElectionRank);
+                }
+                advance();
+              });
 }
 
 Instant StoreTask::nextDueAt() const {
@@ -212,7 +216,7 @@
   const bool latest = needsLatestRead(state, startedAt);
   const Freshness freshness =
       latest ? Freshness::Latest : Freshness::MayBeStale;
-  noteCallStarted(state, call);
+  noteCallStarted(state, call, startedAt);
   if (call == ListWatchCall::List) {
     if (state.PageCursor.empty()) {
       PartialLists[kind] = {};
