http: the bytes read from one connection per iteration are bounded

What callers saw: nothing while upstreams send sound responses. An upstream or an instance that sends without end and fast held up all else. Cause: ClientPool::receive read until the socket was empty. A sender that keeps up with the reader kept the loop there, and all that it sent was held in Input before a byte of it was parsed and compared with a limit. Ruled out: a limit of the receive buffer; the kernel refills it while it is read. Change: 64 KiB per iteration; the rest stays in the kernel, whose window stops the sender. receivedBytes() tells what the pool holds. The fixture of the pool's tests is a header of its own. Conclusion: one connection's share of an iteration is bounded.

--- a/src/http/ClientPool.cpp
+++ b/src/http/ClientPool.cpp
@@ -24,6 +24,11 @@
 using Parser = beast::response_parser<beast::string_body>;
 
 constexpr std::size_t ReadChunkBytes = std::size_t{16} << 10;
+
+// Maximum number of bytes read from one connection in one iteration of the
+// loop: a fast sender must not keep the loop from the other connections.
+constexpr std::size_t MaxReadBytesPerWakeup = std::size_t{64} << 10;
+
 constexpr std::uint32_t MaxHeaderBytes = std::uint32_t{64} << 10;
 constexpr std::uint64_t MaxBodyBytes = std::uint64_t{64} << 20;
 
@@ -241,15 +246,15 @@
 /// \returns whether any bytes arrived.
 bool ClientPool::receive(Connection &connection, bool &closed, int &error) {
   std::array<char, ReadChunkBytes> chunk;
-  bool any = false;
-  while (true) {
+  std::size_t received = 0;
+  while (received < MaxReadBytesPerWakeup) {
     const ssize_t n =
         recv(connection.Fd, chunk.data(), chunk.size(), MSG_DONTWAIT);
     if (n > 0) {
       connection.Input.append(chunk.data(), static_cast<std::size_t>(n));
-      any = true;
+      received += static_cast<std::size_t>(n);
       if (static_cast<std::size_t>(n) < chunk.size()) {
-        return true;
+        break;
       }
       continue;
     }
@@ -257,12 +262,13 @@
       continue;
     }
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-      return any;
+      break;
     }
     closed = true;
     error = n < 0 ? errno : 0;
-    return any;
+    break;
   }
+  return received > 0;
 }
 
 void ClientPool::readFrom(Connection &connection) {
@@ -422,6 +428,21 @@
   }
 }
 
+std::size_t ClientPool::receivedBytes() const {
+  std::size_t bytes = 0;
+  for (const auto &[it, owned] : Connections) {
+    bytes += heldBytes(*it);
+  }
+  return bytes;
+}
+
+std::size_t ClientPool::heldBytes(const Connection &connection) {
+  return connection.Input.size() +
+         (connection.ResponseParser
+              ? connection.ResponseParser->get().body().size()
+              : 0);
+}
+
 std::size_t ClientPool::connections(const std::string &address) const {
   const auto it = Endpoints.find(address);
   return it == Endpoints.end() ? 0 : it->second.OpenConnections;
--- a/src/http/ClientPool.h
+++ b/src/http/ClientPool.h
@@ -80,6 +80,9 @@
   std::size_t connections() const { return Connections.size(); }
   std::size_t connections(const std::string &address) const;
 
+  /// Bytes of incomplete responses that are held in memory.
+  std::size_t receivedBytes() const;
+
 private:
   struct Connection;
   struct Endpoint {
@@ -93,6 +96,7 @@
   void writeTo(Connection &connection);
   void readFrom(Connection &connection);
   bool receive(Connection &connection, bool &closed, int &error);
+  static std::size_t heldBytes(const Connection &connection);
   bool parse(Connection &connection);
   void handleResponse(Connection &connection);
   void returnToIdle(Connection &connection);
--- a/tests/http/ClientPoolTest.cpp
+++ b/tests/http/ClientPoolTest.cpp
@@ -1,70 +1,12 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <map>
-
-#include "RawConnection.h"
-#include "http/ClientPool.h"
+#include "PoolFixture.h"
 
 using namespace zinniarail;
 using namespace zinniarail::http;
 using namespace std::chrono_literals;
-
-namespace pool_test {
-
-/// A pool, and an upstream whose responses the test writes itself.
-struct PoolFixture {
-  PoolFixture()
-      : Pool(EventLoop.Loop, [this](CallId id, CallResult result) {
-          Results[id] = std::move(result);
-        }) {}
-
-  Call call(CallId id, const std::string &echo = "") const {
-    Call call;
-    call.Id = id;
-    call.Address = Upstream.Address;
-    call.Bytes = "GET /" + std::to_string(id) + " HTTP/1.1\r\nHost: u\r\n\r\n";
-    call.EchoHeader = echo.empty() ? "" : "X-Request-Id";
-    call.EchoValue = echo;
-    return call;
-  }
-
-  std::unique_ptr<RawConnection> accept() {
-    std::unique_ptr<RawConnection> connection;
-    EventLoop.runUntil([&] {
-      if (!connection) {
-        connection = Upstream.accept();
-      }
-      return connection != nullptr;
-    });
-    return connection;
-  }
-
-  /// Accepts a connection and waits until its request head has arrived.
-  std::unique_ptr<RawConnection> acceptRequest() {
-    auto connection = accept();
-    EventLoop.runUntil([&] { return connection->has("\r\n\r\n"); });
-    return connection;
-  }
-
-  bool waitForResult(CallId id) {
-    return EventLoop.runUntil([&] { return Results.contains(id); });
-  }
-
-  TestLoop EventLoop;
-  RawServer Upstream;
-  ClientPool Pool;
-  std::map<CallId, CallResult> Results;
-};
-
-std::string response(const std::string &body, const std::string &id = "") {
-  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
-         "\r\n" + (id.empty() ? "" : "X-Request-Id: " + id + "\r\n") + "\r\n" +
-         body;
-}
-
-} // namespace pool_test
-using namespace pool_test;
+using namespace zinniarail::http::pool_test;
 
 BOOST_AUTO_TEST_CASE(completeResponseLeavesTheConnectionOpenForReuse) {
   PoolFixture it;
@@ -137,7 +79,7 @@
   BOOST_TEST(it.Results[1].Response.Status == 200);
 }
 
-namespace pool_test {
+namespace zinniarail::http::pool_test {
 
 struct InvalidResponse {
   const char *Description;
@@ -156,8 +98,8 @@
      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"},
     {"bytes that are not HTTP", "\x01\x02garbage\r\n\r\n"}};
 
-} // namespace pool_test
-using namespace pool_test;
+} // namespace zinniarail::http::pool_test
+using namespace zinniarail::http::pool_test;
 
 BOOST_DATA_TEST_CASE(incompleteOrMalformedResponsesEndAsBroken,
                      InvalidResponses, invalid) {
--- a/tests/http/RawConnection.h
+++ b/tests/http/RawConnection.h
@@ -81,6 +81,21 @@
     ::send(Fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   }
 
+  /// Sends the bytes again and again until the buffers of both ends are full.
+  /// \returns the number of bytes sent.
+  std::size_t sendWhilePossible(const std::string &bytes) const {
+    std::size_t sent = 0;
+    while (true) {
+      const std::size_t at = sent % bytes.size();
+      const ssize_t n = ::send(Fd, bytes.data() + at, bytes.size() - at,
+                               MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (n <= 0) {
+        return sent;
+      }
+      sent += static_cast<std::size_t>(n);
+    }
+  }
+
   /// Reads what has arrived and returns all bytes so far. Sets PeerClosed once
   /// the peer closed or reset the connection, and PeerReset for a reset.
   const std::string &read() {
