http: a response's head and the framing of its chunks are limited in full

What callers saw: nothing while upstreams send sound responses. An instance that got such bytes held them until the call ended. Cause: Beast's header_limit applies to what is parsed at once. A head whose parts end within the first three bytes of a name is parsed field by field and has no limit; a chunk's size, its extension and the trailers have none at all and stay unparsed in Input. Ruled out: garbage, endless status lines, header lines, folded values, interim responses and responses to other requests: these already broke the call. Change: what is parsed of an incomplete head, plus what is unparsed, is at most 64 KiB; more breaks the call and closes the connection. Before: endlessHeadOrFramingBreaksTheCall failed for 6 of 15 byte streams, the five of chunk framing held all 2 MiB that were sent. After: all pass, each held at most 128 KiB (the limit and one iteration's bytes). Conclusion: bytes that are no body are bounded for each connection.

--- a/src/http/ClientPool.cpp
+++ b/src/http/ClientPool.cpp
@@ -29,6 +29,8 @@
 // loop: a fast sender must not keep the loop from the other connections.
 constexpr std::size_t MaxReadBytesPerWakeup = std::size_t{64} << 10;
 
+// Limit for the head of a response, and for one chunk's framing and the
+// trailers.
 constexpr std::uint32_t MaxHeaderBytes = std::uint32_t{64} << 10;
 constexpr std::uint64_t MaxBodyBytes = std::uint64_t{64} << 20;
 
@@ -87,6 +89,7 @@
   std::size_t BytesSent = 0; ///< Request bytes of CurrentCall.
   std::string Input;         ///< Received bytes not parsed yet.
   std::optional<Parser> ResponseParser;
+  std::size_t HeadBytes = 0; ///< Parsed so far of an incomplete head.
   unsigned StrayResponses = 0;
   bool ResponseStarted = false;
   Instant IdleSince{};
@@ -324,6 +327,15 @@
       handleResponse(connection);
       return true;
     }
+    // The parser limits neither the total of a head that arrives field by
+    // field nor the framing of chunks.
+    connection.HeadBytes = connection.ResponseParser->is_header_done()
+                               ? 0
+                               : connection.HeadBytes + used;
+    if (connection.HeadBytes + connection.Input.size() > MaxHeaderBytes) {
+      fail(connection, "malformed response: header or chunk framing too long");
+      return true;
+    }
     if (used == 0 || ec == beast::error::need_more) {
       return false;
     }
@@ -338,6 +350,7 @@
   CallResult result;
   result.Response = takeResponse(*connection.ResponseParser);
   connection.ResponseParser.reset();
+  connection.HeadBytes = 0;
   const Call &call = *connection.CurrentCall;
   const std::string *echo =
       call.EchoHeader.empty()
@@ -437,7 +450,7 @@
 }
 
 std::size_t ClientPool::heldBytes(const Connection &connection) {
-  return connection.Input.size() +
+  return connection.Input.size() + connection.HeadBytes +
          (connection.ResponseParser
               ? connection.ResponseParser->get().body().size()
               : 0);
--- a/tests/http/EndlessResponseTest.cpp
+++ b/tests/http/EndlessResponseTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <ostream>
 #include <string>
 #include <vector>
@@ -17,8 +18,86 @@
 /// Bytes that one connection may add in one iteration of the loop.
 constexpr std::size_t WakeupBytes = std::size_t{64} << 10;
 
+/// What an upstream sends without end after a start, or before it closes.
+struct EndlessBytes {
+  const char *Description;
+  std::string Start;
+  std::string Repeated;
+  std::size_t MaxHeldBytes; ///< Bound on what the pool holds at any time.
+};
+
+std::ostream &operator<<(std::ostream &out, const EndlessBytes &it) {
+  return out << it.Description;
+}
+
+constexpr std::size_t HeadLimit = std::size_t{64} << 10;
+constexpr std::size_t FramingBound = HeadLimit + WakeupBytes;
+
+const std::string ChunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+const std::vector<EndlessBytes> EndlessHeadsAndFramings{
+    {"bytes that never are a status line", "", "\x01\x02\x03", FramingBound},
+    {"line ends", "", "\r\n", FramingBound},
+    {"a status line without an end", "HTTP/1.1 200 O", "K", FramingBound},
+    {"a header name without an end", "HTTP/1.1 200 OK\r\n", "X", FramingBound},
+    {"a header value without an end", "HTTP/1.1 200 OK\r\nX: ", "v",
+     FramingBound},
+    {"header fields", "HTTP/1.1 200 OK\r\n", "X: v\r\n", FramingBound},
+    {"header fields, parts of which end within a name", "HTTP/1.1 200 OK\r\nX",
+     ": v\r\nX", FramingBound},
+    {"a folded header value", "HTTP/1.1 200 OK\r\nX: v", "\r\n v",
+     FramingBound},
+    {"a chunk size", ChunkedHead, "0", FramingBound},
+    {"a chunk extension", ChunkedHead + "5;a=", "b", FramingBound},
+    {"the extension of the last chunk", ChunkedHead + "0;a=", "b",
+     FramingBound},
+    {"trailers", ChunkedHead + "0\r\n", "X: v\r\n", FramingBound},
+    {"a trailer without an end", ChunkedHead + "0\r\nX: ", "v", FramingBound},
+    {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n", FramingBound},
+    {"responses to other requests", "",
+     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Request-Id: z\r\n\r\nb",
+     FramingBound}};
+
+/// Sends until the call ended. Each part ends where Repeated ends.
+/// \returns the most bytes that the pool held after an iteration of the loop.
+std::size_t sendUntilEnded(PoolFixture &it, const RawConnection &upstream,
+                           CallId id, const EndlessBytes &endless,
+                           std::size_t maxSentBytes) {
+  upstream.send(endless.Start);
+  std::string part;
+  while (part.size() < std::size_t{8} << 10) {
+    part += endless.Repeated;
+  }
+  std::size_t held = 0;
+  for (std::size_t sent = 0; sent < maxSentBytes && !it.Results.contains(id);
+       sent += part.size()) {
+    upstream.send(part);
+    it.EventLoop.runOnce();
+    held = std::max(held, it.Pool.receivedBytes());
+  }
+  return held;
+}
+
 } // namespace
 
+// Guards against heads and chunk framing that arrive for as long as the call
+// lasts and are held whole.
+BOOST_DATA_TEST_CASE(endlessHeadOrFramingBreaksTheCall, EndlessHeadsAndFramings,
+                     endless) {
+  PoolFixture it;
+  it.Pool.start(it.call(1, "a"));
+  const auto upstream = it.acceptRequest();
+  const std::size_t held =
+      sendUntilEnded(it, *upstream, 1, endless, std::size_t{16} * FramingBound);
+  BOOST_TEST(held <= endless.MaxHeldBytes);
+  BOOST_REQUIRE(it.Results.contains(1));
+  BOOST_TEST((it.Results[1].Outcome == CallOutcome::Broken));
+  BOOST_TEST(!it.Results[1].Cancelled);
+  BOOST_TEST(it.Pool.connections() == 0);
+  BOOST_TEST(it.Pool.receivedBytes() == 0);
+}
+
 // Guards against reading for as long as bytes arrive, which keeps the loop from
 // all else and holds all of them in memory unparsed.
 BOOST_AUTO_TEST_CASE(fastSenderIsReadInBoundedTurns) {
