http: incomplete responses share a limit of 32 MiB

What callers saw: nothing while upstreams send sound responses. Three endless bodies at once would take an instance of 160 MB beyond its memory, and it would be killed with all its requests. Cause: each response could hold 64 MiB, and nothing limited all of them. Ruled out: a smaller limit for each response alone: sound downloads are large, and many small ones add up as well. Beyond it the call that holds the most is broken, so a smaller sound response completes. A single body has the same limit. Conclusion: memory for responses of upstreams no longer depends on what they send. A complete response still waits in memory for its caller.

--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -82,9 +82,12 @@
               [this](const StateUpdate &update) {
                 Handlers.UpdateReceived(update);
               }),
-      Pool(loop, [this](http::CallId id, const http::CallResult &result) {
-        handlePollResult(id, result);
-      }) {
+      Pool(
+          loop,
+          [this](http::CallId id, const http::CallResult &result) {
+            handlePollResult(id, result);
+          },
+          MaxUpdateBytes) {
   std::erase(Seeds, self.Record.PeerAddress);
   Membership.LocalMember = std::move(self);
   Membership.LocalMember.UpdateFormat = CurrentUpdateFormat;
--- a/src/fleet/SnapshotFetcher.cpp
+++ b/src/fleet/SnapshotFetcher.cpp
@@ -22,9 +22,12 @@
 SnapshotFetcher::SnapshotFetcher(
     struct ev_loop *loop, std::function<void(const StateUpdate &)> onSnapshot)
     : OnSnapshot(std::move(onSnapshot)),
-      Pool(loop, [this](http::CallId id, const http::CallResult &result) {
-        handleResult(id, result);
-      }) {}
+      Pool(
+          loop,
+          [this](http::CallId id, const http::CallResult &result) {
+            handleResult(id, result);
+          },
+          MaxUpdateBytes) {}
 
 void SnapshotFetcher::requestIfDue(const Members &members, Instant now) {
   if (RequestInFlight && now - RequestedAt < RequestTimeout) {
--- a/src/fleet/UpdateServer.h
+++ b/src/fleet/UpdateServer.h
@@ -4,6 +4,7 @@
 /// none.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -23,6 +24,10 @@
 /// Path under which each instance serves its snapshot, also if it is no reader.
 constexpr const char *SnapshotPath = "/knowledge";
 
+/// Limit for a state update or a snapshot, several times that of the state of a
+/// large deployment.
+constexpr std::size_t MaxUpdateBytes = std::size_t{8} << 20;
+
 /// The parts of the state that a reader sends its followers.
 enum class StatePart : std::uint8_t {
   Configuration,
--- a/src/http/ClientPool.cpp
+++ b/src/http/ClientPool.cpp
@@ -32,7 +32,6 @@
 // Limit for the head of a response, and for one chunk's framing and the
 // trailers.
 constexpr std::uint32_t MaxHeaderBytes = std::uint32_t{64} << 10;
-constexpr std::uint64_t MaxBodyBytes = std::uint64_t{64} << 20;
 
 // Maximum number of interim responses and responses to other requests that a
 // call skips; one more fails the call and closes the connection.
@@ -89,6 +88,7 @@
   std::size_t BytesSent = 0; ///< Request bytes of CurrentCall.
   std::string Input;         ///< Received bytes not parsed yet.
   std::optional<Parser> ResponseParser;
+  std::size_t HeldBytes = 0; ///< This connection's part of receivedBytes.
   std::size_t HeadBytes = 0; ///< Parsed so far of an incomplete head.
   unsigned StrayResponses = 0;
   bool ResponseStarted = false;
@@ -97,8 +97,9 @@
   bool PeerClosed = false;
 };
 
-ClientPool::ClientPool(struct ev_loop *loop, Handler onEnded)
-    : Loop(loop), OnEnded(std::move(onEnded)) {
+ClientPool::ClientPool(struct ev_loop *loop, Handler onEnded,
+                       std::size_t maxHeldBytes)
+    : Loop(loop), OnEnded(std::move(onEnded)), MaxHeldBytes(maxHeldBytes) {
   ev_async_init(&Wake, [](struct ev_loop *, ev_async *it, int) {
     static_cast<ClientPool *>(it->data)->deliverResults();
   });
@@ -289,7 +290,8 @@
     return; // The connection may no longer exist.
   }
   if (!closed) {
-    return;
+    recordHeldBytes(connection);
+    return enforceMaxHeldBytes();
   }
   if (error == 0 && connection.ResponseParser) {
     // A response without a length ends when the peer closes the connection.
@@ -311,7 +313,7 @@
       connection.ResponseParser.emplace();
       connection.ResponseParser->eager(true);
       connection.ResponseParser->header_limit(MaxHeaderBytes);
-      connection.ResponseParser->body_limit(MaxBodyBytes);
+      connection.ResponseParser->body_limit(MaxHeldBytes);
       connection.ResponseParser->skip(connection.CurrentCall->IsHead);
     }
     boost::beast::error_code ec;
@@ -351,6 +353,7 @@
   result.Response = takeResponse(*connection.ResponseParser);
   connection.ResponseParser.reset();
   connection.HeadBytes = 0;
+  recordHeldBytes(connection);
   const Call &call = *connection.CurrentCall;
   const std::string *echo =
       call.EchoHeader.empty()
@@ -388,6 +391,28 @@
   OnEnded(id, std::move(result));
 }
 
+void ClientPool::recordHeldBytes(Connection &connection) {
+  const std::size_t held = connection.Input.size() + connection.HeadBytes +
+                           (connection.ResponseParser
+                                ? connection.ResponseParser->get().body().size()
+                                : 0);
+  HeldBytes += held - connection.HeldBytes;
+  connection.HeldBytes = held;
+}
+
+// Fails the call that holds the most. A response without an end outgrows the
+// others, so they can still complete.
+void ClientPool::enforceMaxHeldBytes() {
+  if (HeldBytes <= MaxHeldBytes) {
+    return;
+  }
+  const auto largest = std::max_element(
+      Connections.begin(), Connections.end(), [](const auto &a, const auto &b) {
+        return a.first->HeldBytes < b.first->HeldBytes;
+      });
+  fail(*largest->first, "too many bytes of incomplete responses");
+}
+
 void ClientPool::returnToIdle(Connection &connection) {
   connection.Reused = true;
   connection.IdleSince = readClock();
@@ -441,21 +466,6 @@
   }
 }
 
-std::size_t ClientPool::receivedBytes() const {
-  std::size_t bytes = 0;
-  for (const auto &[it, owned] : Connections) {
-    bytes += heldBytes(*it);
-  }
-  return bytes;
-}
-
-std::size_t ClientPool::heldBytes(const Connection &connection) {
-  return connection.Input.size() + connection.HeadBytes +
-         (connection.ResponseParser
-              ? connection.ResponseParser->get().body().size()
-              : 0);
-}
-
 std::size_t ClientPool::connections(const std::string &address) const {
   const auto it = Endpoints.find(address);
   return it == Endpoints.end() ? 0 : it->second.OpenConnections;
@@ -466,6 +476,7 @@
   ev_io_stop(Loop, &connection.WriteWatcher);
   ev_timer_stop(Loop, &connection.ConnectTimer);
   close(connection.Fd);
+  HeldBytes -= connection.HeldBytes;
   if (connection.CurrentCall) {
     InFlight.erase(connection.CurrentCall->Id);
   }
--- a/src/http/ClientPool.h
+++ b/src/http/ClientPool.h
@@ -62,8 +62,16 @@
 public:
   using Handler = std::function<void(CallId, CallResult)>;
 
+  /// Default limit for the bytes of incomplete responses: a fifth of the
+  /// smallest instance's memory.
+  static constexpr std::size_t DefaultMaxHeldBytes = std::size_t{32} << 20;
+
   /// \param loop event loop; must outlive the pool.
-  ClientPool(struct ev_loop *loop, Handler onEnded);
+  /// \param maxHeldBytes limit for the body of one response, and for the bytes
+  ///   of all incomplete responses together. Beyond it the call that holds the
+  ///   most ends as Broken.
+  ClientPool(struct ev_loop *loop, Handler onEnded,
+             std::size_t maxHeldBytes = DefaultMaxHeldBytes);
   ~ClientPool();
   ClientPool(const ClientPool &) = delete;
   ClientPool &operator=(const ClientPool &) = delete;
@@ -81,7 +89,7 @@
   std::size_t connections(const std::string &address) const;
 
   /// Bytes of incomplete responses that are held in memory.
-  std::size_t receivedBytes() const;
+  std::size_t receivedBytes() const { return HeldBytes; }
 
 private:
   struct Connection;
@@ -96,7 +104,8 @@
   void writeTo(Connection &connection);
   void readFrom(Connection &connection);
   bool receive(Connection &connection, bool &closed, int &error);
-  static std::size_t heldBytes(const Connection &connection);
+  void recordHeldBytes(Connection &connection);
+  void enforceMaxHeldBytes();
   bool parse(Connection &connection);
   void handleResponse(Connection &connection);
   void returnToIdle(Connection &connection);
@@ -107,6 +116,8 @@
 
   struct ev_loop *Loop;
   Handler OnEnded;
+  std::size_t MaxHeldBytes;
+  std::size_t HeldBytes = 0;
   ev_async Wake{};
   std::unordered_map<std::string, Endpoint> Endpoints;
   std::unordered_map<Connection *, std::unique_ptr<Connection>> Connections;
--- a/tests/http/EndlessResponseTest.cpp
+++ b/tests/http/EndlessResponseTest.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
+#include <memory>
 #include <ostream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/test/data/test_case.hpp>
@@ -70,9 +72,11 @@
     part += endless.Repeated;
   }
   std::size_t held = 0;
-  for (std::size_t sent = 0; sent < maxSentBytes && !it.Results.contains(id);
-       sent += part.size()) {
-    upstream.send(part);
+  std::size_t sent = 0;
+  while (sent < maxSentBytes && !it.Results.contains(id)) {
+    const std::string_view rest =
+        std::string_view(part).substr(sent % part.size());
+    sent += upstream.trySend(rest);
     it.EventLoop.runOnce();
     held = std::max(held, it.Pool.receivedBytes());
   }
@@ -98,6 +102,79 @@
   BOOST_TEST(it.Pool.receivedBytes() == 0);
 }
 
+namespace {
+
+constexpr std::size_t BodyLimit = std::size_t{1} << 20;
+constexpr std::size_t BodyBound = BodyLimit + WakeupBytes;
+
+const std::vector<EndlessBytes> EndlessBodies{
+    {"a body that ends with the connection", "HTTP/1.1 200 OK\r\n\r\n", "b",
+     BodyBound},
+    {"a body of the greatest length",
+     "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551615\r\n\r\n", "b",
+     BodyBound},
+    {"a body of a length above the limit",
+     "HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n", "b", BodyBound},
+    {"chunks", ChunkedHead, "8\r\n12345678\r\n", BodyBound},
+    {"a chunk above the limit", ChunkedHead + "fffffffffffffff\r\n", "b",
+     BodyBound},
+    {"chunks with extensions", ChunkedHead,
+     "8;a=" + std::string(100, 'b') + "\r\n12345678\r\n", BodyBound},
+    {"large responses to other requests", "",
+     "HTTP/1.1 200 OK\r\nContent-Length: 500000\r\nX-Request-Id: z\r\n\r\n" +
+         std::string(500000, 'b'),
+     BodyBound}};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(endlessBodyBreaksTheCall, EndlessBodies, endless) {
+  PoolFixture it(BodyLimit);
+  it.Pool.start(it.call(1, "a"));
+  const auto upstream = it.acceptRequest();
+  const std::size_t held =
+      sendUntilEnded(it, *upstream, 1, endless, std::size_t{32} * BodyLimit);
+  BOOST_TEST(held <= endless.MaxHeldBytes);
+  BOOST_REQUIRE(it.Results.contains(1));
+  BOOST_TEST((it.Results[1].Outcome == CallOutcome::Broken));
+  BOOST_TEST(!it.Results[1].Cancelled);
+  BOOST_TEST(it.Pool.connections() == 0);
+  BOOST_TEST(it.Pool.receivedBytes() == 0);
+}
+
+// Guards against many endless responses, each below the limit of one, that
+// together take more memory than the instance has.
+BOOST_AUTO_TEST_CASE(endlessBodiesShareOneLimitAndSpareASmallerResponse) {
+  constexpr CallId endlessCalls = 8;
+  const std::string body(BodyLimit / 16, 'b');
+  PoolFixture it(BodyLimit);
+  it.Pool.start(it.call(1));
+  const auto sound = it.acceptRequest();
+  sound->send(response(body).substr(0, body.size()));
+  std::vector<std::unique_ptr<RawConnection>> endless;
+  for (CallId id = 2; id < 2 + endlessCalls; ++id) {
+    it.Pool.start(it.call(id));
+    endless.push_back(it.acceptRequest());
+    endless.back()->send("HTTP/1.1 200 OK\r\n\r\n");
+  }
+  const std::string part(BodyLimit / 64, 'b');
+  std::size_t held = 0;
+  for (unsigned n = 0; n < 128; ++n) {
+    for (const auto &upstream : endless) {
+      upstream->trySend(part);
+    }
+    it.EventLoop.runOnce();
+    held = std::max(held, it.Pool.receivedBytes());
+  }
+  BOOST_TEST(held <= BodyBound);
+  BOOST_TEST(it.Results.size() == endlessCalls);
+  BOOST_TEST(!it.Results.contains(1));
+  sound->send(response(body).substr(body.size()));
+  BOOST_REQUIRE(it.waitForResult(1));
+  BOOST_TEST((it.Results[1].Outcome == CallOutcome::Answered));
+  BOOST_TEST((it.Results[1].Response.Body == body));
+  BOOST_TEST(it.Pool.receivedBytes() == 0);
+}
+
 // Guards against reading for as long as bytes arrive, which keeps the loop from
 // all else and holds all of them in memory unparsed.
 BOOST_AUTO_TEST_CASE(fastSenderIsReadInBoundedTurns) {
--- a/tests/http/PoolFixture.h
+++ b/tests/http/PoolFixture.h
@@ -13,10 +13,14 @@
 
 /// A pool, and an upstream whose responses the test writes itself.
 struct PoolFixture {
-  PoolFixture()
-      : Pool(EventLoop.Loop, [this](CallId id, CallResult result) {
-          Results[id] = std::move(result);
-        }) {}
+  explicit PoolFixture(
+      std::size_t maxHeldBytes = ClientPool::DefaultMaxHeldBytes)
+      : Pool(
+            EventLoop.Loop,
+            [this](CallId id, CallResult result) {
+              Results[id] = std::move(result);
+            },
+            maxHeldBytes) {}
 
   Call call(CallId id, const std::string &echo = "") const {
     Call call;
--- a/tests/http/RawConnection.h
+++ b/tests/http/RawConnection.h
@@ -3,10 +3,12 @@
 /// server or client sends.
 #pragma once
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <csignal>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -81,19 +83,22 @@
     ::send(Fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   }
 
+  /// Sends what the buffers of both ends take.
+  /// \returns the number of bytes sent.
+  std::size_t trySend(std::string_view bytes) const {
+    const ssize_t n =
+        ::send(Fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    return static_cast<std::size_t>(std::max<ssize_t>(n, 0));
+  }
+
   /// Sends the bytes again and again until the buffers of both ends are full.
   /// \returns the number of bytes sent.
-  std::size_t sendWhilePossible(const std::string &bytes) const {
+  std::size_t sendWhilePossible(std::string_view bytes) const {
     std::size_t sent = 0;
-    while (true) {
-      const std::size_t at = sent % bytes.size();
-      const ssize_t n = ::send(Fd, bytes.data() + at, bytes.size() - at,
-                               MSG_NOSIGNAL | MSG_DONTWAIT);
-      if (n <= 0) {
-        return sent;
-      }
-      sent += static_cast<std::size_t>(n);
+    while (const std::size_t n = trySend(bytes.substr(sent % bytes.size()))) {
+      sent += n;
     }
+    return sent;
   }
 
   /// Reads what has arrived and returns all bytes so far. Sets PeerClosed once
