http: a closing connection's bytes are discarded in bounded turns

What callers saw: nothing from well-behaved callers. One that went on sending after an error response held up all others, beyond the second that a closing connection is given. Cause: Server::receive discards the bytes of a closing connection until the socket is empty; a sender that keeps up with it kept the loop there, so the timer that ends the connection never ran. Conclusion: no read on a connection lasts as long as its sender pleases.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -33,6 +33,10 @@
 
 constexpr std::size_t ReadChunkBytes = std::size_t{16} << 10;
 
+// Maximum number of bytes read from one connection in one iteration of the
+// loop: a fast sender must not keep the loop from the other connections.
+constexpr std::size_t MaxReadBytesPerWakeup = std::size_t{64} << 10;
+
 // Unparsed bytes of one connection above which reading pauses, or the limit of
 // a request's head if that is larger: a head is parsed only once it is whole.
 constexpr std::size_t MinUnparsedLimit = std::size_t{64} << 10;
@@ -201,7 +205,8 @@
 /// \returns false when the connection was closed.
 bool Server::receive(Connection &connection) {
   std::array<char, ReadChunkBytes> chunk;
-  while (true) {
+  std::size_t received = 0;
+  while (received < MaxReadBytesPerWakeup) {
     const ssize_t n =
         recv(connection.Fd, chunk.data(), chunk.size(), MSG_DONTWAIT);
     if (n < 0 && errno == EINTR) {
@@ -214,6 +219,7 @@
       closeConnection(connection);
       return false;
     }
+    received += static_cast<std::size_t>(n);
     if (connection.Closing) {
       continue; // Bytes after a closing response are discarded.
     }
@@ -223,6 +229,7 @@
       return true;
     }
   }
+  return true;
 }
 
 void Server::readFrom(Connection &connection) {
--- a/tests/http/ServerTest.cpp
+++ b/tests/http/ServerTest.cpp
@@ -322,3 +322,19 @@
   });
   BOOST_TEST(arrived);
 }
+
+// Guards against discarding a closing connection's bytes for as long as they
+// arrive, which keeps the loop from all else.
+BOOST_AUTO_TEST_CASE(bytesAfterAClosingResponseAreReadInBoundedTurns) {
+  ServerFixture it;
+  const auto caller = it.connect();
+  const std::string part(std::size_t{64} << 10, 'x');
+  caller->send("nonsense\r\n\r\n");
+  BOOST_REQUIRE(
+      it.EventLoop.runUntil([&] { return caller->has("HTTP/1.1 400"); }));
+  BOOST_REQUIRE(caller->sendWhilePossible(part) > 4 * part.size());
+  it.EventLoop.runOnce();
+  // The receive buffer may also have grown.
+  BOOST_TEST(caller->sendWhilePossible(part) < 16 * part.size());
+  BOOST_TEST(it.TestedServer.connections() == 1);
+}
