http: a request's head is limited in full

What callers saw: nothing; such a caller could make an instance hold as many header fields as it sent within header_timeout, whatever max_header_bytes said. Cause: as for responses: Beast's header_limit applies to what is parsed at once, and a head whose parts end within the first three bytes of a name is parsed field by field. Change: what is parsed of an incomplete head counts too; beyond the limit the caller gets 431 and the connection closes. Before: headThatArrivesFieldByFieldIsLimited failed, no response after 10 times the limit. After: it passes, as do all 81 cases of test_http. Conclusion: max_header_bytes holds however a head arrives.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -93,6 +93,7 @@
   ev_timer Timer{};
   std::string Input;                   ///< Received bytes not parsed yet.
   std::optional<Parser> RequestParser; ///< Set while a request is incomplete.
+  std::size_t HeadBytes = 0;           ///< Parsed so far of an incomplete head.
   Instant RequestStartedAt{}; ///< When the request's first bytes were parsed.
   std::deque<Exchange> Exchanges;
   std::string Output;
@@ -254,12 +255,22 @@
           static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
       connection.RequestParser->body_limit(Limits.MaxBodyBytes);
       connection.RequestStartedAt = readClock();
+      connection.HeadBytes = 0;
     }
     boost::beast::error_code ec;
     const std::size_t used = connection.RequestParser->put(
         boost::asio::buffer(connection.Input.data(), connection.Input.size()),
         ec);
     connection.Input.erase(0, used);
+    // The parser does not limit the total of a head that it parses field by
+    // field.
+    connection.HeadBytes += used;
+    if (!connection.RequestParser->is_header_done() &&
+        connection.HeadBytes + connection.Input.size() >
+            Limits.MaxHeaderBytes) {
+      rejectRequest(connection, HeadersTooLarge);
+      break;
+    }
     if (ec == beast::error::need_more) {
       break;
     }
--- a/tests/http/ServerTest.cpp
+++ b/tests/http/ServerTest.cpp
@@ -338,3 +338,18 @@
   BOOST_TEST(caller->sendWhilePossible(part) < 16 * part.size());
   BOOST_TEST(it.TestedServer.connections() == 1);
 }
+
+// Guards against a head that the parser takes field by field, without a limit.
+BOOST_AUTO_TEST_CASE(headThatArrivesFieldByFieldIsLimited) {
+  ServerFixture it;
+  CallerLimits limits = smallLimits();
+  limits.HeaderTimeout = 5s;
+  it.TestedServer.setLimits(limits);
+  const auto caller = it.connect();
+  caller->send("GET / HTTP/1.1\r\nX");
+  for (unsigned n = 0; n < 100 && !caller->has("HTTP/1.1 "); ++n) {
+    caller->send(": " + std::string(100, 'v') + "\r\nX");
+    it.EventLoop.runOnce();
+  }
+  BOOST_TEST(caller->has("HTTP/1.1 431"));
+}
