proxy: a health check ends after 3 s

What callers saw: an upstream that once left a health check unanswered, or answered it without an end, got almost no requests from that instance until the connection ended, long after it had recovered. Cause: only the connection attempt of a health check had a timeout. While one is pending no other is sent; an ejected upstream is not readmitted, and another counts as five times as slow. Ruled out: requests: the engine cancels their calls at the deadline, at the caller's leaving (idempotent ones) and when another attempt has answered. Change: a call of ClientPool may have a timeout, which breaks it however many bytes still come; a health check has one of 3 s and then counts as not answered. Before: upstreamThatLeftAHealthCheckUnansweredIsUsedAgain failed, no request in 20 s after the upstream had recovered. After: it passes, as do slowEndlessResponseEndsWithTheTimeoutOfTheCall (4 byte streams) and timeoutOfACallDoesNotEndTheNextOneOnItsConnection. Conclusion: a health check costs an upstream at most 3 s of its service.

--- a/src/http/ClientPool.cpp
+++ b/src/http/ClientPool.cpp
@@ -82,6 +82,7 @@
   ev_io ReadWatcher{};
   ev_io WriteWatcher{};
   ev_timer ConnectTimer{};
+  ev_timer CallTimer{}; ///< Active while CurrentCall has a timeout.
   bool Connecting = true;
   bool Reused = false; ///< An earlier call used this connection.
   std::optional<Call> CurrentCall;
@@ -192,7 +193,15 @@
         connection->Owner->fail(*connection, "connection attempt timed out");
       },
       timeout.count(), 0);
-  it.ReadWatcher.data = it.WriteWatcher.data = it.ConnectTimer.data = &it;
+  ev_timer_init(
+      &it.CallTimer,
+      [](struct ev_loop *, ev_timer *watcher, int) {
+        auto *connection = static_cast<Connection *>(watcher->data);
+        connection->Owner->fail(*connection, "call timed out");
+      },
+      0, 0);
+  it.ReadWatcher.data = it.WriteWatcher.data = it.ConnectTimer.data =
+      it.CallTimer.data = &it;
   ev_io_start(Loop, &it.WriteWatcher);
   ev_timer_start(Loop, &it.ConnectTimer);
   return &it;
@@ -204,6 +213,12 @@
   connection.BytesSent = 0;
   connection.StrayResponses = 0;
   connection.ResponseStarted = false;
+  if (connection.CurrentCall->Timeout != Duration::max()) {
+    const std::chrono::duration<double> timeout =
+        connection.CurrentCall->Timeout;
+    ev_timer_set(&connection.CallTimer, timeout.count(), 0);
+    ev_timer_start(Loop, &connection.CallTimer);
+  }
   if (!connection.Connecting) {
     writeTo(connection);
   }
@@ -382,6 +397,7 @@
   connection.PeerIdleTimeout =
       std::min(connection.PeerIdleTimeout, keepAliveTimeout(result.Response));
   InFlight.erase(id);
+  ev_timer_stop(Loop, &connection.CallTimer);
   connection.CurrentCall.reset();
   if (keepAlive && isReusable) {
     returnToIdle(connection);
@@ -475,6 +491,7 @@
   ev_io_stop(Loop, &connection.ReadWatcher);
   ev_io_stop(Loop, &connection.WriteWatcher);
   ev_timer_stop(Loop, &connection.ConnectTimer);
+  ev_timer_stop(Loop, &connection.CallTimer);
   close(connection.Fd);
   HeldBytes -= connection.HeldBytes;
   if (connection.CurrentCall) {
--- a/src/http/ClientPool.h
+++ b/src/http/ClientPool.h
@@ -37,6 +37,9 @@
   /// dropped its end without notice.
   Duration MaxIdleTime = std::chrono::seconds{60};
   Duration ConnectTimeout = std::chrono::milliseconds{250};
+  /// Time from the start after which an unanswered call ends, as Broken if any
+  /// byte of it was sent; Duration::max(): none.
+  Duration Timeout = Duration::max();
 };
 
 /// How a call ended.
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -24,6 +24,10 @@
 constexpr Duration ProbeConnectTimeout = std::chrono::milliseconds{250};
 constexpr Duration ConnectTimeout = std::chrono::milliseconds{150};
 
+// A health check may wait for a slot, as requests do. One that has no complete
+// response by then would keep its upstream from being checked again.
+constexpr Duration ProbeTimeout = std::chrono::seconds{3};
+
 // The fraction of the fleet's health-check rate that the known instances share;
 // the rest is reserved for instances that are not known yet.
 constexpr double UsedProbeFraction = 0.9;
@@ -469,6 +473,7 @@
   call.Bytes = "GET " + entry.HealthPath +
                " HTTP/1.1\r\nHost: " + call.Address + "\r\n\r\n";
   call.ConnectTimeout = ProbeConnectTimeout;
+  call.Timeout = ProbeTimeout;
   Callbacks.StartCall(std::move(call));
 }
 
--- a/tests/drill/UpstreamSignalsTest.cpp
+++ b/tests/drill/UpstreamSignalsTest.cpp
@@ -114,3 +114,22 @@
     return arrivalsAt(drill, pausing) > pausedArrivals;
   }));
 }
+
+// Guards against a health check without an end, which kept its upstream from
+// being checked, and readmitted, for as long as the connection was open.
+BOOST_AUTO_TEST_CASE(upstreamThatLeftAHealthCheckUnansweredIsUsedAgain) {
+  Drill drill(planOfOneDomain());
+  standins::Upstream &silent = preferFirst(drill);
+  sendOrders(drill, 0, 5);
+  BOOST_REQUIRE(arrivalsAt(drill, silent) > 0);
+  silent.Faults.Unresponsive = true;
+  for (unsigned n = 0; n < 3; ++n) {
+    drill.sendRequest("POST", "/order/", "silent-" + std::to_string(n));
+  }
+  silent.Faults.Unresponsive = false;
+  const std::size_t before = arrivalsAt(drill, silent);
+  BOOST_TEST(drill.EventLoop.runUntil([&] {
+    sendOrders(drill, 0, 1);
+    return arrivalsAt(drill, silent) > before;
+  }));
+}
--- a/tests/http/EndlessResponseTest.cpp
+++ b/tests/http/EndlessResponseTest.cpp
@@ -141,6 +141,51 @@
   BOOST_TEST(it.Pool.receivedBytes() == 0);
 }
 
+namespace {
+
+const std::vector<EndlessBytes> SlowResponses{
+    {"no byte", "", "", 0},
+    {"a head", "HTTP/1.1 200 OK\r\n", "X", WakeupBytes},
+    {"a body", "HTTP/1.1 200 OK\r\n\r\n", "b", WakeupBytes},
+    {"chunks", ChunkedHead, "1\r\nb\r\n", WakeupBytes}};
+
+} // namespace
+
+// Guards against a peer that sends too little to reach a limit of size, or
+// nothing, and so keeps a call for as long as it likes.
+BOOST_DATA_TEST_CASE(slowEndlessResponseEndsWithTheTimeoutOfTheCall,
+                     SlowResponses, endless) {
+  PoolFixture it;
+  Call call = it.call(1);
+  call.Timeout = 200ms;
+  it.Pool.start(std::move(call));
+  const auto upstream = it.acceptRequest();
+  upstream->trySend(endless.Start);
+  BOOST_REQUIRE(it.EventLoop.runUntil([&] {
+    upstream->trySend(endless.Repeated);
+    return it.Results.contains(1);
+  }));
+  BOOST_TEST((it.Results[1].Outcome == CallOutcome::Broken));
+  BOOST_TEST(!it.Results[1].Cancelled);
+  BOOST_TEST(it.Pool.connections() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(timeoutOfACallDoesNotEndTheNextOneOnItsConnection) {
+  PoolFixture it;
+  Call call = it.call(1);
+  call.Timeout = 50ms;
+  it.Pool.start(std::move(call));
+  const auto upstream = it.acceptRequest();
+  upstream->send(response("one"));
+  BOOST_REQUIRE(it.waitForResult(1));
+  it.Pool.start(it.call(2));
+  it.EventLoop.runFor(100ms);
+  BOOST_TEST(!it.Results.contains(2));
+  upstream->send(response("two"));
+  BOOST_REQUIRE(it.waitForResult(2));
+  BOOST_TEST(it.Results[2].Response.Body == "two");
+}
+
 // Guards against many endless responses, each below the limit of one, that
 // together take more memory than the instance has.
 BOOST_AUTO_TEST_CASE(endlessBodiesShareOneLimitAndSpareASmallerResponse) {
