balance: the attempt of a caller that has gone ends at its deadline

What callers saw: nothing at once. A request that must not run twice goes on at its upstream after its caller has left; if no complete response ever came, the call, its connection and the slot it counted for stayed for good. Cause: the request's timers go with the caller, and attempts had none. Ruled out: cancelling at once: the upstream would stop a request that the caller can't safely repeat. Change: such an attempt is cancelled at the request's deadline, like that of a caller who waits. Before: attemptOfACallerThatHasGoneEndsAtItsDeadlineAtTheLatest failed for requests that are not idempotent: no timer, no cancellation. After: it passes. Conclusion: each call to an upstream ends at the request's deadline.

--- a/src/balance/Attempts.cpp
+++ b/src/balance/Attempts.cpp
@@ -265,6 +265,19 @@
   }
 }
 
+void cancelExpiredAttempts(Step step) {
+  auto &abandoned = step.State.AbandonedAttempts;
+  while (!abandoned.empty() && abandoned.begin()->first <= step.Now) {
+    const std::uint64_t number = abandoned.begin()->second;
+    abandoned.erase(abandoned.begin());
+    const auto it = step.State.Attempts.find(number);
+    if (it != step.State.Attempts.end() && !it->second.Cancelled) {
+      it->second.Cancelled = true;
+      step.Output.emplace_back(CancelAttempt{AttemptId{number}});
+    }
+  }
+}
+
 void startHedge(Step step, RequestState &request) {
   Engine &engine = step.State;
   if (request.RunningAttempts.size() != 1 ||
--- a/src/balance/Engine.cpp
+++ b/src/balance/Engine.cpp
@@ -61,6 +61,7 @@
   // deadline that expires at the same moment.
   std::visit([&](const auto &it) { dispatch(step, it); }, event);
   runTimers(step);
+  cancelExpiredAttempts(step);
   dispatchQueue(step);
   probeEjectedUpstreams(step);
 }
@@ -70,6 +71,9 @@
   if (!engine.Timers.empty()) {
     next = std::min(next, engine.Timers.begin()->first);
   }
+  if (!engine.AbandonedAttempts.empty()) {
+    next = std::min(next, engine.AbandonedAttempts.begin()->first);
+  }
   if (!engine.Queue.empty()) {
     next = std::min(next, engine.QueueRecheckAt);
   }
--- a/src/balance/Requests.cpp
+++ b/src/balance/Requests.cpp
@@ -149,12 +149,17 @@
   if (it == step.State.Requests.end()) {
     return;
   }
-  // A request that is not idempotent keeps running: its caller can't safely
-  // send it again.
-  if (it->second.Policy.Idempotent) {
-    cancelRunningAttempts(step, it->second);
+  RequestState &request = it->second;
+  // A request that is not idempotent keeps running until its deadline: its
+  // caller can't safely send it again.
+  if (request.Policy.Idempotent) {
+    cancelRunningAttempts(step, request);
+  } else {
+    for (const AttemptId id : request.RunningAttempts) {
+      step.State.AbandonedAttempts.emplace(request.Deadline, numberOf(id));
+    }
   }
-  removeRequest(step.State, it->second);
+  removeRequest(step.State, request);
 }
 
 void refuse(Step step, RequestState &request, RefusalReason reason) {
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -104,6 +104,8 @@
   std::vector<RequestId> Queue;
   /// Deadlines and hedge times, with the request's number.
   std::set<std::pair<Instant, std::uint64_t>> Timers;
+  /// Deadlines of attempts whose caller has gone, with the attempt's number.
+  std::set<std::pair<Instant, std::uint64_t>> AbandonedAttempts;
   std::map<std::string, ServiceTimeEstimate> ServiceTimes; ///< By route.
   double MeanSlowness = 1;  ///< EWMA over all reports.
   double UsualSlowness = 1; ///< Running 40th percentile of the reports.
@@ -149,6 +151,7 @@
 void onArrival(Step step, const RequestArrived &event);
 void onCallerGone(Step step, const CallerGone &event);
 void runTimers(Step step);
+void cancelExpiredAttempts(Step step);
 void refuse(Step step, RequestState &request, RefusalReason reason);
 void deliver(Step step, RequestState &request, AttemptId attempt);
 void enqueue(Step step, RequestState &request);
