core: the heads and trailers of the store's responses are limited

What callers saw: nothing. Trailers without an end kept a call of the store until its timeout, and the limit for heads was that of the installed libcurl (older ones have none). Cause: HttpClient limited only the body. Change: 64 KiB for all heads and trailers of a response; more breaks the call. A chunk extension without an end still ends at the call's timeout: libcurl drops these bytes as they come. Conclusion: whatever the store sends, a call ends within its limits of time and memory and never as a response.

--- a/src/core/HttpClient.cpp
+++ b/src/core/HttpClient.cpp
@@ -17,6 +17,9 @@
 // retry connect sooner.
 constexpr long ConnectTimeoutMs = 500;
 
+// Limit for all heads of a response, interim ones included, and its trailers.
+constexpr std::size_t MaxHeadBytes = std::size_t{64} << 10;
+
 struct EasyDeleter {
   void operator()(CURL *it) const { curl_easy_cleanup(it); }
 };
@@ -29,6 +32,7 @@
   HttpReply Reply;
   HttpClient::Callback OnDone;
   bool Sent = false; ///< Bytes may have been sent.
+  std::size_t HeadBytes = 0;
   std::unique_ptr<CURL, EasyDeleter> Easy;
   std::unique_ptr<curl_slist, HeadersDeleter> Headers;
 };
@@ -46,6 +50,10 @@
 std::size_t onHeader(char *data, std::size_t, std::size_t size, void *user) {
   constexpr std::size_t maxLine = 256;
   auto &it = *static_cast<Transfer *>(user);
+  it.HeadBytes += size;
+  if (it.HeadBytes > MaxHeadBytes) {
+    return 0; // Ends the transfer.
+  }
   const std::string &name = it.Request.RequestedHeader;
   const std::string_view line(data, size);
   const auto equalIgnoringCase = [](char a, char b) {
--- /dev/null
+++ b/tests/core/HttpClientTest.cpp
@@ -0,0 +1,87 @@
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "../http/RawConnection.h"
+#include "core/HttpClient.h"
+
+using namespace zinniarail;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// What a server sends without end after a start, and how the request ends.
+struct EndlessBytes {
+  const char *Description;
+  std::string Start;
+  std::string Repeated;
+  HttpReply::Outcome Expected;
+  bool EndsByTimeout; ///< The bytes are dropped as they come.
+};
+
+std::ostream &operator<<(std::ostream &out, const EndlessBytes &it) {
+  return out << it.Description;
+}
+
+constexpr auto Broken = HttpReply::Outcome::Broken;
+constexpr auto TooLarge = HttpReply::Outcome::TooLarge;
+
+const std::string ChunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+const std::vector<EndlessBytes> EndlessResponses{
+    {"bytes that never are a status line", "", "\x01\x02\x03", Broken, false},
+    {"a status line without an end", "HTTP/1.1 200 O", "K", Broken, false},
+    {"a header value without an end", "HTTP/1.1 200 OK\r\nX: ", "v", Broken,
+     false},
+    {"header fields", "HTTP/1.1 200 OK\r\n", "X: v\r\n", Broken, false},
+    {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n", Broken, false},
+    {"a body that ends with the connection", "HTTP/1.1 200 OK\r\n\r\n", "b",
+     TooLarge, false},
+    {"a body of the greatest length",
+     "HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775807\r\n\r\n", "b",
+     TooLarge, false},
+    {"chunks", ChunkedHead, "8\r\n12345678\r\n", TooLarge, false},
+    {"a chunk extension", ChunkedHead + "5;a=", "b", Broken, true},
+    {"trailers", ChunkedHead + "0\r\n", "X: v\r\n", Broken, false},
+    {"a trailer without an end", ChunkedHead + "0\r\nX: ", "v", Broken, false}};
+
+} // namespace
+
+// Guards against a head or a body without an end that takes the memory of the
+// instance, or that seems to be a response.
+BOOST_DATA_TEST_CASE(endlessResponseEndsTheRequest, EndlessResponses, endless) {
+  http::TestLoop loop;
+  const http::RawServer server;
+  HttpClient client(loop.Loop);
+  std::optional<HttpReply> reply;
+  HttpRequest request;
+  request.Url = "http://" + server.Address + "/objects/servers";
+  request.Timeout = endless.EndsByTimeout ? 300ms : 10s;
+  request.MaxBodyBytes = std::size_t{1} << 20;
+  client.send(std::move(request), [&](HttpReply it) { reply = std::move(it); });
+  std::unique_ptr<http::RawConnection> peer;
+  std::string part;
+  while (part.size() < std::size_t{8} << 10) {
+    part += endless.Repeated;
+  }
+  std::size_t sent = 0;
+  BOOST_REQUIRE(loop.runUntil([&] {
+    if (!peer) {
+      peer = server.accept();
+      if (peer) {
+        peer->send(endless.Start);
+      }
+    } else {
+      sent += peer->trySend(std::string_view(part).substr(sent % part.size()));
+    }
+    return reply.has_value();
+  }));
+  BOOST_TEST((reply->Result == endless.Expected));
+  BOOST_TEST(reply->TimedOut == endless.EndsByTimeout);
+  BOOST_TEST(reply->Body.size() <= std::size_t{1} << 20);
+}
