drill: a response without an end through whole instances

What callers saw: this is a test; no failure was seen with it. Change: the stand-in upstream can send a start of a response and 256 KiB that do not end it, and keep the connection open. endlessResponseIsNoSuccessAndEjects ItsUpstream: an endless header field and an endless chunk extension, 12 requests of each kind. A request that must not run twice ran at most once and got 502 (or 503 where it did not run), one that may was answered by another upstream, and the upstream was ejected. Conclusion: such bytes are treated as other malformed responses are. The soak does not draw them yet.

--- a/standins/upstream/Upstream.cpp
+++ b/standins/upstream/Upstream.cpp
@@ -262,6 +262,12 @@
     return Server->sendRawResponse(request.Exchange,
                                    bytes.substr(0, bytes.size() - 8), true);
   }
+  if (!Faults.EndlessStart.empty()) {
+    constexpr std::size_t length = std::size_t{256} << 10;
+    return Server->sendRawResponse(
+        request.Exchange, Faults.EndlessStart + std::string(length, 'x'),
+        false);
+  }
   if (shouldInjectFault(Faults.DuplicatedFraction)) {
     bytes += bytes;
   }
--- a/standins/upstream/Upstream.h
+++ b/standins/upstream/Upstream.h
@@ -70,6 +70,9 @@
   /// the connection.
   double TruncatedFraction = 0;
   double DuplicatedFraction = 0; ///< Sends the response twice.
+  /// Runs the request, then sends this and a long run of one letter, and keeps
+  /// the connection open; empty: sends its response.
+  std::string EndlessStart;
   bool Unresponsive = false;     ///< Reads requests but never responds.
   bool FailHealthChecks = false; ///< Responds 503 to health checks.
   bool Leaving = false;          ///< Announces in all responses that it leaves.
--- a/tests/drill/UpstreamSignalsTest.cpp
+++ b/tests/drill/UpstreamSignalsTest.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <string>
 
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "Drill.h"
@@ -133,3 +134,35 @@
     return arrivalsAt(drill, silent) > before;
   }));
 }
+
+namespace {
+
+const std::vector<std::string> EndlessStarts{
+    "HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n5;a="};
+
+} // namespace
+
+// A request that must not run twice is sent once, and its outcome is unknown;
+// one that may is sent to another upstream. The caller gets no success of it.
+BOOST_DATA_TEST_CASE(endlessResponseIsNoSuccessAndEjectsItsUpstream,
+                     EndlessStarts, start) {
+  constexpr unsigned count = 12;
+  Drill drill(planOfOneDomain());
+  for (auto &it : drill.Deployed.Upstreams) {
+    const bool isSound = it->Config.Service == "archive" &&
+                         it != drill.Deployed.Upstreams.back();
+    it->Faults.EndlessStart = isSound ? "" : start;
+  }
+  for (unsigned n = 0; n < count; ++n) {
+    const std::string id = "once-" + std::to_string(n);
+    const unsigned status = drill.sendRequest("POST", "/order/", id);
+    const unsigned runs = drill.Deployed.Executions.Requests[id].TimesStarted;
+    BOOST_TEST(runs <= 1U);
+    BOOST_TEST((runs == 1 ? status == 502 : status == 503));
+    BOOST_TEST(drill.sendRequest("GET", "/moving/",
+                                 "again-" + std::to_string(n)) == 200);
+  }
+  BOOST_TEST(drill.Deployed.Executions.Requests["once-0"].TimesStarted == 1U);
+  BOOST_TEST(drill.waitForLog("name=upstream-ejected"));
+}
