--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -59,6 +59,10 @@
 
 constexpr std::size_t MaxDatagramBytes = 8192;
 
+// Maximum number of datagrams read in one iteration of the loop, so that a
+// flood of them does not keep the loop from all else.
+constexpr int MaxDatagramsPerWakeup = 64;
+
 constexpr unsigned Ok = 200;
 
 int openDatagramSocket(const std::string &address) {
@@ -86,9 +90,12 @@
               [this](const StateUpdate &update) {
                 Handlers.UpdateReceived(update);
               }),
-      Pool(loop, [this](http::CallId id, const http::CallResult &result) {
-        handlePollResult(id, result);
-      }) {
+      Pool(
+          loop,
+          [this](http::CallId id, const http::CallResult &result) {
+            handlePollResult(id, result);
+          },
+          MaxUpdateBytes) {
   std::erase(Seeds, self.Record.PeerAddress);
   Membership.LocalMember = std::move(self);
   Membership.LocalMember.UpdateFormat = CurrentUpdateFormat;
@@ -253,7 +260,7 @@
 
 void PeerTask::receive() {
   std::array<char, MaxDatagramBytes> buffer;
-  while (true) {
+  for (int read = 0; read < MaxDatagramsPerWakeup; ++read) {
     const ssize_t n = recv(Socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
     if (n < 0) {
       return;
--- a/src/http/ClientPool.cpp
+++ b/src/http/ClientPool.cpp
@@ -24,8 +24,14 @@
 using Parser = beast::response_parser<beast::string_body>;
 
 constexpr std::size_t ReadChunkBytes = std::size_t{16} << 10;
+
+// Maximum number of bytes read from one connection in one iteration of the
+// loop: a fast sender must not keep the loop from the other connections.
+constexpr std::size_t MaxReadBytesPerWakeup = std::size_t{64} << 10;
+
+// Limit for the head of a response, and for one chunk's framing and the
+// trailers.
 constexpr std::uint32_t MaxHeaderBytes = std::uint32_t{64} << 10;
-constexpr std::uint64_t MaxBodyBytes = std::uint64_t{64} << 20;
 
 // Maximum number of interim responses and responses to other requests that a
 // call skips; one more fails the call and closes the connection.
@@ -76,12 +82,15 @@
   ev_io ReadWatcher{};
   ev_io WriteWatcher{};
   ev_timer ConnectTimer{};
+  ev_timer CallTimer{}; ///< Active while CurrentCall has a timeout.
   bool Connecting = true;
   bool Reused = false; ///< An earlier call used this connection.
   std::optional<Call> CurrentCall;
   std::size_t BytesSent = 0; ///< Request bytes of CurrentCall.
   std::string Input;         ///< Received bytes not parsed yet.
   std::optional<Parser> ResponseParser;
+  std::size_t HeldBytes = 0; ///< This connection's part of receivedBytes.
+  std::size_t HeadBytes = 0; ///< Parsed so far of an incomplete head.
   unsigned StrayResponses = 0;
   bool ResponseStarted = false;
   Instant IdleSince{};
@@ -89,8 +98,9 @@
   bool PeerClosed = false;
 };
 
-ClientPool::ClientPool(struct ev_loop *loop, Handler onEnded)
-    : Loop(loop), OnEnded(std::move(onEnded)) {
+ClientPool::ClientPool(struct ev_loop *loop, Handler onEnded,
+                       std::size_t maxHeldBytes)
+    : Loop(loop), OnEnded(std::move(onEnded)), MaxHeldBytes(maxHeldBytes) {
   ev_async_init(&Wake, [](struct ev_loop *, ev_async *it, int) {
     static_cast<ClientPool *>(it->data)->deliverResults();
   });
@@ -183,7 +193,15 @@
         connection->Owner->fail(*connection, "connection attempt timed out");
       },
       timeout.count(), 0);
-  it.ReadWatcher.data = it.WriteWatcher.data = it.ConnectTimer.data = &it;
+  ev_timer_init(
+      &it.CallTimer,
+      [](struct ev_loop *, ev_timer *watcher, int) {
+        auto *connection = static_cast<Connection *>(watcher->data);
+        connection->Owner->fail(*connection, "call timed out");
+      },
+      0, 0);
+  it.ReadWatcher.data = it.WriteWatcher.data = it.ConnectTimer.data =
+      it.CallTimer.data = &it;
   ev_io_start(Loop, &it.WriteWatcher);
   ev_timer_start(Loop, &it.ConnectTimer);
   return &it;
@@ -195,6 +213,12 @@
   connection.BytesSent = 0;
   connection.StrayResponses = 0;
   connection.ResponseStarted = false;
+  if (connection.CurrentCall->Timeout != Duration::max()) {
+    const std::chrono::duration<double> timeout =
+        connection.CurrentCall->Timeout;
+    ev_timer_set(&connection.CallTimer, timeout.count(), 0);
+    ev_timer_start(Loop, &connection.CallTimer);
+  }
   if (!connection.Connecting) {
     writeTo(connection);
   }
@@ -241,15 +265,15 @@
 /// \returns whether any bytes arrived.
 bool ClientPool::receive(Connection &connection, bool &closed, int &error) {
   std::array<char, ReadChunkBytes> chunk;
-  bool any = false;
-  while (true) {
+  std::size_t received = 0;
+  while (received < MaxReadBytesPerWakeup) {
     const ssize_t n =
         recv(connection.Fd, chunk.data(), chunk.size(), MSG_DONTWAIT);
     if (n > 0) {
       connection.Input.append(chunk.data(), static_cast<std::size_t>(n));
-      any = true;
+      received += static_cast<std::size_t>(n);
       if (static_cast<std::size_t>(n) < chunk.size()) {
-        return true;
+        break;
       }
       continue;
     }
@@ -257,12 +281,13 @@
       continue;
     }
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-      return any;
+      break;
     }
     closed = true;
     error = n < 0 ? errno : 0;
-    return any;
+    break;
   }
+  return received > 0;
 }
 
 void ClientPool::readFrom(Connection &connection) {
@@ -280,7 +305,8 @@
     return; // The connection may no longer exist.
   }
   if (!closed) {
-    return;
+    recordHeldBytes(connection);
+    return enforceMaxHeldBytes();
   }
   if (error == 0 && connection.ResponseParser) {
     // A response without a length ends when the peer closes the connection.
@@ -302,7 +328,7 @@
       connection.ResponseParser.emplace();
       connection.ResponseParser->eager(true);
       connection.ResponseParser->header_limit(MaxHeaderBytes);
-      connection.ResponseParser->body_limit(MaxBodyBytes);
+      connection.ResponseParser->body_limit(MaxHeldBytes);
       connection.ResponseParser->skip(connection.CurrentCall->IsHead);
     }
     boost::beast::error_code ec;
@@ -318,6 +344,15 @@
       handleResponse(connection);
       return true;
     }
+    // The parser limits neither the total of a head that arrives field by
+    // field nor the framing of chunks.
+    connection.HeadBytes = connection.ResponseParser->is_header_done()
+                               ? 0
+                               : connection.HeadBytes + used;
+    if (connection.HeadBytes + connection.Input.size() > MaxHeaderBytes) {
+      fail(connection, "malformed response: header or chunk framing too long");
+      return true;
+    }
     if (used == 0 || ec == beast::error::need_more) {
       return false;
     }
@@ -332,6 +367,8 @@
   CallResult result;
   result.Response = takeResponse(*connection.ResponseParser);
   connection.ResponseParser.reset();
+  connection.HeadBytes = 0;
+  recordHeldBytes(connection);
   const Call &call = *connection.CurrentCall;
   const std::string *echo =
       call.EchoHeader.empty()
@@ -360,6 +397,7 @@
   connection.PeerIdleTimeout =
       std::min(connection.PeerIdleTimeout, keepAliveTimeout(result.Response));
   InFlight.erase(id);
+  ev_timer_stop(Loop, &connection.CallTimer);
   connection.CurrentCall.reset();
   if (keepAlive && isReusable) {
     returnToIdle(connection);
@@ -369,6 +407,28 @@
   OnEnded(id, std::move(result));
 }
 
+void ClientPool::recordHeldBytes(Connection &connection) {
+  const std::size_t held = connection.Input.size() + connection.HeadBytes +
+                           (connection.ResponseParser
+                                ? connection.ResponseParser->get().body().size()
+                                : 0);
+  HeldBytes += held - connection.HeldBytes;
+  connection.HeldBytes = held;
+}
+
+// Fails the call that holds the most. A response without an end outgrows the
+// others, so they can still complete.
+void ClientPool::enforceMaxHeldBytes() {
+  if (HeldBytes <= MaxHeldBytes) {
+    return;
+  }
+  const auto largest = std::max_element(
+      Connections.begin(), Connections.end(), [](const auto &a, const auto &b) {
+        return a.first->HeldBytes < b.first->HeldBytes;
+      });
+  fail(*largest->first, "too many bytes of incomplete responses");
+}
+
 void ClientPool::returnToIdle(Connection &connection) {
   connection.Reused = true;
   connection.IdleSince = readClock();
@@ -431,7 +491,9 @@
   ev_io_stop(Loop, &connection.ReadWatcher);
   ev_io_stop(Loop, &connection.WriteWatcher);
   ev_timer_stop(Loop, &connection.ConnectTimer);
+  ev_timer_stop(Loop, &connection.CallTimer);
   close(connection.Fd);
+  HeldBytes -= connection.HeldBytes;
   if (connection.CurrentCall) {
     InFlight.erase(connection.CurrentCall->Id);
   }
--- a/src/http/ClientPool.h
+++ b/src/http/ClientPool.h
@@ -37,6 +37,9 @@
   /// dropped its end without notice.
   Duration MaxIdleTime = std::chrono::seconds{60};
   Duration ConnectTimeout = std::chrono::milliseconds{250};
+  /// Time from the start after which an unanswered call ends, as Broken if any
+  /// byte of it was sent; Duration::max(): none.
+  Duration Timeout = Duration::max();
 };
 
 /// How a call ended.
@@ -62,8 +65,16 @@
 public:
   using Handler = std::function<void(CallId, CallResult)>;
 
+  /// Default limit for the bytes of incomplete responses: a fifth of the
+  /// smallest instance's memory.
+  static constexpr std::size_t DefaultMaxHeldBytes = std::size_t{32} << 20;
+
   /// \param loop event loop; must outlive the pool.
-  ClientPool(struct ev_loop *loop, Handler onEnded);
+  /// \param maxHeldBytes limit for the body of one response, and for the bytes
+  ///   of all incomplete responses together. Beyond it the call that holds the
+  ///   most ends as Broken.
+  ClientPool(struct ev_loop *loop, Handler onEnded,
+             std::size_t maxHeldBytes = DefaultMaxHeldBytes);
   ~ClientPool();
   ClientPool(const ClientPool &) = delete;
   ClientPool &operator=(const ClientPool &) = delete;
@@ -80,6 +91,9 @@
   std::size_t connections() const { return Connections.size(); }
   std::size_t connections(const std::string &address) const;
 
+  /// Bytes of incomplete responses that are held in memory.
+  std::size_t receivedBytes() const { return HeldBytes; }
+
 private:
   struct Connection;
   struct Endpoint {
@@ -93,6 +107,8 @@
   void writeTo(Connection &connection);
   void readFrom(Connection &connection);
   bool receive(Connection &connection, bool &closed, int &error);
+  void recordHeldBytes(Connection &connection);
+  void enforceMaxHeldBytes();
   bool parse(Connection &connection);
   void handleResponse(Connection &connection);
   void returnToIdle(Connection &connection);
@@ -103,6 +119,8 @@
 
   struct ev_loop *Loop;
   Handler OnEnded;
+  std::size_t MaxHeldBytes;
+  std::size_t HeldBytes = 0;
   ev_async Wake{};
   std::unordered_map<std::string, Endpoint> Endpoints;
   std::unordered_map<Connection *, std::unique_ptr<Connection>> Connections;
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -33,6 +33,10 @@
 
 constexpr std::size_t ReadChunkBytes = std::size_t{16} << 10;
 
+// Maximum number of bytes read from one connection in one iteration of the
+// loop: a fast sender must not keep the loop from the other connections.
+constexpr std::size_t MaxReadBytesPerWakeup = std::size_t{64} << 10;
+
 // Unparsed bytes of one connection above which reading pauses, or the limit of
 // a request's head if that is larger: a head is parsed only once it is whole.
 constexpr std::size_t MinUnparsedLimit = std::size_t{64} << 10;
@@ -89,6 +93,7 @@
   ev_timer Timer{};
   std::string Input;                   ///< Received bytes not parsed yet.
   std::optional<Parser> RequestParser; ///< Set while a request is incomplete.
+  std::size_t HeadBytes = 0;           ///< Parsed so far of an incomplete head.
   Instant RequestStartedAt{}; ///< When the request's first bytes were parsed.
   std::deque<Exchange> Exchanges;
   std::string Output;
@@ -201,7 +206,8 @@
 /// \returns false when the connection was closed.
 bool Server::receive(Connection &connection) {
   std::array<char, ReadChunkBytes> chunk;
-  while (true) {
+  std::size_t received = 0;
+  while (received < MaxReadBytesPerWakeup) {
     const ssize_t n =
         recv(connection.Fd, chunk.data(), chunk.size(), MSG_DONTWAIT);
     if (n < 0 && errno == EINTR) {
@@ -214,6 +220,7 @@
       closeConnection(connection);
       return false;
     }
+    received += static_cast<std::size_t>(n);
     if (connection.Closing) {
       continue; // Bytes after a closing response are discarded.
     }
@@ -223,6 +230,7 @@
       return true;
     }
   }
+  return true;
 }
 
 void Server::readFrom(Connection &connection) {
@@ -247,12 +255,22 @@
           static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
       connection.RequestParser->body_limit(Limits.MaxBodyBytes);
       connection.RequestStartedAt = readClock();
+      connection.HeadBytes = 0;
     }
     boost::beast::error_code ec;
     const std::size_t used = connection.RequestParser->put(
         boost::asio::buffer(connection.Input.data(), connection.Input.size()),
         ec);
     connection.Input.erase(0, used);
+    // The parser does not limit the total of a head that it parses field by
+    // field.
+    connection.HeadBytes += used;
+    if (!connection.RequestParser->is_header_done() &&
+        connection.HeadBytes + connection.Input.size() >
+            Limits.MaxHeaderBytes) {
+      rejectRequest(connection, HeadersTooLarge);
+      break;
+    }
     if (ec == beast::error::need_more) {
       break;
     }
--- a/tests/http/ServerTest.cpp
+++ b/tests/http/ServerTest.cpp
@@ -322,3 +322,34 @@
   });
   BOOST_TEST(arrived);
 }
+
+// Guards against discarding a closing connection's bytes for as long as they
+// arrive, which keeps the loop from all else.
+BOOST_AUTO_TEST_CASE(bytesAfterAClosingResponseAreReadInBoundedTurns) {
+  ServerFixture it;
+  const auto caller = it.connect();
+  const std::string part(std::size_t{64} << 10, 'x');
+  caller->send("nonsense\r\n\r\n");
+  BOOST_REQUIRE(
+      it.EventLoop.runUntil([&] { return caller->has("HTTP/1.1 400"); }));
+  BOOST_REQUIRE(caller->sendWhilePossible(part) > 4 * part.size());
+  it.EventLoop.runOnce();
+  // The receive buffer may also have grown.
+  BOOST_TEST(caller->sendWhilePossible(part) < 16 * part.size());
+  BOOST_TEST(it.TestedServer.connections() == 1);
+}
+
+// Guards against a head that the parser takes field by field, without a limit.
+BOOST_AUTO_TEST_CASE(headThatArrivesFieldByFieldIsLimited) {
+  ServerFixture it;
+  CallerLimits limits = smallLimits();
+  limits.HeaderTimeout = 5s;
+  it.TestedServer.setLimits(limits);
+  const auto caller = it.connect();
+  caller->send("GET / HTTP/1.1\r\nX");
+  for (unsigned n = 0; n < 100 && !caller->has("HTTP/1.1 "); ++n) {
+    caller->send(": " + std::string(100, 'v') + "\r\nX");
+    it.EventLoop.runOnce();
+  }
+  BOOST_TEST(caller->has("HTTP/1.1 431"));
+}
