An instance that reaches no upstream refuses at once and isn't named to callers

Cause: nothing decided that there is no path to any upstream. Ruled out: a time limit of health checks alone. Upstreams that answer late under load would be ejected, and kept connections that are dead while new ones work look the same. Then queued requests, and those that may be repeated, are refused at once as unreachable; the instance says that it isn't ready, and it is left out of resolve answers. The reader tells followers which instances other domains have. The answer to the platform's readiness check is unchanged.

--- a/include/zinniarail/balance/Messages.h
+++ b/include/zinniarail/balance/Messages.h
@@ -51,6 +51,7 @@
 /// Why a request was refused instead of answered by an upstream.
 enum class RefusalReason : std::uint8_t {
   NoUpstream,     ///< No upstream is in service.
+  Unreachable,    ///< This instance can't reach any upstream.
   Overloaded,     ///< All are busy for longer than the request can wait.
   DeadlinePassed, ///< The deadline passed before a response came.
   Quarantined,    ///< Requests with the same fingerprint crashed upstreams.
@@ -121,11 +122,16 @@
 struct PeerQuarantined {
   std::uint64_t Fingerprint = 0;
 };
+/// This instance can't reach any upstream, or can reach some again.
+struct ReachChanged {
+  bool AnyReachable = true;
+};
 /// The time returned by nextTimer has come.
 struct TimerExpired {};
 
-using Event = std::variant<RequestArrived, AttemptEnded, ProbeEnded, CallerGone,
-                           PeerSuspected, PeerQuarantined, TimerExpired>;
+using Event =
+    std::variant<RequestArrived, AttemptEnded, ProbeEnded, CallerGone,
+                 PeerSuspected, PeerQuarantined, ReachChanged, TimerExpired>;
 
 // Actions.
 
--- a/include/zinniarail/events/Events.h
+++ b/include/zinniarail/events/Events.h
@@ -52,6 +52,8 @@
   UpstreamRefusing = 325,
   UpstreamLeaving = 326,
   RetryAfterUnreadable = 327,
+  UpstreamsUnreachable = 328,
+  UpstreamsReachable = 329,
   UpstreamsChanged = 330,
   InstanceFound = 331,
   InstanceLost = 332,
--- a/include/zinniarail/fleet/Members.h
+++ b/include/zinniarail/fleet/Members.h
@@ -36,7 +36,8 @@
   bool StoreHealthy = false; ///< It reads the store and gets answers.
   /// It has a configuration and the list of upstreams, however old.
   bool HasSnapshot = false;
-  bool Ready = true; ///< It serves callers, or will very soon.
+  /// It serves callers, or will very soon, and reaches upstreams.
+  bool Ready = true;
 
   bool operator==(const Member &) const = default;
 };
@@ -108,4 +109,20 @@
 /// by id.
 std::vector<Member> listLiveMembers(const Members &members, Instant now);
 
+/// Whether so few live members of this instance's failure domain are ready that
+/// members of other failure domains should take a part of its requests.
+bool needsOtherDomains(const Members &members, Instant now);
+
+/// The members that requests of this instance's failure domain should go to:
+/// its live members that are ready, maybe this instance; with
+/// needsOtherDomains also ready members of other failure domains that sent a
+/// message within LivenessTimeout.
+std::vector<Member> listReadyMembers(const Members &members, Instant now);
+
+/// Members of other failure domains to ping while needsOtherDomains holds; each
+/// instance selects others.
+/// \param count maximum number of members.
+std::vector<Member> selectOutsideMembers(const Members &members,
+                                         std::size_t count);
+
 } // namespace zinniarail
--- a/src/balance/Engine.cpp
+++ b/src/balance/Engine.cpp
@@ -25,6 +25,9 @@
 void dispatch(Step step, const PeerQuarantined &event) {
   onPeerQuarantined(step, event);
 }
+void dispatch(Step step, const ReachChanged &event) {
+  onReachChanged(step, event);
+}
 void dispatch(Step, const TimerExpired &) {}
 
 } // namespace
@@ -107,6 +110,7 @@
   }
   const EngineCounters &n = engine.Counters;
   return {{"service", engine.Plan.Service},
+          {"anyReachable", engine.AnyReachable},
           {"open", engine.Requests.size()},
           {"waiting", engine.Queue.size()},
           {"retryTokens", engine.Budget.Tokens},
@@ -127,6 +131,8 @@
   switch (reason) {
   case RefusalReason::NoUpstream:
     return "no-upstream";
+  case RefusalReason::Unreachable:
+    return "unreachable";
   case RefusalReason::Overloaded:
     return "overloaded";
   case RefusalReason::DeadlinePassed:
--- a/src/balance/Requests.cpp
+++ b/src/balance/Requests.cpp
@@ -19,6 +19,10 @@
 // about this long.
 constexpr Duration NoUpstreamRetryAfter = std::chrono::milliseconds{300};
 
+// Retry-After while this instance reaches no upstream: others may, so callers
+// need not wait.
+constexpr Duration UnreachableRetryAfter = std::chrono::milliseconds{20};
+
 // Maximum queue depth per slot in service.
 constexpr std::size_t MaxQueuedPerSlot = 4;
 
@@ -46,6 +50,8 @@
   switch (reason) {
   case RefusalReason::NoUpstream:
     return NoUpstreamRetryAfter;
+  case RefusalReason::Unreachable:
+    return UnreachableRetryAfter;
   case RefusalReason::Overloaded:
     return std::max<Duration>({endOfRefusals(engine, now) - now,
                                usualServiceTime(engine, request) / 2,
@@ -157,6 +163,25 @@
   removeRequest(step.State, it->second);
 }
 
+void onReachChanged(Step step, const ReachChanged &event) {
+  Engine &engine = step.State;
+  engine.AnyReachable = event.AnyReachable;
+  if (event.AnyReachable) {
+    return endBackoffs(engine, step.Now);
+  }
+  // An attempt that may have been received goes on if its request must not run
+  // twice; queued requests are refused when the queue is dispatched.
+  std::vector<RequestId> repeatable;
+  for (const auto &[id, it] : engine.Requests) {
+    if (!it.Queued && it.Policy.Idempotent) {
+      repeatable.push_back(it.Id);
+    }
+  }
+  for (const RequestId id : repeatable) {
+    refuse(step, engine.Requests.at(numberOf(id)), RefusalReason::Unreachable);
+  }
+}
+
 void refuse(Step step, RequestState &request, RefusalReason reason) {
   const Execution execution = executionOf(request);
   cancelRunningAttempts(step, request);
@@ -212,6 +237,10 @@
       refuse(step, request, RefusalReason::Quarantined);
       continue;
     }
+    if (!engine.AnyReachable) {
+      refuse(step, request, RefusalReason::Unreachable);
+      continue;
+    }
     if (awaitsCrashCheck(engine, request, step.Now)) {
       engine.QueueRecheckAt =
           std::min(engine.QueueRecheckAt, request.CrashCheckDeadline);
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -120,6 +120,7 @@
   double ProbeTokens = 1;
   Instant ProbeTokensUpdatedAt{};
   Quarantine CrashQuarantine;
+  bool AnyReachable = true; ///< False: requests are refused, not queued.
   Instant QueueRecheckAt = Instant::max(); ///< When to dispatch the queue next.
   EngineCounters Counters;
 };
@@ -148,6 +149,7 @@
 // Requests.cpp
 void onArrival(Step step, const RequestArrived &event);
 void onCallerGone(Step step, const CallerGone &event);
+void onReachChanged(Step step, const ReachChanged &event);
 void runTimers(Step step);
 void refuse(Step step, RequestState &request, RefusalReason reason);
 void deliver(Step step, RequestState &request, AttemptId attempt);
@@ -194,6 +196,8 @@
 bool mayProbe(const Engine &engine, Instant now);
 /// Whether the upstream's own budget allows another health check.
 bool mayProbe(const Engine &engine, const UpstreamState &upstream, Instant now);
+/// Makes ejected upstreams due for a health check.
+void endBackoffs(Engine &engine, Instant now);
 void probeEjectedUpstreams(Step step);
 Instant nextEjectedProbe(const Engine &engine);
 bool isEjected(const UpstreamState &upstream, Instant now);
--- a/src/balance/Upstreams.cpp
+++ b/src/balance/Upstreams.cpp
@@ -353,7 +353,16 @@
   dropUnplanned(step.State, step.Now);
 }
 
+void endBackoffs(Engine &engine, Instant now) {
+  for (auto &[id, it] : engine.Upstreams) {
+    it.Health.EjectedUntil = std::min(it.Health.EjectedUntil, now);
+  }
+}
+
 void probeEjectedUpstreams(Step step) {
+  if (!step.State.AnyReachable) {
+    return; // ReachChanged follows when one can be reached again.
+  }
   for (auto &[id, it] : step.State.Upstreams) {
     if (it.Planned && it.Health.NeedsProbe && !it.ProbePending &&
         step.Now >= nextProbeTime(step.State, it)) {
@@ -364,6 +373,9 @@
 
 Instant nextEjectedProbe(const Engine &engine) {
   Instant next = Instant::max();
+  if (!engine.AnyReachable) {
+    return next;
+  }
   for (const auto &[id, it] : engine.Upstreams) {
     if (it.Planned && it.Health.NeedsProbe && !it.ProbePending) {
       next = std::min(next, nextProbeTime(engine, it));
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -100,6 +100,7 @@
   /// \returns whether this was not known.
   bool noteLeaving(const fleet::LeavingUpstream &upstream, const char *source);
   void updateRoutingSnapshot();
+  std::vector<std::string> addressesForCallers() const;
   void handleResolveRequest(http::ExchangeId id, const http::Request &request);
   /// Passes a new routing snapshot to the proxy, runs the proxy's expired
   /// timers and schedules its next one. Called before each wait of the loop.
@@ -243,7 +244,8 @@
       },
       [this](const std::string &address) { Pool.closeIdle(address); },
       [this](const balance::CrashSuspect &it) { Peers.broadcastSuspected(it); },
-      [this](std::uint64_t it) { Peers.broadcastQuarantined(it); }};
+      [this](std::uint64_t it) { Peers.broadcastQuarantined(it); },
+      [this](bool it) { Peers.setReachesUpstreams(it); }};
 }
 
 http::ServerHandlers Daemon::callerHandlers() {
@@ -347,6 +349,7 @@
   set("instances-live", Peers.liveMembers().size());
   set("instances-known", Peers.fleetSize());
   set("reads-the-store", Peers.duty() == Duty::Read ? 1 : 0);
+  set("reaches-upstreams", RequestProxy.reachesUpstreams() ? 1 : 0);
   set("caller-connections", CallerServer.connections());
   set("upstream-connections", Pool.connections());
   set("log-lines-dropped", droppedLineCount());
@@ -485,7 +488,7 @@
     return;
   case fleet::StatePart::Members:
     update.Members.emplace();
-    update.Members->List.Items = Peers.liveMembers();
+    update.Members->List.Items = Peers.membersForFollowers();
     update.Members->FleetSize = Peers.fleetSize();
     return;
   }
@@ -550,19 +553,32 @@
   return !Stopping && HasUpstreamList && LocalMirror.Config;
 }
 
+std::vector<std::string> Daemon::addressesForCallers() const {
+  std::vector<std::string> addresses;
+  const auto add = [&](const std::vector<Member> &members, auto isUsable) {
+    for (const Member &it : members) {
+      const bool isSelf = it.Record.Id == Options.InstanceId;
+      if (!it.Record.Leaving && (isSelf ? isReady() : isUsable(it))) {
+        addresses.push_back(it.Record.CallerAddress);
+      }
+    }
+  };
+  add(Peers.readyMembers(), [](const Member &) { return true; });
+  if (addresses.empty()) {
+    // No instance reaches an upstream, as far as this one knows: callers need
+    // the addresses nevertheless, for when one does again.
+    add(Peers.liveMembers(), [](const Member &it) { return it.HasSnapshot; });
+  }
+  return addresses;
+}
+
 void Daemon::handleResolveRequest(http::ExchangeId id,
                                   const http::Request &request) {
   const auto resolveRequest = platform::dialect().ReadResolveRequest(request);
   if (!resolveRequest) {
     return DirectoryServer.sendResponse(id, {NotFound, {}, {}});
   }
-  std::vector<std::string> addresses;
-  for (const Member &it : Peers.liveMembers()) {
-    const bool isSelf = it.Record.Id == Options.InstanceId;
-    if (!it.Record.Leaving && (isSelf ? isReady() : it.Ready)) {
-      addresses.push_back(it.Record.CallerAddress);
-    }
-  }
+  const std::vector<std::string> addresses = addressesForCallers();
   if (addresses.empty()) {
     return DirectoryServer.sendResponse(id, {Unavailable, {}, {}});
   }
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -123,6 +123,12 @@
     {EventId::RetryAfterUnreadable, "retry-after-unreadable", EventLevel::Warn,
      "An upstream refused a request with a Retry-After that is not a number of "
      "seconds, and the field is ignored. Logged at most once a second."},
+    {EventId::UpstreamsUnreachable, "upstreams-unreachable", EventLevel::Warn,
+     "This instance can't reach any upstream: callers are sent to other "
+     "instances, and requests are relayed to these. Check the network between "
+     "this instance and the upstreams."},
+    {EventId::UpstreamsReachable, "upstreams-reachable", EventLevel::Info,
+     "This instance can reach an upstream again."},
     {EventId::UpstreamsChanged, "upstreams-changed", EventLevel::Info,
      "Upstreams were registered or removed, or changed their state."},
     {EventId::InstanceFound, "instance-found", EventLevel::Info,
--- a/src/fleet/Members.cpp
+++ b/src/fleet/Members.cpp
@@ -6,6 +6,12 @@
 
 namespace zinniarail {
 
+namespace {
+
+bool isUsable(const Member &it) { return it.Ready && !it.Record.Leaving; }
+
+} // namespace
+
 bool recordMessageFrom(Members &members, const Member &member, Instant now) {
   if (member.Record.Id == members.LocalMember.Record.Id) {
     return false;
@@ -152,4 +158,44 @@
   return live;
 }
 
+bool needsOtherDomains(const Members &members, Instant now) {
+  const std::vector<Member> live = listLiveMembers(members, now);
+  const auto ready = std::count_if(live.begin(), live.end(), isUsable);
+  return static_cast<std::size_t>(ready) * 2 < live.size();
+}
+
+std::vector<Member> listReadyMembers(const Members &members, Instant now) {
+  std::vector<Member> ready = listLiveMembers(members, now);
+  std::erase_if(ready, [](const Member &it) { return !isUsable(it); });
+  if (!needsOtherDomains(members, now)) {
+    return ready;
+  }
+  for (const auto &[id, it] : members.Others) {
+    if (it.LastStatus.Record.Domain != members.LocalMember.Record.Domain &&
+        hasRecentMessage(it, now) && isUsable(it.LastStatus)) {
+      ready.push_back(it.LastStatus);
+    }
+  }
+  return ready;
+}
+
+std::vector<Member> selectOutsideMembers(const Members &members,
+                                         std::size_t count) {
+  std::vector<Member> selected;
+  for (const auto &[id, it] : members.Others) {
+    if (it.LastStatus.Record.Domain != members.LocalMember.Record.Domain) {
+      selected.push_back(it.LastStatus);
+    }
+  }
+  const std::uint64_t selfHash = hashBytes(members.LocalMember.Record.Id);
+  const auto rank = [&](const Member &it) {
+    return hashCombine(selfHash, hashBytes(it.Record.Id));
+  };
+  std::sort(
+      selected.begin(), selected.end(),
+      [&](const Member &a, const Member &b) { return rank(a) < rank(b); });
+  selected.resize(std::min(selected.size(), count));
+  return selected;
+}
+
 } // namespace zinniarail
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -53,6 +53,10 @@
 // Later, callers are sent to other instances until it has one.
 constexpr Duration ReadyWithoutSnapshotTime = std::chrono::milliseconds{500};
 
+// Members of other failure domains that are pinged while this one has too few
+// that are ready.
+constexpr std::size_t OutsideMemberCount = 12;
+
 constexpr std::size_t MaxDatagramBytes = 8192;
 
 constexpr unsigned Ok = 200;
@@ -130,6 +134,9 @@
 void PeerTask::tick() {
   const Instant now = readClock();
   removeExpired(Membership, now);
+  if (ReaderElection.CurrentDuty == Duty::Read) {
+    addRecorded();
+  }
   const bool isStartup = now - StartedAt < DiscoveryTime;
   if (isStartup || now - PingedAt >= PingInterval) {
     sendPings();
@@ -157,10 +164,25 @@
   }
 }
 
+void PeerTask::updateReady() {
+  Membership.LocalMember.Ready =
+      ReachesUpstreams && (Membership.LocalMember.HasSnapshot ||
+                           readClock() - StartedAt < ReadyWithoutSnapshotTime);
+}
+
+void PeerTask::setReachesUpstreams(bool reaches) {
+  if (std::exchange(ReachesUpstreams, reaches) == reaches) {
+    return;
+  }
+  updateReady();
+  announceToDomain();
+  sendPings();
+  notifyIfLiveChanged();
+}
+
 void PeerTask::fetchSnapshotIfNeeded() {
   const Instant now = readClock();
-  Membership.LocalMember.Ready = Membership.LocalMember.HasSnapshot ||
-                                 now - StartedAt < ReadyWithoutSnapshotTime;
+  updateReady();
   const bool due = now - std::max(StartedAt + DiscoveryTime, DutySince) >=
                    SnapshotFetchDelay;
   if (!Membership.LocalMember.HasSnapshot && due) {
@@ -175,7 +197,7 @@
   Membership.LocalMember.HasSnapshot = hasSnapshot;
   Publisher.setHasSnapshot(hasSnapshot);
   if (hasSnapshot) {
-    Membership.LocalMember.Ready = true;
+    updateReady();
     Fetcher.stop();
   }
 }
@@ -197,6 +219,12 @@
     targets.push_back(reader->second.LastStatus.Record.PeerAddress);
   }
   const bool hasNoTargets = targets.empty();
+  if (needsOtherDomains(Membership, now)) {
+    for (const Member &it :
+         selectOutsideMembers(Membership, OutsideMemberCount)) {
+      targets.push_back(it.Record.PeerAddress);
+    }
+  }
   const bool noHealthyReader = ReaderElection.CurrentDuty != Duty::Follow &&
                                !Membership.LocalMember.StoreHealthy &&
                                now - DutySince >= InheritedListTime / 2;
@@ -411,15 +439,17 @@
 }
 
 void PeerTask::addRecordedInstances(const std::vector<Instance> &recorded) {
+  Recorded = recorded;
+  addRecorded();
+  FleetSize = std::max<std::size_t>(recorded.size(), 1);
+  Publisher.publish(StatePart::Members);
+}
+
+void PeerTask::addRecorded() {
   const Instant now = readClock();
-  for (const Instance &it : recorded) {
+  for (const Instance &it : Recorded) {
     addIfUnknown(Membership, {it, 0, 0, false, false}, now);
   }
-  const std::size_t previousSize = FleetSize;
-  FleetSize = std::max<std::size_t>(recorded.size(), 1);
-  if (FleetSize != previousSize) {
-    Publisher.publish(StatePart::Members);
-  }
 }
 
 void PeerTask::sendToAll(const Datagram &datagram) const {
@@ -468,6 +498,20 @@
   return listLiveMembers(Membership, readClock());
 }
 
+std::vector<Member> PeerTask::readyMembers() const {
+  return listReadyMembers(Membership, readClock());
+}
+
+std::vector<Member> PeerTask::membersForFollowers() const {
+  std::vector<Member> all = liveMembers();
+  for (const Instance &it : Recorded) {
+    if (it.Domain != Membership.LocalMember.Record.Domain) {
+      all.push_back({it, 0, 0, false, false});
+    }
+  }
+  return all;
+}
+
 std::size_t PeerTask::fleetSize() const { return FleetSize; }
 
 bool PeerTask::isStateCurrent() const {
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -58,6 +58,10 @@
   /// Sets whether this instance has a configuration and the upstream list.
   void setHasSnapshot(bool hasSnapshot);
 
+  /// Sets whether this instance reaches any upstream. While it does not, it
+  /// tells the other instances that it isn't ready.
+  void setReachesUpstreams(bool reaches);
+
   /// Sends a changed part of the state to the followers. Does nothing unless
   /// this instance reads the store.
   void publish(StatePart part) { Publisher.publish(part); }
@@ -84,6 +88,14 @@
   /// The live instances of this failure domain, this one included.
   std::vector<Member> liveMembers() const;
 
+  /// The instances that requests of this failure domain should go to, maybe
+  /// this one; see listReadyMembers.
+  std::vector<Member> readyMembers() const;
+
+  /// What the followers are told of the members: the live ones of this failure
+  /// domain, and those of other failure domains on record.
+  std::vector<Member> membersForFollowers() const;
+
   /// The number of instances in all failure domains that may be running.
   std::size_t fleetSize() const;
 
@@ -108,6 +120,7 @@
   void handleDatagram(const Datagram &datagram, const std::string &from);
   void runElection();
   void applyDuty();
+  void updateReady();
   void fetchSnapshotIfNeeded();
   void sendPings();
   void announceToDomain();
@@ -117,6 +130,7 @@
   void handlePollResult(http::CallId id, const http::CallResult &result);
   void applyReaderMembers(const MembersUpdate &update);
   void resetPolling();
+  void addRecorded();
   void notifyIfLiveChanged();
 
   struct ev_loop *Loop;
@@ -134,9 +148,11 @@
   Instant ReadingSince{};
   std::uint64_t UnreadableCount = 0; ///< Undecodable messages not yet logged.
   std::size_t FleetSize = 1;
+  bool ReachesUpstreams = true;
   std::uint64_t LiveDigest = 0; ///< Hash of the live members last notified.
 
   // Used while this instance is a reader.
+  std::vector<Instance> Recorded; ///< As in the store, of all failure domains.
   UpdateServer Publisher;
 
   // Used while this instance has no snapshot.
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -23,6 +23,7 @@
 #include "proxy/Metrics.h"
 #include "proxy/RequestLog.h"
 #include "zinniarail/balance/Engine.h"
+#include "zinniarail/balance/Reach.h"
 #include "zinniarail/fleet/RoutingSnapshot.h"
 
 namespace zinniarail::proxy {
@@ -62,6 +63,8 @@
   std::function<void(const std::string &address)> CloseIdleConnections;
   std::function<void(const balance::CrashSuspect &)> BroadcastSuspected;
   std::function<void(std::uint64_t fingerprint)> BroadcastQuarantined;
+  /// Called when this instance can't reach any upstream, or some again.
+  std::function<void(bool anyReachable)> ReachChanged;
 };
 
 /// Owns each request from its arrival until its response is sent. Each
@@ -93,6 +96,9 @@
 
   std::size_t openRequests() const { return OpenRequests.size(); }
 
+  /// Whether this instance can reach any upstream, as far as it knows.
+  bool reachesUpstreams() const { return UpstreamReach.AnyReachable; }
+
   /// Sets the gauges to the current values.
   void updateGauges();
 
@@ -147,6 +153,13 @@
   void performAction(ServiceEntry &entry, balance::Action &action);
   void startAttempt(ServiceEntry &entry, const balance::StartAttempt &action);
   void startProbe(ServiceEntry &entry, const std::string &upstream);
+  http::Call makeHealthCheck(http::CallId id, const std::string &address,
+                             const std::string &path) const;
+  void recordReach(const UpstreamCall &call, const http::CallResult &result);
+  void advanceReach();
+  void startReachCheck();
+  void endReachCheck();
+  void applyReach();
   void deliver(const balance::Deliver &action);
   void refuse(const balance::Refuse &action);
   void reportIfLeaving(const UpstreamCall &call,
@@ -172,6 +185,10 @@
   std::unordered_map<http::ExchangeId, OpenRequest> OpenRequests;
   std::unordered_map<http::CallId, UpstreamCall> Calls;
   http::CallId LastProbeNumber = 0;
+  balance::Reach UpstreamReach;
+  bool AppliedReach = true; ///< UpstreamReach.AnyReachable, as applied last.
+  std::set<http::CallId> ReachCheckCalls; ///< Calls of the check under way.
+  http::CallId LastReachCheckNumber = 0;
   std::deque<std::pair<ServiceEntry *, balance::Event>> PendingEvents;
   bool IsProcessingEvents = false;
   std::set<std::pair<Instant, ServiceEntry *>> Timers;
--- a/tests/proxy/FakeNetwork.h
+++ b/tests/proxy/FakeNetwork.h
@@ -146,6 +146,7 @@
     out.CloseIdleConnections = [](const std::string &) {};
     out.BroadcastSuspected = [](const balance::CrashSuspect &) {};
     out.BroadcastQuarantined = [](std::uint64_t) {};
+    out.ReachChanged = [](bool) {};
     return out;
   }
 
