Requests at an instance that reaches no upstream are relayed to one that does

Callers keep a resolve answer for up to 6 s, so that they go on coming for that long after the instance is left out. Change: a request that the engine gives up as unreachable goes to another ready instance, marked X-Zinniarail-Relayed so that it is relayed only once, with what is left of its deadline. The next instance is tried where the connection was never made or the other one says that it reaches no upstream or has no configuration, three at most; a request that may be repeated also after a broken relay. Otherwise a relay that broke after a byte was sent ends as 502 or, at the deadline, 504. A caller that leaves ends the relay of a request that may be repeated. The other instance's answer is passed on unchanged, but a did-not-run of it only if no earlier attempt may have run.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -101,6 +101,7 @@
   bool noteLeaving(const fleet::LeavingUpstream &upstream, const char *source);
   void updateRoutingSnapshot();
   std::vector<std::string> addressesForCallers() const;
+  std::vector<proxy::RelayTarget> relayTargets() const;
   void handleResolveRequest(http::ExchangeId id, const http::Request &request);
   /// Passes a new routing snapshot to the proxy, runs the proxy's expired
   /// timers and schedules its next one. Called before each wait of the loop.
@@ -245,7 +246,8 @@
       [this](const std::string &address) { Pool.closeIdle(address); },
       [this](const balance::CrashSuspect &it) { Peers.broadcastSuspected(it); },
       [this](std::uint64_t it) { Peers.broadcastQuarantined(it); },
-      [this](bool it) { Peers.setReachesUpstreams(it); }};
+      [this](bool it) { Peers.setReachesUpstreams(it); },
+      [this] { return relayTargets(); }};
 }
 
 http::ServerHandlers Daemon::callerHandlers() {
@@ -572,6 +574,16 @@
   return addresses;
 }
 
+std::vector<proxy::RelayTarget> Daemon::relayTargets() const {
+  std::vector<proxy::RelayTarget> targets;
+  for (const Member &it : Peers.readyMembers()) {
+    if (it.Record.Id != Options.InstanceId) {
+      targets.push_back({it.Record.Id, it.Record.CallerAddress});
+    }
+  }
+  return targets;
+}
+
 void Daemon::handleResolveRequest(http::ExchangeId id,
                                   const http::Request &request) {
   const auto resolveRequest = platform::dialect().ReadResolveRequest(request);
--- a/src/proxy/Metrics.cpp
+++ b/src/proxy/Metrics.cpp
@@ -67,6 +67,8 @@
                                         "Tries beyond a request's first")),
       ColdRequests(addCounterFamily(registry, "zinniarail_cold_requests_total",
                                     "Tries on upstreams that were cold")),
+      Relays(addCounterFamily(registry, "zinniarail_relays_total",
+                              "Requests sent to other instances")),
       Probes(addCounterFamily(registry, "zinniarail_health_checks_total",
                               "Health checks of upstreams")),
       Ejections(addCounterFamily(registry, "zinniarail_ejections_total",
@@ -113,6 +115,10 @@
   Attempts.Add({{"service", service}, {"end", nameOf(end)}}).Increment();
 }
 
+void Metrics::recordRelay(const std::string &service, balance::AttemptEnd end) {
+  Relays.Add({{"service", service}, {"end", nameOf(end)}}).Increment();
+}
+
 void Metrics::recordProbe(const std::string &service) {
   Probes.Add({{"service", service}}).Increment();
 }
--- a/src/proxy/Metrics.h
+++ b/src/proxy/Metrics.h
@@ -29,6 +29,8 @@
                           const balance::PlacementReason &reason,
                           Duration waited);
   void recordAttemptEnd(const std::string &service, balance::AttemptEnd end);
+  /// Counts a request that was relayed to another instance.
+  void recordRelay(const std::string &service, balance::AttemptEnd end);
   void recordProbe(const std::string &service);
   void recordEjection(const std::string &service);
 
@@ -48,6 +50,7 @@
   prometheus::Family<prometheus::Counter> &Attempts;
   prometheus::Family<prometheus::Counter> &RetriesAndHedges;
   prometheus::Family<prometheus::Counter> &ColdRequests;
+  prometheus::Family<prometheus::Counter> &Relays;
   prometheus::Family<prometheus::Counter> &Probes;
   prometheus::Family<prometheus::Counter> &Ejections;
   prometheus::Family<prometheus::Gauge> &OpenRequests;
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/json.hpp>
 
+#include "proxy/Refusal.h"
 #include "zinniarail/core/Hash.h"
 #include "zinniarail/events/Events.h"
 
@@ -48,9 +49,7 @@
 
 constexpr unsigned BadRequest = 400;
 constexpr unsigned NotFound = 404;
-constexpr unsigned BadGateway = 502;
 constexpr unsigned Unavailable = 503;
-constexpr unsigned GatewayTimeout = 504;
 constexpr unsigned Misdirected = 421;
 constexpr unsigned FirstSuccess = 200;
 constexpr unsigned FirstRedirect = 300;
@@ -66,40 +65,6 @@
   return hashCombine(digest, hashBytes(request.Body));
 }
 
-std::string formatSeconds(Duration duration) {
-  constexpr double microsPerSecond = 1e6;
-  std::array<char, 32> text;
-  const auto [end, ec] =
-      std::to_chars(text.data(), text.data() + text.size(),
-                    static_cast<double>(duration.count()) / microsPerSecond,
-                    std::chars_format::fixed, 3);
-  return {text.data(), ec == std::errc{} ? end : text.data()};
-}
-
-http::Response makeRefusal(const RequestEnd &end) {
-  http::Response response{end.Status, {}, {}};
-  response.Fields = {{"Content-Type", "application/json"},
-                     {"X-Zinniarail-Outcome", nameOf(end.Outcome)},
-                     {"X-Zinniarail-Reason", end.Reason}};
-  // Retry-After invites the caller to send the request again, which is safe
-  // only if the request did not run.
-  if (end.RetryAfter > Duration{0} &&
-      end.Outcome == balance::Execution::DidNotRun) {
-    response.Fields.push_back({"Retry-After", formatSeconds(end.RetryAfter)});
-  }
-  response.Body = boost::json::serialize(boost::json::object{
-      {"error", end.Reason}, {"outcome", nameOf(end.Outcome)}});
-  return response;
-}
-
-unsigned statusOf(balance::RefusalReason reason, balance::Execution execution) {
-  if (execution == balance::Execution::DidNotRun) {
-    return Unavailable;
-  }
-  return reason == balance::RefusalReason::DeadlinePassed ? GatewayTimeout
-                                                          : BadGateway;
-}
-
 } // namespace
 
 Proxy::Proxy(ProxyContext context, ProxyCallbacks callbacks,
@@ -278,8 +243,12 @@
   http::removeHopByHopHeaders(request.Fields);
   http::removeHeader(request.Fields, Context.PlatformDialect->Deadline);
   http::removeHeader(request.Fields, Context.PlatformDialect->ExpectedInstance);
+  const bool wasRelayed =
+      http::findHeader(request.Fields, RelayedHeader) != nullptr;
+  http::removeHeader(request.Fields, RelayedHeader);
   OpenRequests.emplace(id, OpenRequest{std::move(request), &entry,
-                                       route->Idempotent, std::move(record)});
+                                       route->Idempotent, wasRelayed,
+                                       std::move(record), std::nullopt});
   postEvent(entry, std::move(event));
   processEvents();
 }
@@ -295,6 +264,9 @@
   const Instant now = readClock();
   Log.write(it->second.Record, end, now);
   RequestMetrics.recordRequestEnd(it->second.Record, end, now);
+  if (it->second.RelayState && it->second.Idempotent) {
+    Callbacks.CancelCall(it->second.RelayState->Call);
+  }
   eraseRequest(id);
   postEvent(entry, balance::CallerGone{balance::RequestId{id}});
   processEvents();
@@ -310,6 +282,9 @@
       Calls.erase(call);
     }
   }
+  if (it->second.RelayState) {
+    RelayDeadlines.erase({it->second.RelayState->EndsAt, id});
+  }
   OpenRequests.erase(it);
 }
 
@@ -333,12 +308,19 @@
     postEvent(*entry, balance::TimerExpired{});
   }
   processEvents();
+  expireRelays();
   advanceReach();
 }
 
 Instant Proxy::nextTimer() const {
-  const Instant next = Timers.empty() ? Instant::max() : Timers.begin()->first;
-  return std::min(next, balance::nextReachTime(UpstreamReach));
+  Instant next = balance::nextReachTime(UpstreamReach);
+  if (!Timers.empty()) {
+    next = std::min(next, Timers.begin()->first);
+  }
+  if (!RelayDeadlines.empty()) {
+    next = std::min(next, RelayDeadlines.begin()->first);
+  }
+  return next;
 }
 
 void Proxy::postEvent(ServiceEntry &entry, balance::Event event) {
@@ -619,6 +601,9 @@
                                 readClock());
     return advanceReach();
   }
+  if (RelayCalls.contains(id)) {
+    return onRelayEnded(id, result);
+  }
   const auto known = Calls.find(id);
   if (known == Calls.end()) {
     return;
@@ -729,6 +714,9 @@
 }
 
 void Proxy::refuse(const balance::Refuse &action) {
+  if (beginRelay(action)) {
+    return;
+  }
   RequestEnd end;
   end.Kind = RequestEnd::EndKind::Refused;
   end.Status = statusOf(action.Reason, action.Outcome);
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -49,6 +49,12 @@
   const Dialect *PlatformDialect = nullptr;
 };
 
+/// Another instance that requests can be relayed to.
+struct RelayTarget {
+  std::string InstanceId;
+  std::string CallerAddress;
+};
+
 /// Functions through which the proxy sends responses, calls upstreams and
 /// notifies the other instances.
 struct ProxyCallbacks {
@@ -65,6 +71,8 @@
   std::function<void(std::uint64_t fingerprint)> BroadcastQuarantined;
   /// Called when this instance can't reach any upstream, or some again.
   std::function<void(bool anyReachable)> ReachChanged;
+  /// The other instances that are ready and reach upstreams.
+  std::function<std::vector<RelayTarget>()> RelayTargets;
 };
 
 /// Owns each request from its arrival until its response is sent. Each
@@ -122,11 +130,21 @@
     std::map<std::string, Target> Targets; ///< By upstream id.
     Instant NextTimer = Instant::max();
   };
+  /// A request's way over another instance.
+  struct Relay {
+    http::CallId Call = 0;
+    std::set<std::string> TriedInstances;
+    bool MayHaveRun = false; ///< In an attempt or relay that has ended.
+    bool TimedOut = false;   ///< Call was cancelled at EndsAt.
+    Instant EndsAt{};        ///< Deadline of the request.
+  };
   struct OpenRequest {
     http::Request Content;
     ServiceEntry *Entry = nullptr;
     bool Idempotent = false;
+    bool WasRelayed = false; ///< Came from another instance.
     RequestRecord Record;
+    std::optional<Relay> RelayState; ///< Set once the engine has given it up.
   };
   struct UpstreamCall {
     ServiceEntry *Entry = nullptr;
@@ -170,6 +188,16 @@
   void endProbe(const UpstreamCall &call, const http::CallResult &result);
   void reportStatusChange(const ServiceEntry &entry,
                           const balance::UpstreamStatusChanged &change);
+  bool beginRelay(const balance::Refuse &action);
+  bool relayToNext(http::ExchangeId id, OpenRequest &request);
+  void onRelayEnded(http::CallId id, const http::CallResult &result);
+  bool relayAgain(http::ExchangeId id, OpenRequest &request,
+                  const balance::AttemptEnded &end,
+                  const http::Response &response);
+  void deliverRelayed(http::ExchangeId id, OpenRequest &request,
+                      http::Response response);
+  void refuseRelayed(http::ExchangeId id, const Relay &relay);
+  void expireRelays();
   void finishRequest(http::ExchangeId id, http::Response response,
                      const RequestEnd &end);
   void eraseRequest(http::ExchangeId id);
@@ -189,6 +217,9 @@
   bool AppliedReach = true; ///< UpstreamReach.AnyReachable, as applied last.
   std::set<http::CallId> ReachCheckCalls; ///< Calls of the check under way.
   http::CallId LastReachCheckNumber = 0;
+  std::unordered_map<http::CallId, http::ExchangeId> RelayCalls;
+  std::set<std::pair<Instant, http::ExchangeId>> RelayDeadlines;
+  http::CallId LastRelayNumber = 0;
   std::deque<std::pair<ServiceEntry *, balance::Event>> PendingEvents;
   bool IsProcessingEvents = false;
   std::set<std::pair<Instant, ServiceEntry *>> Timers;
--- a/tests/proxy/FakeNetwork.h
+++ b/tests/proxy/FakeNetwork.h
@@ -84,16 +84,19 @@
 
   /// Hands a caller's request to the proxy. Each has another query, so that
   /// none seems to crash upstreams as others did.
-  http::ExchangeId send(const std::string &path, Duration deadline = 1s) {
+  http::ExchangeId send(const std::string &path, Duration deadline = 1s,
+                        const http::Headers &fields = {}) {
     const http::ExchangeId id = ++LastExchange;
     const auto ms = std::chrono::floor<std::chrono::milliseconds>(deadline);
-    Proxy.onRequest(id,
-                    {"GET",
-                     path + "?n=" + std::to_string(id),
-                     {{"Host", "orders.example"},
-                      {"X-Request-Id", "r" + std::to_string(id)},
-                      {"X-Deadline-Milliseconds", std::to_string(ms.count())}},
-                     ""});
+    http::Request request{
+        "GET",
+        path + "?n=" + std::to_string(id),
+        {{"Host", "orders.example"},
+         {"X-Request-Id", "r" + std::to_string(id)},
+         {"X-Deadline-Milliseconds", std::to_string(ms.count())}},
+        ""};
+    request.Fields.insert(request.Fields.end(), fields.begin(), fields.end());
+    Proxy.onRequest(id, std::move(request));
     return id;
   }
 
@@ -121,6 +124,9 @@
   }
 
   Path ToUpstreams = Path::Open;
+  std::vector<proxy::RelayTarget> Targets;
+  http::CallOutcome OutcomeOfCancel = http::CallOutcome::Broken;
+  std::string LastUpstreamBytes; ///< The last call to an upstream.
   std::map<http::ExchangeId, http::Response> Responses;
   /// Calls to addresses other than upstreams'; the test ends them.
   std::vector<http::Call> OtherCalls;
@@ -132,12 +138,12 @@
   proxy::ProxyCallbacks callbacks() {
     proxy::ProxyCallbacks out;
     out.SendResponse = [this](http::ExchangeId id, http::Response response) {
-      Responses.emplace(id, std::move(response));
+      Responses.insert_or_assign(id, std::move(response));
     };
     out.StartCall = [this](http::Call call) { startCall(std::move(call)); };
     out.CancelCall = [this](http::CallId id) {
       http::CallResult result;
-      result.Outcome = http::CallOutcome::Broken;
+      result.Outcome = OutcomeOfCancel;
       result.Cancelled = true;
       Cancelled.push_back(id);
       EndedCalls.emplace_back(id, std::move(result));
@@ -147,12 +153,14 @@
     out.BroadcastSuspected = [](const balance::CrashSuspect &) {};
     out.BroadcastQuarantined = [](std::uint64_t) {};
     out.ReachChanged = [](bool) {};
+    out.RelayTargets = [this] { return Targets; };
     return out;
   }
 
   void startCall(http::Call call) {
     for (unsigned n = 0; n < UpstreamCount; ++n) {
       if (call.Address == upstreamAddress(n)) {
+        LastUpstreamBytes = call.Bytes;
         return answer(call.Id, upstreamId(n));
       }
     }
