Reach is decided for each service; relays pass over instances that did not serve one

With one decision for all services, requests of a service that is cut off alone were still held until their time was used up. Change: each service has a decision of its own, beside that for all, which still decides on readiness. Checks call upstreams in turn. A refused or failed relay makes its target pass for the service for 1 s; four targets at most; instances of other failure domains, pinged while any service can't be reached, where the own domain has no other target. Tests: instanceThatDidNotServeARelayGetsNoOtherForAWhile, otherFailureDomainsGetARelayOnlyIfThereIsNoOtherTarget.

--- a/include/zinniarail/fleet/Members.h
+++ b/include/zinniarail/fleet/Members.h
@@ -119,6 +119,11 @@
 /// message within LivenessTimeout.
 std::vector<Member> listReadyMembers(const Members &members, Instant now);
 
+/// The ready members of other failure domains that sent a message within
+/// LivenessTimeout.
+std::vector<Member> listReadyOutsideMembers(const Members &members,
+                                            Instant now);
+
 /// Members of other failure domains to ping while needsOtherDomains holds; each
 /// instance selects others.
 /// \param count maximum number of members.
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -246,7 +246,9 @@
       [this](const std::string &address) { Pool.closeIdle(address); },
       [this](const balance::CrashSuspect &it) { Peers.broadcastSuspected(it); },
       [this](std::uint64_t it) { Peers.broadcastQuarantined(it); },
-      [this](bool it) { Peers.setReachesUpstreams(it); },
+      [this](bool any, bool ofEachService) {
+        Peers.setReach(any, ofEachService);
+      },
       [this] { return relayTargets(); }};
 }
 
@@ -578,9 +580,12 @@
   std::vector<proxy::RelayTarget> targets;
   for (const Member &it : Peers.readyMembers()) {
     if (it.Record.Id != Options.InstanceId) {
-      targets.push_back({it.Record.Id, it.Record.CallerAddress});
+      targets.push_back({it.Record.Id, it.Record.CallerAddress, false});
     }
   }
+  for (const Member &it : Peers.readyOutsideMembers()) {
+    targets.push_back({it.Record.Id, it.Record.CallerAddress, true});
+  }
   return targets;
 }
 
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -124,11 +124,12 @@
      "An upstream refused a request with a Retry-After that is not a number of "
      "seconds, and the field is ignored. Logged at most once a second."},
     {EventId::UpstreamsUnreachable, "upstreams-unreachable", EventLevel::Warn,
-     "This instance can't reach any upstream: callers are sent to other "
-     "instances, and requests are relayed to these. Check the network between "
-     "this instance and the upstreams."},
+     "This instance can't reach any upstream of a service, or of all. Requests "
+     "are relayed to other instances, and callers are sent to these if it "
+     "reaches none at all. Check the network between this instance and the "
+     "upstreams."},
     {EventId::UpstreamsReachable, "upstreams-reachable", EventLevel::Info,
-     "This instance can reach an upstream again."},
+     "This instance can reach an upstream of a service, or of any, again."},
     {EventId::UpstreamsChanged, "upstreams-changed", EventLevel::Info,
      "Upstreams were registered or removed, or changed their state."},
     {EventId::InstanceFound, "instance-found", EventLevel::Info,
--- a/src/fleet/Members.cpp
+++ b/src/fleet/Members.cpp
@@ -167,9 +167,16 @@
 std::vector<Member> listReadyMembers(const Members &members, Instant now) {
   std::vector<Member> ready = listLiveMembers(members, now);
   std::erase_if(ready, [](const Member &it) { return !isUsable(it); });
-  if (!needsOtherDomains(members, now)) {
-    return ready;
+  if (needsOtherDomains(members, now)) {
+    const std::vector<Member> outside = listReadyOutsideMembers(members, now);
+    ready.insert(ready.end(), outside.begin(), outside.end());
   }
+  return ready;
+}
+
+std::vector<Member> listReadyOutsideMembers(const Members &members,
+                                            Instant now) {
+  std::vector<Member> ready;
   for (const auto &[id, it] : members.Others) {
     if (it.LastStatus.Record.Domain != members.LocalMember.Record.Domain &&
         hasRecentMessage(it, now) && isUsable(it.LastStatus)) {
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -170,14 +170,15 @@
                            readClock() - StartedAt < ReadyWithoutSnapshotTime);
 }
 
-void PeerTask::setReachesUpstreams(bool reaches) {
-  if (std::exchange(ReachesUpstreams, reaches) == reaches) {
-    return;
-  }
+void PeerTask::setReach(bool any, bool ofEachService) {
+  const bool anyChanged = std::exchange(ReachesUpstreams, any) != any;
+  ReachesEachService = ofEachService;
   updateReady();
-  announceToDomain();
+  if (anyChanged) {
+    announceToDomain();
+    notifyIfLiveChanged();
+  }
   sendPings();
-  notifyIfLiveChanged();
 }
 
 void PeerTask::fetchSnapshotIfNeeded() {
@@ -219,7 +220,7 @@
     targets.push_back(reader->second.LastStatus.Record.PeerAddress);
   }
   const bool hasNoTargets = targets.empty();
-  if (needsOtherDomains(Membership, now)) {
+  if (!ReachesEachService || needsOtherDomains(Membership, now)) {
     for (const Member &it :
          selectOutsideMembers(Membership, OutsideMemberCount)) {
       targets.push_back(it.Record.PeerAddress);
@@ -502,6 +503,10 @@
   return listReadyMembers(Membership, readClock());
 }
 
+std::vector<Member> PeerTask::readyOutsideMembers() const {
+  return listReadyOutsideMembers(Membership, readClock());
+}
+
 std::vector<Member> PeerTask::membersForFollowers() const {
   std::vector<Member> all = liveMembers();
   for (const Instance &it : Recorded) {
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -58,9 +58,10 @@
   /// Sets whether this instance has a configuration and the upstream list.
   void setHasSnapshot(bool hasSnapshot);
 
-  /// Sets whether this instance reaches any upstream. While it does not, it
-  /// tells the other instances that it isn't ready.
-  void setReachesUpstreams(bool reaches);
+  /// Sets whether this instance reaches any upstream, and whether it reaches
+  /// one of each service. While it reaches none, it tells the other instances
+  /// that it isn't ready.
+  void setReach(bool any, bool ofEachService);
 
   /// Sends a changed part of the state to the followers. Does nothing unless
   /// this instance reads the store.
@@ -92,6 +93,10 @@
   /// this one; see listReadyMembers.
   std::vector<Member> readyMembers() const;
 
+  /// The ready members of other failure domains that sent a message within
+  /// LivenessTimeout. They are asked for one while upstreams can't be reached.
+  std::vector<Member> readyOutsideMembers() const;
+
   /// What the followers are told of the members: the live ones of this failure
   /// domain, and those of other failure domains on record.
   std::vector<Member> membersForFollowers() const;
@@ -149,6 +154,7 @@
   std::uint64_t UnreadableCount = 0; ///< Undecodable messages not yet logged.
   std::size_t FleetSize = 1;
   bool ReachesUpstreams = true;
+  bool ReachesEachService = true;
   std::uint64_t LiveDigest = 0; ///< Hash of the live members last notified.
 
   // Used while this instance is a reader.
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -19,9 +19,8 @@
 constexpr unsigned AttemptNumberBits = 40;
 
 // Call ids of health checks lie above this value, and call ids of attempts lie
-// below it; those of reach checks lie above the second one.
+// below it; Relay.cpp and Reach.cpp have ids further above.
 constexpr http::CallId ProbeIdBase = http::CallId{1} << 62;
-constexpr http::CallId ReachCheckIdBase = http::CallId{3} << 61;
 
 constexpr Duration ProbeConnectTimeout = std::chrono::milliseconds{250};
 constexpr Duration ConnectTimeout = std::chrono::milliseconds{150};
@@ -37,9 +36,6 @@
 constexpr Duration MaxIdleTimeNonIdempotent = std::chrono::milliseconds{200};
 constexpr Duration MaxIdleTimeIdempotent = std::chrono::seconds{60};
 
-// No connection has been idle for so short a time: the call gets a new one.
-constexpr Duration NewConnectionOnly{-1};
-
 // Retry-After while no configuration is known: about the time that an instance
 // needs from its start until it has one.
 constexpr Duration NoConfigurationRetryAfter = std::chrono::milliseconds{100};
@@ -141,6 +137,7 @@
   if (!entry) {
     entry = std::make_unique<ServiceEntry>();
     entry->Name = service;
+    entry->Reach.Service = service;
     if (const ServiceConfig *it = findService(*Snapshot->Config, service)) {
       entry->HealthPath = it->HealthPath;
     }
@@ -150,7 +147,7 @@
     entry->Engine = balance::makeEngine(
         makePlan(service), Random(Context.Seed, hashBytes(service)),
         firstAttempt, readClock());
-    if (!AppliedReach) {
+    if (!AllServices.Applied) {
       postEvent(*entry, balance::ReachChanged{false});
     }
   }
@@ -313,7 +310,7 @@
 }
 
 Instant Proxy::nextTimer() const {
-  Instant next = balance::nextReachTime(UpstreamReach);
+  Instant next = nextReachTime();
   if (!Timers.empty()) {
     next = std::min(next, Timers.begin()->first);
   }
@@ -442,7 +439,7 @@
   call.MaxIdleTime =
       request.Idempotent ? MaxIdleTimeIdempotent : MaxIdleTimeNonIdempotent;
   call.ConnectTimeout = ConnectTimeout;
-  balance::recordCallStart(UpstreamReach, balance::CallPurpose::Request, now);
+  recordCallStart(entry, balance::CallPurpose::Request);
   Callbacks.StartCall(std::move(call));
 }
 
@@ -455,8 +452,7 @@
   RequestMetrics.recordProbe(entry.Name);
   const http::CallId id = ProbeIdBase + ++LastProbeNumber;
   Calls[id] = {&entry, 0, upstream, target->second.StartedMs};
-  balance::recordCallStart(UpstreamReach, balance::CallPurpose::HealthCheck,
-                           readClock());
+  recordCallStart(entry, balance::CallPurpose::HealthCheck);
   http::Call call =
       makeHealthCheck(id, target->second.Address, entry.HealthPath);
   call.ConnectTimeout = ProbeConnectTimeout;
@@ -472,90 +468,6 @@
   return call;
 }
 
-void Proxy::recordReach(const UpstreamCall &call,
-                        const http::CallResult &result) {
-  const auto purpose = call.Request == 0 ? balance::CallPurpose::HealthCheck
-                                         : balance::CallPurpose::Request;
-  if (result.Outcome == http::CallOutcome::Answered) {
-    balance::recordCallAnswer(UpstreamReach, purpose, readClock());
-  } else {
-    balance::recordCallFailure(UpstreamReach, purpose,
-                               result.Cancelled ? "" : call.Upstream);
-  }
-}
-
-void Proxy::advanceReach() {
-  while (true) {
-    switch (balance::nextReachStep(UpstreamReach, readClock())) {
-    case balance::ReachStep::StartCheck:
-      startReachCheck();
-      break;
-    case balance::ReachStep::EndCheck:
-      endReachCheck();
-      break;
-    case balance::ReachStep::None:
-      return applyReach();
-    }
-  }
-}
-
-// Calls upstreams of all services: where all upstreams of one are down, those
-// of another still show that there is a path.
-void Proxy::startReachCheck() {
-  std::vector<const Upstream *> chosen;
-  for (const Upstream &it : Snapshot->Upstreams) {
-    chosen.push_back(&it);
-  }
-  std::shuffle(chosen.begin(), chosen.end(), Rng);
-  chosen.resize(std::min(chosen.size(), balance::UpstreamsPerReachCheck));
-  balance::recordCheckStart(UpstreamReach, chosen.size(), readClock());
-  for (const Upstream *it : chosen) {
-    const ServiceConfig *config =
-        Snapshot->Config ? findService(*Snapshot->Config, it->Service)
-                         : nullptr;
-    const http::CallId id = ReachCheckIdBase + ++LastReachCheckNumber;
-    http::Call call = makeHealthCheck(
-        id, it->Address, (config ? *config : ServiceConfig{}).HealthPath);
-    call.ConnectTimeout = balance::ReachCheckTimeout;
-    call.MaxIdleTime = NewConnectionOnly;
-    ReachCheckCalls.insert(id);
-    RequestMetrics.recordProbe(it->Service);
-    Callbacks.StartCall(std::move(call));
-  }
-}
-
-void Proxy::endReachCheck() {
-  for (const http::CallId id : std::exchange(ReachCheckCalls, {})) {
-    Callbacks.CancelCall(id);
-  }
-}
-
-// Passes a change of UpstreamReach on.
-void Proxy::applyReach() {
-  const bool reached = UpstreamReach.AnyReachable;
-  if (std::exchange(AppliedReach, reached) == reached) {
-    return;
-  }
-  logEvent(reached ? EventId::UpstreamsReachable
-                   : EventId::UpstreamsUnreachable,
-           {{"upstreams", Snapshot->Upstreams.size()},
-            {"open", OpenRequests.size()}});
-  if (!reached) {
-    // Health checks on dead connections would keep their upstreams out of use
-    // until the connections time out.
-    for (const auto &[id, it] : Calls) {
-      if (it.Request == 0) {
-        Callbacks.CancelCall(id);
-      }
-    }
-  }
-  for (auto &[name, entry] : Services) {
-    postEvent(*entry, balance::ReachChanged{reached});
-  }
-  Callbacks.ReachChanged(reached);
-  processEvents();
-}
-
 balance::AttemptEnded
 Proxy::classifyResult(const http::CallResult &result) const {
   balance::AttemptEnded event;
@@ -595,11 +507,8 @@
 }
 
 void Proxy::onCallEnded(http::CallId id, http::CallResult result) {
-  if (ReachCheckCalls.erase(id) > 0) {
-    balance::recordCheckCallEnd(UpstreamReach,
-                                result.Outcome == http::CallOutcome::Answered,
-                                readClock());
-    return advanceReach();
+  if (ReachCheckCalls.contains(id)) {
+    return endReachCheckCall(id, result);
   }
   if (RelayCalls.contains(id)) {
     return onRelayEnded(id, result);
@@ -608,7 +517,7 @@
   if (known == Calls.end()) {
     return;
   }
-  recordReach(known->second, result);
+  recordCallEnd(known->second, result);
   reportIfLeaving(known->second, result); // May add calls.
   const auto it = Calls.find(id);
   if (it->second.Request == 0) {
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -53,6 +53,8 @@
 struct RelayTarget {
   std::string InstanceId;
   std::string CallerAddress;
+  /// In another failure domain, and only used if there is no other target.
+  bool IsOutside = false;
 };
 
 /// Functions through which the proxy sends responses, calls upstreams and
@@ -69,8 +71,9 @@
   std::function<void(const std::string &address)> CloseIdleConnections;
   std::function<void(const balance::CrashSuspect &)> BroadcastSuspected;
   std::function<void(std::uint64_t fingerprint)> BroadcastQuarantined;
-  /// Called when this instance can't reach any upstream, or some again.
-  std::function<void(bool anyReachable)> ReachChanged;
+  /// Called when either changes: whether this instance can reach any upstream,
+  /// and whether it can reach one of each service.
+  std::function<void(bool any, bool ofEachService)> ReachChanged;
   /// The other instances that are ready and reach upstreams.
   std::function<std::vector<RelayTarget>()> RelayTargets;
 };
@@ -105,7 +108,7 @@
   std::size_t openRequests() const { return OpenRequests.size(); }
 
   /// Whether this instance can reach any upstream, as far as it knows.
-  bool reachesUpstreams() const { return UpstreamReach.AnyReachable; }
+  bool reachesUpstreams() const { return AllServices.State.AnyReachable; }
 
   /// Sets the gauges to the current values.
   void updateGauges();
@@ -123,9 +126,21 @@
     std::string Address;
     std::uint64_t StartedMs = 0; ///< As Upstream::StartedMs.
   };
+  /// The path to the upstreams of one service, or of all.
+  struct ReachScope {
+    std::string Service; ///< Empty: all.
+    balance::Reach State;
+    bool Applied = true;               ///< State.AnyReachable, as applied last.
+    std::set<http::CallId> CheckCalls; ///< Calls of the check under way.
+    std::size_t CheckedCount = 0; ///< Upstreams called in all checks so far.
+  };
   struct ServiceEntry {
     std::string Name;
     std::string HealthPath;
+    ReachScope Reach;
+    /// Instances that are known not to serve this service, by id, and until
+    /// when they get no relays.
+    std::map<std::string, Instant> NoRelaysUntil;
     balance::EnginePtr Engine;
     std::map<std::string, Target> Targets; ///< By upstream id.
     Instant NextTimer = Instant::max();
@@ -134,6 +149,7 @@
   struct Relay {
     http::CallId Call = 0;
     std::set<std::string> TriedInstances;
+    std::string Target;      ///< Instance that Call is sent to.
     bool MayHaveRun = false; ///< In an attempt or relay that has ended.
     bool TimedOut = false;   ///< Call was cancelled at EndsAt.
     Instant EndsAt{};        ///< Deadline of the request.
@@ -173,11 +189,16 @@
   void startProbe(ServiceEntry &entry, const std::string &upstream);
   http::Call makeHealthCheck(http::CallId id, const std::string &address,
                              const std::string &path) const;
-  void recordReach(const UpstreamCall &call, const http::CallResult &result);
+  void recordCallStart(ServiceEntry &entry, balance::CallPurpose purpose);
+  void recordCallEnd(const UpstreamCall &call, const http::CallResult &result);
+  void endReachCheckCall(http::CallId id, const http::CallResult &result);
   void advanceReach();
-  void startReachCheck();
-  void endReachCheck();
-  void applyReach();
+  void advanceReach(ReachScope &scope);
+  void startReachCheck(ReachScope &scope);
+  void endReachCheck(ReachScope &scope);
+  void applyReach(ReachScope &scope);
+  void logReach(const ReachScope &scope) const;
+  Instant nextReachTime() const;
   void deliver(const balance::Deliver &action);
   void refuse(const balance::Refuse &action);
   void reportIfLeaving(const UpstreamCall &call,
@@ -189,6 +210,8 @@
   void reportStatusChange(const ServiceEntry &entry,
                           const balance::UpstreamStatusChanged &change);
   bool beginRelay(const balance::Refuse &action);
+  std::vector<RelayTarget> relayTargets(const ServiceEntry &entry,
+                                        const Relay &relay) const;
   bool relayToNext(http::ExchangeId id, OpenRequest &request);
   void onRelayEnded(http::CallId id, const http::CallResult &result);
   bool relayAgain(http::ExchangeId id, OpenRequest &request,
@@ -213,9 +236,8 @@
   std::unordered_map<http::ExchangeId, OpenRequest> OpenRequests;
   std::unordered_map<http::CallId, UpstreamCall> Calls;
   http::CallId LastProbeNumber = 0;
-  balance::Reach UpstreamReach;
-  bool AppliedReach = true; ///< UpstreamReach.AnyReachable, as applied last.
-  std::set<http::CallId> ReachCheckCalls; ///< Calls of the check under way.
+  ReachScope AllServices;
+  std::unordered_map<http::CallId, ReachScope *> ReachCheckCalls;
   http::CallId LastReachCheckNumber = 0;
   std::unordered_map<http::CallId, http::ExchangeId> RelayCalls;
   std::set<std::pair<Instant, http::ExchangeId>> RelayDeadlines;
--- a/src/proxy/Relay.cpp
+++ b/src/proxy/Relay.cpp
@@ -15,7 +15,10 @@
 constexpr http::CallId RelayIdBase = http::CallId{5} << 60;
 
 // Instances that one request is relayed to at most.
-constexpr std::size_t MaxRelays = 3;
+constexpr std::size_t MaxRelays = 4;
+
+// How long an instance that did not serve a relay gets no others.
+constexpr Duration PassOverTime = std::chrono::seconds{1};
 
 // The other instance gets this much less time, so that its answer is back
 // before the deadline.
@@ -70,13 +73,30 @@
   return true;
 }
 
-// \returns false if there is no further instance or too little time.
-bool Proxy::relayToNext(http::ExchangeId id, OpenRequest &request) {
-  Relay &relay = *request.RelayState;
+// The instances that may get the request next: those of other failure domains
+// only if there is none else.
+std::vector<RelayTarget> Proxy::relayTargets(const ServiceEntry &entry,
+                                             const Relay &relay) const {
+  const Instant now = readClock();
   std::vector<RelayTarget> targets = Callbacks.RelayTargets();
   std::erase_if(targets, [&](const RelayTarget &it) {
-    return relay.TriedInstances.contains(it.InstanceId);
+    const auto found = entry.NoRelaysUntil.find(it.InstanceId);
+    return relay.TriedInstances.contains(it.InstanceId) ||
+           (found != entry.NoRelaysUntil.end() && now < found->second);
+  });
+  const bool hasInside =
+      std::any_of(targets.begin(), targets.end(),
+                  [](const RelayTarget &it) { return !it.IsOutside; });
+  std::erase_if(targets, [&](const RelayTarget &it) {
+    return hasInside && it.IsOutside;
   });
+  return targets;
+}
+
+// \returns false if there is no further instance or too little time.
+bool Proxy::relayToNext(http::ExchangeId id, OpenRequest &request) {
+  Relay &relay = *request.RelayState;
+  const std::vector<RelayTarget> targets = relayTargets(*request.Entry, relay);
   const Instant now = readClock();
   const auto leftMs = std::chrono::floor<std::chrono::milliseconds>(
       relay.EndsAt - now - RelayMargin);
@@ -87,6 +107,7 @@
   const RelayTarget &target =
       targets[drawBelow(Rng, static_cast<std::uint32_t>(targets.size()))];
   relay.TriedInstances.insert(target.InstanceId);
+  relay.Target = target.InstanceId;
   relay.Call = RelayIdBase + ++LastRelayNumber;
   RelayCalls.emplace(relay.Call, id);
   balance::PlacementReason reason;
@@ -153,9 +174,12 @@
   Relay &relay = *request.RelayState;
   const bool broken = end.End == balance::AttemptEnd::Broken;
   relay.MayHaveRun = relay.MayHaveRun || broken;
-  const bool mayRepeat = broken ? request.Idempotent
-                                : end.End == balance::AttemptEnd::NotSent ||
-                                      isPassedOver(response);
+  const bool passedOver =
+      end.End == balance::AttemptEnd::NotSent || isPassedOver(response);
+  if (passedOver && !relay.TimedOut) {
+    request.Entry->NoRelaysUntil[relay.Target] = readClock() + PassOverTime;
+  }
+  const bool mayRepeat = broken ? request.Idempotent : passedOver;
   return mayRepeat && !relay.TimedOut && relayToNext(id, request);
 }
 
--- a/tests/proxy/FakeNetwork.h
+++ b/tests/proxy/FakeNetwork.h
@@ -152,7 +152,7 @@
     out.CloseIdleConnections = [](const std::string &) {};
     out.BroadcastSuspected = [](const balance::CrashSuspect &) {};
     out.BroadcastQuarantined = [](std::uint64_t) {};
-    out.ReachChanged = [](bool) {};
+    out.ReachChanged = [](bool, bool) {};
     out.RelayTargets = [this] { return Targets; };
     return out;
   }
--- a/tests/proxy/RelayTest.cpp
+++ b/tests/proxy/RelayTest.cpp
@@ -163,6 +163,35 @@
   BOOST_TEST(left < 900);
 }
 
+BOOST_AUTO_TEST_CASE(instanceThatDidNotServeARelayGetsNoOtherForAWhile) {
+  CutOffInstance instance;
+  instance.send("/write/");
+  const std::string first = instance.OtherCalls.front().Address;
+  instance.EndedCalls.emplace_back(instance.OtherCalls.front().Id,
+                                   resultOf(End::Unreachable));
+  instance.run();
+  for (unsigned n = 0; n < 20; ++n) {
+    instance.send("/write/");
+  }
+  BOOST_TEST(instance.OtherCalls.size() == 22U);
+  for (std::size_t n = 1; n < instance.OtherCalls.size(); ++n) {
+    BOOST_TEST(instance.OtherCalls[n].Address != first);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(otherFailureDomainsGetARelayOnlyIfThereIsNoOtherTarget) {
+  CutOffInstance instance;
+  instance.Targets = {{"i2", "192.0.2.102:80", false},
+                      {"i3", "192.0.2.103:80", true}};
+  instance.send("/write/");
+  BOOST_TEST(instance.OtherCalls.back().Address == "192.0.2.102:80");
+  instance.EndedCalls.emplace_back(instance.OtherCalls.back().Id,
+                                   resultOf(End::NotSent));
+  instance.run();
+  BOOST_TEST(instance.OtherCalls.size() == 2U);
+  BOOST_TEST(instance.OtherCalls.back().Address == "192.0.2.103:80");
+}
+
 BOOST_AUTO_TEST_CASE(relayedRequestIsNeverRelayedAgain) {
   CutOffInstance instance;
   const http::ExchangeId id =
