The first reach check calls two upstreams

Cause: with few requests, those of a service that takes half a second are no sign of a cut, yet each silence of 0.5 s led to a check on four new connections. Change: 1 s without an answer to requests before a check, and two upstreams in the first check.

--- a/include/zinniarail/balance/Reach.h
+++ b/include/zinniarail/balance/Reach.h
@@ -11,9 +11,6 @@
 
 namespace zinniarail::balance {
 
-/// Number of upstreams that are called on new connections in one reach check.
-constexpr std::size_t UpstreamsPerReachCheck = 4;
-
 /// How long a reach check waits for an answer.
 constexpr Duration ReachCheckTimeout = std::chrono::milliseconds{150};
 
@@ -50,8 +47,8 @@
 /// What to do about the path to the upstreams.
 enum class ReachStep : std::uint8_t {
   None,
-  /// Send health checks to UpstreamsPerReachCheck upstreams, each on a new
-  /// connection: kept ones may be dead although the upstream can be reached.
+  /// Send health checks to nextCheckSize upstreams, each on a new connection:
+  /// kept ones may be dead although the upstream can be reached.
   StartCheck,
   EndCheck, ///< Cancel the calls of the reach check.
 };
@@ -68,6 +65,9 @@
 /// Records that an upstream answered a call, whatever the answer.
 void recordCallAnswer(Reach &reach, CallPurpose purpose, Instant now);
 
+/// Number of upstreams that the next reach check calls.
+std::size_t nextCheckSize(const Reach &reach);
+
 /// Records that a reach check was started.
 /// \param calls number of its calls; 0 if there is no upstream to call.
 void recordCheckStart(Reach &reach, std::size_t calls, Instant now);
--- a/src/balance/Reach.cpp
+++ b/src/balance/Reach.cpp
@@ -9,11 +9,16 @@
 // Calls in flight for this long without an answer from any upstream are the
 // reason for a reach check.
 constexpr Duration MaxHealthCheckSilence = std::chrono::milliseconds{100};
-constexpr Duration MaxRequestSilence = std::chrono::milliseconds{500};
+constexpr Duration MaxRequestSilence = std::chrono::seconds{1};
 
 // So many upstreams that fail in a row are a reason too.
 constexpr std::size_t FailuresForCheck = 3;
 
+// Upstreams called in a reach check. The first one mostly finds that upstreams
+// are just slow, and new connections cost them something.
+constexpr std::size_t FirstCheckSize = 2;
+constexpr std::size_t CheckSize = 4;
+
 // One failed reach check may be due to its choice of upstreams, or to a pause
 // of this process.
 constexpr unsigned FailedChecksToDecide = 2;
@@ -84,6 +89,11 @@
   recordAnswer(reach, now);
 }
 
+std::size_t nextCheckSize(const Reach &reach) {
+  const bool isFirst = reach.AnyReachable && reach.FailedChecks == 0;
+  return isFirst ? FirstCheckSize : CheckSize;
+}
+
 void recordCheckStart(Reach &reach, std::size_t calls, Instant now) {
   reach.NextCheckAt = now + RecheckInterval;
   reach.IsChecking = calls > 0;
--- a/src/proxy/Reach.cpp
+++ b/src/proxy/Reach.cpp
@@ -98,7 +98,7 @@
            hashCombine(selfHash, hashBytes(b->Id));
   });
   const std::size_t count =
-      std::min(all.size(), balance::UpstreamsPerReachCheck);
+      std::min(all.size(), balance::nextCheckSize(scope.State));
   balance::recordCheckStart(scope.State, count, readClock());
   for (std::size_t n = 0; n < count; ++n) {
     const Upstream &it = *all[scope.CheckedCount++ % all.size()];
--- a/tests/balance/ReachTest.cpp
+++ b/tests/balance/ReachTest.cpp
@@ -32,7 +32,7 @@
       const ReachStep step = nextReachStep(State, Now);
       if (step == ReachStep::StartCheck) {
         ++Checks;
-        recordCheckStart(State, UpstreamsPerReachCheck, Now);
+        recordCheckStart(State, nextCheckSize(State), Now);
         if (ChecksAnswered) {
           recordCheckCallEnd(State, true, Now + 1ms);
         }
