Refusals of requests that no instance can serve say 300 ms

What callers saw: where all upstreams of a service are down for everybody, callers came back after 20 ms and were refused again. Change: Retry-After as where no upstream is in service.

--- a/src/balance/Requests.cpp
+++ b/src/balance/Requests.cpp
@@ -15,14 +15,11 @@
 // request.
 constexpr Duration QueueRecheckInterval = std::chrono::milliseconds{10};
 
-// Retry-After while no upstream is in service: registrations and restarts take
-// about this long.
+// Retry-After while no upstream is in service, or none can be reached and no
+// other instance serves the request: registrations and restarts take about this
+// long.
 constexpr Duration NoUpstreamRetryAfter = std::chrono::milliseconds{300};
 
-// Retry-After while this instance reaches no upstream: others may, so callers
-// need not wait.
-constexpr Duration UnreachableRetryAfter = std::chrono::milliseconds{20};
-
 // Maximum queue depth per slot in service.
 constexpr std::size_t MaxQueuedPerSlot = 4;
 
@@ -49,9 +46,8 @@
                     RefusalReason reason, Instant now) {
   switch (reason) {
   case RefusalReason::NoUpstream:
-    return NoUpstreamRetryAfter;
   case RefusalReason::Unreachable:
-    return UnreachableRetryAfter;
+    return NoUpstreamRetryAfter;
   case RefusalReason::Overloaded:
     return std::max<Duration>({endOfRefusals(engine, now) - now,
                                usualServiceTime(engine, request) / 2,
--- a/src/proxy/Relay.cpp
+++ b/src/proxy/Relay.cpp
@@ -25,7 +25,7 @@
 constexpr Duration RelayMargin = std::chrono::milliseconds{5};
 
 // Retry-After of a request that no instance took.
-constexpr Duration RelayRetryAfter = std::chrono::milliseconds{20};
+constexpr Duration RelayRetryAfter = std::chrono::milliseconds{300};
 
 constexpr Duration RelayConnectTimeout = std::chrono::milliseconds{150};
 
