Followers keep the members that the reader lists

What callers saw: nothing yet; found by reading. A follower forgot the instances that it does not hear from itself, 60 s after the last change of the reader's list: they were missing in its resolve answers, and later it would not know other failure domains to relay to. Cause: the time of the list's last change counted as a sign of life, though the list holds until it changes. Change: a member on the list is kept. Test: listedMembersAreKnownHoweverOldTheListIs; 2 of its 3 checks failed before.

--- a/include/zinniarail/fleet/Members.h
+++ b/include/zinniarail/fleet/Members.h
@@ -21,8 +21,8 @@
 /// than the loss of an instance.
 constexpr Duration LivenessTimeout = std::chrono::milliseconds{700};
 
-/// A member that was neither heard from nor reported live for this long is
-/// removed and gets no more messages.
+/// A member that was not heard from for this long, and is not on the reader's
+/// live list, is removed and gets no more messages.
 constexpr Duration RemovalTimeout = std::chrono::seconds{60};
 
 /// An instance and the status that it reports of itself.
--- a/src/fleet/Members.cpp
+++ b/src/fleet/Members.cpp
@@ -84,9 +84,9 @@
 void removeExpired(Members &members, Instant now) {
   std::erase_if(members.Others, [&](const auto &it) {
     const Instant last =
-        std::max({it.second.LastMessageAt, it.second.ReportedLiveAt,
-                  it.second.KnownSince});
-    return now - last > RemovalTimeout;
+        std::max(it.second.LastMessageAt, it.second.KnownSince);
+    return it.second.ReportedLiveAt == Instant::min() &&
+           now - last > RemovalTimeout;
   });
 }
 
--- a/tests/fleet/ReadyMembersTest.cpp
+++ b/tests/fleet/ReadyMembersTest.cpp
@@ -75,3 +75,18 @@
   }
   BOOST_TEST(ids == it.Expected);
 }
+
+// A follower pings few of the members that the reader lists, and may hear from
+// none of the others.
+BOOST_AUTO_TEST_CASE(listedMembersAreKnownHoweverOldTheListIs) {
+  Members members;
+  members.LocalMember = makeMember({"a1", "a"});
+  applyReaderLiveList(members,
+                      {makeMember({"a2", "a"}), makeMember({"b1", "b"})}, Now);
+  removeExpired(members, Now + 10min);
+  BOOST_TEST(listLiveMembers(members, Now + 10min).size() == 2U);
+  BOOST_TEST(selectOutsideMembers(members, 9).size() == 1U);
+  applyReaderLiveList(members, {}, Now + 10min);
+  removeExpired(members, Now + 10min);
+  BOOST_TEST(members.Others.empty());
+}
