proxy: the state of a relay is a type of its own

Cause: clang doesn't accept default member initializers of a nested class in an optional of the enclosing class (lint).

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -78,6 +78,16 @@
   std::function<std::vector<RelayTarget>()> RelayTargets;
 };
 
+/// A request's way over another instance.
+struct Relay {
+  http::CallId Call = 0;
+  std::set<std::string> TriedInstances;
+  std::string Target;      ///< Instance that Call is sent to.
+  bool MayHaveRun = false; ///< In an attempt or relay that has ended.
+  bool TimedOut = false;   ///< Call was cancelled at EndsAt.
+  Instant EndsAt{};        ///< Deadline of the request.
+};
+
 /// Owns each request from its arrival until its response is sent. Each
 /// event is handled with a new reading of the clock.
 class Proxy {
@@ -145,15 +155,6 @@
     std::map<std::string, Target> Targets; ///< By upstream id.
     Instant NextTimer = Instant::max();
   };
-  /// A request's way over another instance.
-  struct Relay {
-    http::CallId Call = 0;
-    std::set<std::string> TriedInstances;
-    std::string Target;      ///< Instance that Call is sent to.
-    bool MayHaveRun = false; ///< In an attempt or relay that has ended.
-    bool TimedOut = false;   ///< Call was cancelled at EndsAt.
-    Instant EndsAt{};        ///< Deadline of the request.
-  };
   struct OpenRequest {
     http::Request Content;
     ServiceEntry *Entry = nullptr;
