--- a/src/balance/Requests.cpp
+++ b/src/balance/Requests.cpp
@@ -15,8 +15,9 @@
 // request.
 constexpr Duration QueueRecheckInterval = std::chrono::milliseconds{10};
 
-// Retry-After while no upstream is in service: registrations and restarts take
-// about this long.
+// Retry-After while no upstream is in service, or none can be reached and no
+// other instance serves the request: registrations and restarts take about this
+// long.
 constexpr Duration NoUpstreamRetryAfter = std::chrono::milliseconds{300};
 
 // Maximum queue depth per slot in service.
@@ -45,6 +46,7 @@
                     RefusalReason reason, Instant now) {
   switch (reason) {
   case RefusalReason::NoUpstream:
+  case RefusalReason::Unreachable:
     return NoUpstreamRetryAfter;
   case RefusalReason::Overloaded:
     return std::max<Duration>({endOfRefusals(engine, now) - now,
@@ -162,6 +164,25 @@
   removeRequest(step.State, request);
 }
 
+void onReachChanged(Step step, const ReachChanged &event) {
+  Engine &engine = step.State;
+  engine.AnyReachable = event.AnyReachable;
+  if (event.AnyReachable) {
+    return endBackoffs(engine, step.Now);
+  }
+  // An attempt that may have been received goes on if its request must not run
+  // twice; queued requests are refused when the queue is dispatched.
+  std::vector<RequestId> repeatable;
+  for (const auto &[id, it] : engine.Requests) {
+    if (!it.Queued && it.Policy.Idempotent) {
+      repeatable.push_back(it.Id);
+    }
+  }
+  for (const RequestId id : repeatable) {
+    refuse(step, engine.Requests.at(numberOf(id)), RefusalReason::Unreachable);
+  }
+}
+
 void refuse(Step step, RequestState &request, RefusalReason reason) {
   const Execution execution = executionOf(request);
   cancelRunningAttempts(step, request);
@@ -217,6 +238,10 @@
       refuse(step, request, RefusalReason::Quarantined);
       continue;
     }
+    if (!engine.AnyReachable) {
+      refuse(step, request, RefusalReason::Unreachable);
+      continue;
+    }
     if (awaitsCrashCheck(engine, request, step.Now)) {
       engine.QueueRecheckAt =
           std::min(engine.QueueRecheckAt, request.CrashCheckDeadline);
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -100,6 +100,8 @@
   /// \returns whether this was not known.
   bool noteLeaving(const fleet::LeavingUpstream &upstream, const char *source);
   void updateRoutingSnapshot();
+  std::vector<std::string> addressesForCallers() const;
+  std::vector<proxy::RelayTarget> relayTargets() const;
   void handleResolveRequest(http::ExchangeId id, const http::Request &request);
   /// Passes a new routing snapshot to the proxy, runs the proxy's expired
   /// timers and schedules its next one. Called before each wait of the loop.
@@ -248,7 +250,11 @@
       [this](std::uint64_t it) { Peers.broadcastQuarantined(it); },
       [this] {
         return readClock() - stateCurrentAt() > Options.PropagationLimit;
-      }};
+      },
+      [this](bool any, bool ofEachService) {
+        Peers.setReach(any, ofEachService);
+      },
+      [this] { return relayTargets(); }};
 }
 
 http::ServerHandlers Daemon::callerHandlers() {
@@ -352,6 +358,7 @@
   set("instances-live", Peers.liveMembers().size());
   set("instances-known", Peers.fleetSize());
   set("reads-the-store", Peers.duty() == Duty::Read ? 1 : 0);
+  set("reaches-upstreams", RequestProxy.reachesUpstreams() ? 1 : 0);
   set("caller-connections", CallerServer.connections());
   set("upstream-connections", Pool.connections());
   set("log-lines-dropped", droppedLineCount());
@@ -495,7 +502,7 @@
     return;
   case fleet::StatePart::Members:
     update.Members.emplace();
-    update.Members->List.Items = Peers.liveMembers();
+    update.Members->List.Items = Peers.membersForFollowers();
     update.Members->FleetSize = Peers.fleetSize();
     return;
   }
@@ -560,19 +567,45 @@
   return !Stopping && HasUpstreamList && LocalMirror.Config;
 }
 
+std::vector<std::string> Daemon::addressesForCallers() const {
+  std::vector<std::string> addresses;
+  const auto add = [&](const std::vector<Member> &members, auto isUsable) {
+    for (const Member &it : members) {
+      const bool isSelf = it.Record.Id == Options.InstanceId;
+      if (!it.Record.Leaving && (isSelf ? isReady() : isUsable(it))) {
+        addresses.push_back(it.Record.CallerAddress);
+      }
+    }
+  };
+  add(Peers.readyMembers(), [](const Member &) { return true; });
+  if (addresses.empty()) {
+    // No instance reaches an upstream, as far as this one knows: callers need
+    // the addresses nevertheless, for when one does again.
+    add(Peers.liveMembers(), [](const Member &it) { return it.HasSnapshot; });
+  }
+  return addresses;
+}
+
+std::vector<proxy::RelayTarget> Daemon::relayTargets() const {
+  std::vector<proxy::RelayTarget> targets;
+  for (const Member &it : Peers.readyMembers()) {
+    if (it.Record.Id != Options.InstanceId) {
+      targets.push_back({it.Record.Id, it.Record.CallerAddress, false});
+    }
+  }
+  for (const Member &it : Peers.readyOutsideMembers()) {
+    targets.push_back({it.Record.Id, it.Record.CallerAddress, true});
+  }
+  return targets;
+}
+
 void Daemon::handleResolveRequest(http::ExchangeId id,
                                   const http::Request &request) {
   const auto resolveRequest = platform::dialect().ReadResolveRequest(request);
   if (!resolveRequest) {
     return DirectoryServer.sendResponse(id, {NotFound, {}, {}});
   }
-  std::vector<std::string> addresses;
-  for (const Member &it : Peers.liveMembers()) {
-    const bool isSelf = it.Record.Id == Options.InstanceId;
-    if (!it.Record.Leaving && (isSelf ? isReady() : it.Ready)) {
-      addresses.push_back(it.Record.CallerAddress);
-    }
-  }
+  const std::vector<std::string> addresses = addressesForCallers();
   if (addresses.empty()) {
     return DirectoryServer.sendResponse(id, {Unavailable, {}, {}});
   }
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -57,6 +57,10 @@
 // Later, callers are sent to other instances until it has one.
 constexpr Duration ReadyWithoutSnapshotTime = std::chrono::milliseconds{500};
 
+// Members of other failure domains that are pinged while this one has too few
+// that are ready.
+constexpr std::size_t OutsideMemberCount = 12;
+
 constexpr std::size_t MaxDatagramBytes = 8192;
 
 // Maximum number of datagrams read in one iteration of the loop, so that a
@@ -141,6 +145,9 @@
 void PeerTask::tick() {
   const Instant now = readClock();
   removeExpired(Membership, now);
+  if (ReaderElection.CurrentDuty == Duty::Read) {
+    addRecorded();
+  }
   const bool isStartup = now - StartedAt < DiscoveryTime;
   if (isStartup || now - PingedAt >= PingInterval) {
     sendPings();
@@ -170,10 +177,26 @@
   }
 }
 
+void PeerTask::updateReady() {
+  Membership.LocalMember.Ready =
+      ReachesUpstreams && (Membership.LocalMember.HasSnapshot ||
+                           readClock() - StartedAt < ReadyWithoutSnapshotTime);
+}
+
+void PeerTask::setReach(bool any, bool ofEachService) {
+  const bool anyChanged = std::exchange(ReachesUpstreams, any) != any;
+  ReachesEachService = ofEachService;
+  updateReady();
+  if (anyChanged) {
+    announceToDomain();
+    notifyIfLiveChanged();
+  }
+  sendPings();
+}
+
 void PeerTask::fetchSnapshotIfNeeded() {
   const Instant now = readClock();
-  Membership.LocalMember.Ready = Membership.LocalMember.HasSnapshot ||
-                                 now - StartedAt < ReadyWithoutSnapshotTime;
+  updateReady();
   const bool due = now - std::max(StartedAt + DiscoveryTime, DutySince) >=
                    SnapshotFetchDelay;
   if (!Membership.LocalMember.HasSnapshot && due) {
@@ -188,7 +211,7 @@
   Membership.LocalMember.HasSnapshot = hasSnapshot;
   Publisher.setHasSnapshot(hasSnapshot);
   if (hasSnapshot) {
-    Membership.LocalMember.Ready = true;
+    updateReady();
     Fetcher.stop();
   }
 }
@@ -210,6 +233,12 @@
     targets.push_back(reader->second.LastStatus.Record.PeerAddress);
   }
   const bool hasNoTargets = targets.empty();
+  if (!ReachesEachService || needsOtherDomains(Membership, now)) {
+    for (const Member &it :
+         selectOutsideMembers(Membership, OutsideMemberCount)) {
+      targets.push_back(it.Record.PeerAddress);
+    }
+  }
   const bool noHealthyReader = ReaderElection.CurrentDuty != Duty::Follow &&
                                !Membership.LocalMember.StoreHealthy &&
                                now - DutySince >= InheritedListTime / 2;
@@ -456,15 +485,17 @@
 }
 
 void PeerTask::addRecordedInstances(const std::vector<Instance> &recorded) {
+  Recorded = recorded;
+  addRecorded();
+  FleetSize = std::max<std::size_t>(recorded.size(), 1);
+  Publisher.publish(StatePart::Members);
+}
+
+void PeerTask::addRecorded() {
   const Instant now = readClock();
-  for (const Instance &it : recorded) {
+  for (const Instance &it : Recorded) {
     addIfUnknown(Membership, {it, 0, 0, false, false}, now);
   }
-  const std::size_t previousSize = FleetSize;
-  FleetSize = std::max<std::size_t>(recorded.size(), 1);
-  if (FleetSize != previousSize) {
-    Publisher.publish(StatePart::Members);
-  }
 }
 
 void PeerTask::sendToAll(const Datagram &datagram) const {
@@ -527,6 +558,24 @@
   return listLiveMembers(Membership, readClock());
 }
 
+std::vector<Member> PeerTask::readyMembers() const {
+  return listReadyMembers(Membership, readClock());
+}
+
+std::vector<Member> PeerTask::readyOutsideMembers() const {
+  return listReadyOutsideMembers(Membership, readClock());
+}
+
+std::vector<Member> PeerTask::membersForFollowers() const {
+  std::vector<Member> all = liveMembers();
+  for (const Instance &it : Recorded) {
+    if (it.Domain != Membership.LocalMember.Record.Domain) {
+      all.push_back({it, 0, 0, false, false});
+    }
+  }
+  return all;
+}
+
 std::size_t PeerTask::fleetSize() const { return FleetSize; }
 
 bool PeerTask::isStateCurrent() const {
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/json.hpp>
 
+#include "proxy/Refusal.h"
 #include "zinniarail/core/Hash.h"
 #include "zinniarail/events/Events.h"
 
@@ -18,7 +19,7 @@
 constexpr unsigned AttemptNumberBits = 40;
 
 // Call ids of health checks lie above this value, and call ids of attempts lie
-// below it.
+// below it; Relay.cpp and Reach.cpp have ids further above.
 constexpr http::CallId ProbeIdBase = http::CallId{1} << 62;
 
 constexpr Duration ProbeConnectTimeout = std::chrono::milliseconds{250};
@@ -52,9 +53,7 @@
 
 constexpr unsigned BadRequest = 400;
 constexpr unsigned NotFound = 404;
-constexpr unsigned BadGateway = 502;
 constexpr unsigned Unavailable = 503;
-constexpr unsigned GatewayTimeout = 504;
 constexpr unsigned Misdirected = 421;
 constexpr unsigned FirstSuccess = 200;
 constexpr unsigned FirstRedirect = 300;
@@ -70,40 +69,6 @@
   return hashCombine(digest, hashBytes(request.Body));
 }
 
-std::string formatSeconds(Duration duration) {
-  constexpr double microsPerSecond = 1e6;
-  std::array<char, 32> text;
-  const auto [end, ec] =
-      std::to_chars(text.data(), text.data() + text.size(),
-                    static_cast<double>(duration.count()) / microsPerSecond,
-                    std::chars_format::fixed, 3);
-  return {text.data(), ec == std::errc{} ? end : text.data()};
-}
-
-http::Response makeRefusal(const RequestEnd &end) {
-  http::Response response{end.Status, {}, {}};
-  response.Fields = {{"Content-Type", "application/json"},
-                     {"X-Zinniarail-Outcome", nameOf(end.Outcome)},
-                     {"X-Zinniarail-Reason", end.Reason}};
-  // Retry-After invites the caller to send the request again, which is safe
-  // only if the request did not run.
-  if (end.RetryAfter > Duration{0} &&
-      end.Outcome == balance::Execution::DidNotRun) {
-    response.Fields.push_back({"Retry-After", formatSeconds(end.RetryAfter)});
-  }
-  response.Body = boost::json::serialize(boost::json::object{
-      {"error", end.Reason}, {"outcome", nameOf(end.Outcome)}});
-  return response;
-}
-
-unsigned statusOf(balance::RefusalReason reason, balance::Execution execution) {
-  if (execution == balance::Execution::DidNotRun) {
-    return Unavailable;
-  }
-  return reason == balance::RefusalReason::DeadlinePassed ? GatewayTimeout
-                                                          : BadGateway;
-}
-
 } // namespace
 
 Proxy::Proxy(ProxyContext context, ProxyCallbacks callbacks,
@@ -180,6 +145,7 @@
   if (!entry) {
     entry = std::make_unique<ServiceEntry>();
     entry->Name = service;
+    entry->Reach.Service = service;
     if (const ServiceConfig *it = findService(*Snapshot->Config, service)) {
       entry->HealthPath = it->HealthPath;
     }
@@ -189,6 +155,9 @@
     entry->Engine = balance::makeEngine(
         makePlan(service), Random(Context.Seed, hashBytes(service)),
         firstAttempt, readClock());
+    if (!AllServices.Applied) {
+      postEvent(*entry, balance::ReachChanged{false});
+    }
   }
   return *entry;
 }
@@ -283,8 +252,12 @@
   http::removeHopByHopHeaders(request.Fields);
   http::removeHeader(request.Fields, Context.PlatformDialect->Deadline);
   http::removeHeader(request.Fields, Context.PlatformDialect->ExpectedInstance);
+  const bool wasRelayed =
+      http::findHeader(request.Fields, RelayedHeader) != nullptr;
+  http::removeHeader(request.Fields, RelayedHeader);
   OpenRequests.emplace(id, OpenRequest{std::move(request), &entry,
-                                       route->Idempotent, std::move(record)});
+                                       route->Idempotent, wasRelayed,
+                                       std::move(record), std::nullopt});
   postEvent(entry, std::move(event));
   processEvents();
 }
@@ -300,6 +273,9 @@
   const Instant now = readClock();
   Log.write(it->second.Record, end, now);
   RequestMetrics.recordRequestEnd(it->second.Record, end, now);
+  if (it->second.RelayState && it->second.Idempotent) {
+    Callbacks.CancelCall(it->second.RelayState->Call);
+  }
   eraseRequest(id);
   postEvent(entry, balance::CallerGone{balance::RequestId{id}});
   processEvents();
@@ -315,6 +291,9 @@
       Calls.erase(call);
     }
   }
+  if (it->second.RelayState) {
+    RelayDeadlines.erase({it->second.RelayState->EndsAt, id});
+  }
   OpenRequests.erase(it);
 }
 
@@ -338,10 +317,19 @@
     postEvent(*entry, balance::TimerExpired{});
   }
   processEvents();
+  expireRelays();
+  advanceReach();
 }
 
 Instant Proxy::nextTimer() const {
-  return Timers.empty() ? Instant::max() : Timers.begin()->first;
+  Instant next = nextReachTime();
+  if (!Timers.empty()) {
+    next = std::min(next, Timers.begin()->first);
+  }
+  if (!RelayDeadlines.empty()) {
+    next = std::min(next, RelayDeadlines.begin()->first);
+  }
+  return next;
 }
 
 void Proxy::postEvent(ServiceEntry &entry, balance::Event event) {
@@ -463,6 +451,7 @@
   call.MaxIdleTime =
       request.Idempotent ? MaxIdleTimeIdempotent : MaxIdleTimeNonIdempotent;
   call.ConnectTimeout = ConnectTimeout;
+  recordCallStart(entry, balance::CallPurpose::Request);
   Callbacks.StartCall(std::move(call));
 }
 
@@ -475,16 +464,23 @@
   RequestMetrics.recordProbe(entry.Name);
   const http::CallId id = ProbeIdBase + ++LastProbeNumber;
   Calls[id] = {&entry, 0, upstream, target->second.StartedMs};
-  http::Call call;
-  call.Id = id;
-  call.Address = target->second.Address;
-  call.Bytes = "GET " + entry.HealthPath +
-               " HTTP/1.1\r\nHost: " + call.Address + "\r\n\r\n";
+  recordCallStart(entry, balance::CallPurpose::HealthCheck);
+  http::Call call =
+      makeHealthCheck(id, target->second.Address, entry.HealthPath);
   call.ConnectTimeout = ProbeConnectTimeout;
   call.Timeout = ProbeTimeout;
   Callbacks.StartCall(std::move(call));
 }
 
+http::Call Proxy::makeHealthCheck(http::CallId id, const std::string &address,
+                                  const std::string &path) const {
+  http::Call call;
+  call.Id = id;
+  call.Address = address;
+  call.Bytes = "GET " + path + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n";
+  return call;
+}
+
 balance::AttemptEnded
 Proxy::classifyResult(const http::CallResult &result) const {
   balance::AttemptEnded event;
@@ -524,10 +520,17 @@
 }
 
 void Proxy::onCallEnded(http::CallId id, http::CallResult result) {
+  if (ReachCheckCalls.contains(id)) {
+    return endReachCheckCall(id, result);
+  }
+  if (RelayCalls.contains(id)) {
+    return onRelayEnded(id, result);
+  }
   const auto known = Calls.find(id);
   if (known == Calls.end()) {
     return;
   }
+  recordCallEnd(known->second, result);
   reportIfLeaving(known->second, result); // May add calls.
   const auto it = Calls.find(id);
   if (it->second.Request == 0) {
@@ -539,6 +542,7 @@
     endAttempt(id, it->second);
   }
   processEvents();
+  advanceReach();
 }
 
 // A response with another upstream's id, or 421, came from the upstream that
@@ -632,6 +636,9 @@
 }
 
 void Proxy::refuse(const balance::Refuse &action) {
+  if (beginRelay(action)) {
+    return;
+  }
   RequestEnd end;
   end.Kind = RequestEnd::EndKind::Refused;
   end.Status = statusOf(action.Reason, action.Outcome);
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -23,6 +23,7 @@
 #include "proxy/Metrics.h"
 #include "proxy/RequestLog.h"
 #include "zinniarail/balance/Engine.h"
+#include "zinniarail/balance/Reach.h"
 #include "zinniarail/fleet/RoutingSnapshot.h"
 
 namespace zinniarail::proxy {
@@ -48,6 +49,14 @@
   const Dialect *PlatformDialect = nullptr;
 };
 
+/// Another instance that requests can be relayed to.
+struct RelayTarget {
+  std::string InstanceId;
+  std::string CallerAddress;
+  /// In another failure domain, and only used if there is no other target.
+  bool IsOutside = false;
+};
+
 /// Functions through which the proxy sends responses, calls upstreams and
 /// notifies the other instances.
 struct ProxyCallbacks {
@@ -64,6 +73,21 @@
   std::function<void(std::uint64_t fingerprint)> BroadcastQuarantined;
   /// Whether the store may hold a newer configuration than the one in force.
   std::function<bool()> IsStateOutdated;
+  /// Called when either changes: whether this instance can reach any upstream,
+  /// and whether it can reach one of each service.
+  std::function<void(bool any, bool ofEachService)> ReachChanged;
+  /// The other instances that are ready and reach upstreams.
+  std::function<std::vector<RelayTarget>()> RelayTargets;
+};
+
+/// A request's way over another instance.
+struct Relay {
+  http::CallId Call = 0;
+  std::set<std::string> TriedInstances;
+  std::string Target;      ///< Instance that Call is sent to.
+  bool MayHaveRun = false; ///< In an attempt or relay that has ended.
+  bool TimedOut = false;   ///< Call was cancelled at EndsAt.
+  Instant EndsAt{};        ///< Deadline of the request.
 };
 
 /// Owns each request from its arrival until its response is sent. Each
@@ -95,6 +119,9 @@
 
   std::size_t openRequests() const { return OpenRequests.size(); }
 
+  /// Whether this instance can reach any upstream, as far as it knows.
+  bool reachesUpstreams() const { return AllServices.State.AnyReachable; }
+
   /// Sets the gauges to the current values.
   void updateGauges();
 
@@ -111,9 +138,21 @@
     std::string Address;
     std::uint64_t StartedMs = 0; ///< As Upstream::StartedMs.
   };
+  /// The path to the upstreams of one service, or of all.
+  struct ReachScope {
+    std::string Service; ///< Empty: all.
+    balance::Reach State;
+    bool Applied = true;               ///< State.AnyReachable, as applied last.
+    std::set<http::CallId> CheckCalls; ///< Calls of the check under way.
+    std::size_t CheckedCount = 0; ///< Upstreams called in all checks so far.
+  };
   struct ServiceEntry {
     std::string Name;
     std::string HealthPath;
+    ReachScope Reach;
+    /// Instances that are known not to serve this service, by id, and until
+    /// when they get no relays.
+    std::map<std::string, Instant> NoRelaysUntil;
     balance::EnginePtr Engine;
     std::map<std::string, Target> Targets; ///< By upstream id.
     Instant NextTimer = Instant::max();
@@ -122,7 +161,9 @@
     http::Request Content;
     ServiceEntry *Entry = nullptr;
     bool Idempotent = false;
+    bool WasRelayed = false; ///< Came from another instance.
     RequestRecord Record;
+    std::optional<Relay> RelayState; ///< Set once the engine has given it up.
   };
   struct UpstreamCall {
     ServiceEntry *Entry = nullptr;
@@ -149,6 +190,18 @@
   void performAction(ServiceEntry &entry, balance::Action &action);
   void startAttempt(ServiceEntry &entry, const balance::StartAttempt &action);
   void startProbe(ServiceEntry &entry, const std::string &upstream);
+  http::Call makeHealthCheck(http::CallId id, const std::string &address,
+                             const std::string &path) const;
+  void recordCallStart(ServiceEntry &entry, balance::CallPurpose purpose);
+  void recordCallEnd(const UpstreamCall &call, const http::CallResult &result);
+  void endReachCheckCall(http::CallId id, const http::CallResult &result);
+  void advanceReach();
+  void advanceReach(ReachScope &scope);
+  void startReachCheck(ReachScope &scope);
+  void endReachCheck(ReachScope &scope);
+  void applyReach(ReachScope &scope);
+  void logReach(const ReachScope &scope) const;
+  Instant nextReachTime() const;
   void deliver(const balance::Deliver &action);
   void refuse(const balance::Refuse &action);
   void reportIfLeaving(const UpstreamCall &call,
@@ -159,6 +212,18 @@
   void endProbe(const UpstreamCall &call, const http::CallResult &result);
   void reportStatusChange(const ServiceEntry &entry,
                           const balance::UpstreamStatusChanged &change);
+  bool beginRelay(const balance::Refuse &action);
+  std::vector<RelayTarget> relayTargets(const ServiceEntry &entry,
+                                        const Relay &relay) const;
+  bool relayToNext(http::ExchangeId id, OpenRequest &request);
+  void onRelayEnded(http::CallId id, const http::CallResult &result);
+  bool relayAgain(http::ExchangeId id, OpenRequest &request,
+                  const balance::AttemptEnded &end,
+                  const http::Response &response);
+  void deliverRelayed(http::ExchangeId id, OpenRequest &request,
+                      http::Response response);
+  void refuseRelayed(http::ExchangeId id, const Relay &relay);
+  void expireRelays();
   void finishRequest(http::ExchangeId id, http::Response response,
                      const RequestEnd &end);
   void eraseRequest(http::ExchangeId id);
@@ -174,6 +239,12 @@
   std::unordered_map<http::ExchangeId, OpenRequest> OpenRequests;
   std::unordered_map<http::CallId, UpstreamCall> Calls;
   http::CallId LastProbeNumber = 0;
+  ReachScope AllServices;
+  std::unordered_map<http::CallId, ReachScope *> ReachCheckCalls;
+  http::CallId LastReachCheckNumber = 0;
+  std::unordered_map<http::CallId, http::ExchangeId> RelayCalls;
+  std::set<std::pair<Instant, http::ExchangeId>> RelayDeadlines;
+  http::CallId LastRelayNumber = 0;
   std::deque<std::pair<ServiceEntry *, balance::Event>> PendingEvents;
   bool IsProcessingEvents = false;
   std::set<std::pair<Instant, ServiceEntry *>> Timers;
