--- a/include/zinniarail/store/ListWatch.h
+++ b/include/zinniarail/store/ListWatch.h
@@ -74,7 +74,7 @@
 
 /// Whether the next call must return the latest state instead of a possibly
 /// stale one. The first list must, because the changes received before it may
-/// have gaps. A later one may be stale if it reflects StoreRevision.
+/// have gaps. A later one may be stale if it reflects all that is known.
 bool needsLatestRead(const ListWatch &state, Instant now);
 
 /// Records that a call was sent; a call in flight is abandoned.
