Log what becomes of the check after a broken attempt

The log could not tell whether a request that crashes upstreams gathers no evidence, whether its crash checks are refuted, or whether its repeats differ in their fingerprint. New line crash-checked: upstream, fingerprint, time run, whether the connection may have been stale, verdict. Lines of requests that were not served in time have their fingerprint. No decision changes.

--- a/include/zinniarail/balance/Messages.h
+++ b/include/zinniarail/balance/Messages.h
@@ -205,6 +205,19 @@
   std::uint64_t Fingerprint = 0;
 };
 
+/// Log what became of the check that follows a broken attempt.
+struct CrashChecked {
+  enum class Verdict : std::uint8_t {
+    Skipped, ///< No health check was sent.
+    Reached, ///< The upstream still runs.
+    Gone,    ///< The upstream crashed.
+  };
+  CrashSuspect Suspect;
+  Duration RanFor{0};          ///< From the start of the attempt to its end.
+  bool StaleKeepAlive = false; ///< As AttemptEnded::StaleKeepAlive.
+  Verdict Result{};
+};
+
 /// Log that an upstream's status changed.
 struct UpstreamStatusChanged {
   enum class Status : std::uint8_t { Ejected, Readmitted, Cold, Refusing };
@@ -217,12 +230,14 @@
 /// Log that a retry was not sent, since the retry budget is exhausted.
 struct RetryBudgetExhausted {};
 
-using Action = std::variant<StartAttempt, CancelAttempt, Deliver, Refuse,
-                            SendProbe, BroadcastSuspected, BroadcastQuarantined,
-                            UpstreamStatusChanged, RetryBudgetExhausted>;
+using Action =
+    std::variant<StartAttempt, CancelAttempt, Deliver, Refuse, SendProbe,
+                 BroadcastSuspected, BroadcastQuarantined, CrashChecked,
+                 UpstreamStatusChanged, RetryBudgetExhausted>;
 using Actions = std::vector<Action>;
 
 const char *nameOf(PlacementReason::LoadKnowledge knowledge);
 const char *nameOf(UpstreamStatusChanged::Status status);
+const char *nameOf(CrashChecked::Verdict verdict);
 
 } // namespace zinniarail::balance
--- a/include/zinniarail/events/Events.h
+++ b/include/zinniarail/events/Events.h
@@ -58,6 +58,7 @@
   UpstreamsChanged = 330,
   InstanceFound = 331,
   InstanceLost = 332,
+  CrashChecked = 333,
   LinesDropped = 340,
 };
 
--- a/src/balance/Attempts.cpp
+++ b/src/balance/Attempts.cpp
@@ -201,9 +201,9 @@
     }
     recordFailure(step, upstream, false,
                   "connection lost before a complete response");
-    if (!event.StaleKeepAlive) {
-      startCrashCheck(step, upstream, attempt.Fingerprint);
-    }
+    startCrashCheck(
+        step, upstream,
+        {attempt.Fingerprint, attempt.Started, step.Now, event.StaleKeepAlive});
   }
 }
 
--- a/src/balance/Crashes.cpp
+++ b/src/balance/Crashes.cpp
@@ -11,6 +11,14 @@
 
 constexpr QuarantineLimits Limits;
 
+void logCheck(Step step, const UpstreamState &upstream,
+              const BrokenAttempt &attempt, CrashChecked::Verdict verdict) {
+  step.Output.emplace_back(CrashChecked{{attempt.Fingerprint, upstream.Plan.Id},
+                                        attempt.BrokenAt - attempt.Started,
+                                        attempt.StaleKeepAlive,
+                                        verdict});
+}
+
 } // namespace
 
 bool isRefused(const Engine &engine, std::uint64_t fingerprint, Instant now) {
@@ -28,7 +36,7 @@
                       Instant now) {
   const auto it = engine.Upstreams.find(request.CrashCheckUpstream);
   return now < request.CrashCheckDeadline && it != engine.Upstreams.end() &&
-         !it->second.BrokenFingerprints.empty();
+         !it->second.BrokenAttempts.empty();
 }
 
 Duration refusalRemaining(const Engine &engine, std::uint64_t fingerprint,
@@ -37,21 +45,29 @@
 }
 
 void startCrashCheck(Step step, UpstreamState &upstream,
-                     std::uint64_t fingerprint) {
-  if (isRefusing(upstream, step.Now)) {
-    return;
+                     const BrokenAttempt &attempt) {
+  if (attempt.StaleKeepAlive || isRefusing(upstream, step.Now)) {
+    return logCheck(step, upstream, attempt, CrashChecked::Verdict::Skipped);
   }
-  upstream.BrokenFingerprints.push_back(fingerprint);
+  upstream.BrokenAttempts.push_back(attempt);
   sendProbe(step, upstream);
 }
 
 void finishCrashCheck(Step step, UpstreamState &upstream, bool reachable) {
-  const auto fingerprints = std::exchange(upstream.BrokenFingerprints, {});
-  if (reachable || fingerprints.empty()) {
+  const auto broken = std::exchange(upstream.BrokenAttempts, {});
+  for (const BrokenAttempt &it : broken) {
+    logCheck(step, upstream, it,
+             reachable ? CrashChecked::Verdict::Reached
+                       : CrashChecked::Verdict::Gone);
+  }
+  if (reachable || broken.empty()) {
     return;
   }
-  for (const std::uint64_t it : fingerprints) {
-    step.Output.emplace_back(BroadcastSuspected{{it, upstream.Plan.Id}});
+  std::vector<std::uint64_t> fingerprints;
+  for (const BrokenAttempt &it : broken) {
+    fingerprints.push_back(it.Fingerprint);
+    step.Output.emplace_back(
+        BroadcastSuspected{{it.Fingerprint, upstream.Plan.Id}});
   }
   const CrashOutcome outcome =
       recordCrash(step.State.CrashQuarantine, Limits, {upstream.Plan.Id, 0},
--- a/src/balance/Engine.cpp
+++ b/src/balance/Engine.cpp
@@ -187,6 +187,18 @@
   return "";
 }
 
+const char *nameOf(CrashChecked::Verdict verdict) {
+  switch (verdict) {
+  case CrashChecked::Verdict::Skipped:
+    return "skipped";
+  case CrashChecked::Verdict::Reached:
+    return "reached";
+  case CrashChecked::Verdict::Gone:
+    return "gone";
+  }
+  return "";
+}
+
 const char *nameOf(AttemptEnd end) {
   switch (end) {
   case AttemptEnd::Answered:
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -25,6 +25,15 @@
   bool NeedsProbe = false; ///< Stays ejected until a health check succeeds.
 };
 
+/// An attempt whose connection broke. A health check finds out whether its
+/// upstream crashed.
+struct BrokenAttempt {
+  std::uint64_t Fingerprint = 0;
+  Instant Started{};
+  Instant BrokenAt{};
+  bool StaleKeepAlive = false; ///< As AttemptEnded::StaleKeepAlive.
+};
+
 /// An upstream of the plan, or one that was removed from the plan while
 /// attempts were still running on it.
 struct UpstreamState {
@@ -41,9 +50,9 @@
   Instant NextColdRequestAt{}; ///< No request before this time while cold.
   /// It wants neither requests nor health checks before this time.
   Instant RefusesUntil{};
-  /// Fingerprints of requests whose connections broke here; a health check is
-  /// running to find out whether the upstream crashed.
-  std::vector<std::uint64_t> BrokenFingerprints;
+  /// Attempts that broke here; a health check is running to find out whether
+  /// the upstream crashed.
+  std::vector<BrokenAttempt> BrokenAttempts;
   bool ProbePending = false;
   Instant ProbedAt{};
   /// Token bucket of this instance's health checks of this upstream.
@@ -240,7 +249,7 @@
 /// Starts a health check after a broken attempt, to find out whether the
 /// request crashed the upstream.
 void startCrashCheck(Step step, UpstreamState &upstream,
-                     std::uint64_t fingerprint);
+                     const BrokenAttempt &attempt);
 /// Ends a crash check: the requests whose connections broke become suspects if
 /// the upstream was unreachable.
 void finishCrashCheck(Step step, UpstreamState &upstream, bool reachable);
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -143,6 +143,13 @@
     {EventId::InstanceLost, "instance-lost", EventLevel::Warn,
      "Another instance of the failure domain was unresponsive for too long or "
      "is leaving; callers are no longer sent there."},
+    {EventId::CrashChecked, "crash-checked", EventLevel::Info,
+     "A request's connection broke, and a health check found out whether its "
+     "upstream had crashed. The fields give the upstream, the fingerprint of "
+     "the request, how long it had run, whether its connection had been "
+     "kept, and the verdict: reached (the upstream still runs), gone (it "
+     "crashed; the request is suspect), or skipped (no health check was "
+     "sent)."},
     {EventId::LinesDropped, "lines-dropped", EventLevel::Warn,
      "Log lines were dropped before this one because the reader was too slow; "
      "the field gives their number."},
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -244,6 +244,7 @@
   RequestRecord record{callerId == nullptr ? "" : *callerId,
                        entry.Name,
                        route->Name,
+                       event.Fingerprint,
                        Snapshot->Config->Version,
                        now,
                        route->TargetLatency,
@@ -387,6 +388,15 @@
                       {"by", "this instance"}});
             Callbacks.BroadcastQuarantined(it.Fingerprint);
           },
+          [&](const balance::CrashChecked &it) {
+            logEvent(EventId::CrashChecked,
+                     {{"service", entry.Name},
+                      {"upstream", it.Suspect.Upstream},
+                      {"fingerprint", it.Suspect.Fingerprint},
+                      {"ran_ms", it.RanFor},
+                      {"stale", it.StaleKeepAlive ? "maybe" : "no"},
+                      {"verdict", balance::nameOf(it.Result)}});
+          },
           [&](const balance::UpstreamStatusChanged &it) {
             reportStatusChange(entry, it);
           },
--- a/src/proxy/RequestLog.cpp
+++ b/src/proxy/RequestLog.cpp
@@ -124,6 +124,7 @@
   }
   if (event != RequestEvent::Served) {
     fields.emplace_back("allowed_ms", record.TimeAllowed);
+    fields.emplace_back("fingerprint", record.Fingerprint);
   }
   if (end.Kind == RequestEnd::EndKind::Refused) {
     fields.emplace_back("reason", end.Reason);
--- a/src/proxy/RequestLog.h
+++ b/src/proxy/RequestLog.h
@@ -31,6 +31,7 @@
   std::string Id; ///< The caller's request id; empty when it sent none.
   std::string Service;
   std::string Route;
+  std::uint64_t Fingerprint = 0; ///< As balance::RequestArrived::Fingerprint.
   /// Version of the configuration that routed the request.
   std::uint64_t ConfigVersion = 0;
   Instant ArrivedAt{};
--- a/tests/balance/Simulation.cpp
+++ b/tests/balance/Simulation.cpp
@@ -207,7 +207,7 @@
               request.RetryAfter = it.RetryAfter;
             },
             [&](const SendProbe &it) { probe(instance, it.Upstream); },
-            [](const UpstreamStatusChanged &) {},
+            [](const CrashChecked &) {}, [](const UpstreamStatusChanged &) {},
             [](const RetryBudgetExhausted &) {},
             [&](const BroadcastSuspected &it) {
               const PeerSuspected event{it.Suspect};
