--- a/standins/upstream/Upstream.cpp
+++ b/standins/upstream/Upstream.cpp
@@ -246,6 +246,11 @@
 
 void Upstream::finishRequest(const ActiveRequest &request) {
   ++Log.Requests[request.RequestId].TimesFinished;
+  if (!Faults.CrashOn.empty() &&
+      request.Request.Target.find(Faults.CrashOn) != std::string::npos) {
+    ++Log.Crashes;
+    return crash(true);
+  }
   const bool hasError = shouldInjectFault(Faults.ErrorFraction);
   http::Response response{hasError ? ServerError : Ok,
                           {{"X-Request-Id", request.RequestId},
--- a/standins/upstream/Upstream.h
+++ b/standins/upstream/Upstream.h
@@ -43,6 +43,7 @@
   };
   std::map<std::string, RequestExecutions> Requests;
   std::vector<Arrival> Arrivals; ///< In order of ReceivedAt.
+  unsigned Crashes = 0;          ///< By requests; see UpstreamFaults::CrashOn.
 };
 
 /// Properties of an upstream.
@@ -73,6 +74,9 @@
   /// Runs the request, then sends this and a long run of one letter, and keeps
   /// the connection open; empty: sends its response.
   std::string EndlessStart;
+  /// Crashes at the end of the run of a request whose target contains this;
+  /// empty: never.
+  std::string CrashOn;
   bool Unresponsive = false;     ///< Reads requests but never responds.
   bool FailHealthChecks = false; ///< Responds 503 to health checks.
   bool Leaving = false;          ///< Announces in all responses that it leaves.
--- a/tests/balance/LoadTest.cpp
+++ b/tests/balance/LoadTest.cpp
@@ -391,25 +391,78 @@
   }
 }
 
-// The request crashes each upstream that starts to run it, and is sent again
-// every 500 ms, each time to another instance.
-BOOST_AUTO_TEST_CASE(requestsThatCrashUpstreamsAreQuarantinedOnAllInstances) {
-  Simulation simulation(6, noisyUpstreams(), 31);
-  simulation.addLoad(lookups(100), 20s);
-  constexpr std::uint64_t poison = 0xdead;
+namespace {
+
+/// A request that crashes upstreams, sent again and again.
+struct CrashCase {
+  const char *Name;
+  std::size_t Instances;
+  Simulation::CrashTime When;
+  Duration Interval; ///< Between two of them.
+};
+std::ostream &operator<<(std::ostream &out, const CrashCase &it) {
+  return out << it.Name;
+}
+
+constexpr std::uint64_t PoisonFingerprint = 0xdead;
+using CrashTime = Simulation::CrashTime;
+
+const CrashCase CrashCases[] = {
+    {"3 instances", 3, CrashTime::AtEndOfRun, 500ms},
+    {"6 instances", 6, CrashTime::AtEndOfRun, 500ms},
+    {"13 instances", 13, CrashTime::AtEndOfRun, 500ms},
+    {"6 instances, at once", 6, CrashTime::AtStartOfRun, 500ms},
+    {"13 instances, at once", 13, CrashTime::AtStartOfRun, 500ms},
+    {"13 instances, often", 13, CrashTime::AtEndOfRun, 250ms},
+};
+
+/// Sends twenty poison requests, each to the next instance.
+void sendPoison(Simulation &simulation, const CrashCase &row) {
+  simulation.PoisonCrashes = row.When;
   for (unsigned n = 0; n < 20; ++n) {
-    simulation.scheduleAfter(500ms * (n + 2), [&simulation, n] {
-      simulation.sendRequest(lookups(1), n % 6, poison, true);
+    simulation.scheduleAfter(1s + row.Interval * n, [&simulation, &row, n] {
+      simulation.sendRequest(lookups(1), n % row.Instances, PoisonFingerprint,
+                             true);
     });
   }
+}
 
-  simulation.run(22s);
-  unsigned crashes = 0;
+unsigned countQuarantined(const Simulation &simulation) {
+  unsigned count = 0;
   for (const auto &[id, it] : simulation.Requests) {
-    crashes += it.Poison ? it.Runs : 0;
+    count += !it.Poison && it.Refusal == RefusalReason::Quarantined ? 1 : 0;
   }
-  BOOST_TEST(crashes <= 3);
+  return count;
+}
+
+} // namespace
+
+// Connections are kept, so an attempt on one may end because it was stale.
+BOOST_DATA_TEST_CASE(requestsThatCrashUpstreamsAreQuarantinedOnAllInstances,
+                     boost::unit_test::data::make(CrashCases), row) {
+  Simulation simulation(row.Instances, noisyUpstreams(), 31);
+  simulation.addLoad(lookups(100), 20s);
+  sendPoison(simulation, row);
+  simulation.run(22s);
+  BOOST_TEST(simulation.crashesByRequests() <= 3);
   BOOST_TEST(simulation.tally(12s, 20s).served() >= 0.99);
+  BOOST_TEST(countQuarantined(simulation) == 0);
+}
+
+// Many requests are equal, and upstreams crash for another reason.
+BOOST_DATA_TEST_CASE(harmlessRequestsBesideCrashesAreNotQuarantined,
+                     boost::unit_test::data::xrange(1, 13), seed) {
+  Simulation simulation(13, noisyUpstreams(), static_cast<std::uint64_t>(seed));
+  RequestKind kind = lookups(150);
+  kind.Contents = 20;
+  simulation.addLoad(kind, 20s);
+  for (unsigned n = 0; n < 60; ++n) {
+    simulation.scheduleAfter(1s + 300ms * n, [&simulation, n] {
+      simulation.crash(n * 5 % simulation.Upstreams.size());
+    });
+  }
+  simulation.run(22s);
+  BOOST_TEST(countQuarantined(simulation) == 0);
 }
 
 // The first of two attempts breaks and the hedge is refused. The request is not
--- a/tests/balance/Simulation.cpp
+++ b/tests/balance/Simulation.cpp
@@ -14,6 +14,9 @@
 constexpr Duration ProbeTimeout = std::chrono::milliseconds{250};
 constexpr Duration ConnectTimeout = std::chrono::milliseconds{150};
 
+// Fingerprints of requests with equal contents; the others have their number.
+constexpr std::uint64_t FirstSharedFingerprint = std::uint64_t{1} << 40U;
+
 template <typename... Cases> struct Overloaded : Cases... {
   using Cases::operator()...;
 };
@@ -126,7 +129,13 @@
     }
     const std::size_t instance =
         from + drawBelow(Rng, static_cast<std::uint32_t>(instanceCount));
-    scheduleAt(when, [this, kind, instance] { sendRequest(kind, instance); });
+    const std::uint64_t fingerprint =
+        kind.Contents == 0
+            ? 0
+            : FirstSharedFingerprint + drawBelow(Rng, kind.Contents);
+    scheduleAt(when, [this, kind, instance, fingerprint] {
+      sendRequest(kind, instance, fingerprint);
+    });
   }
 }
 
@@ -204,6 +213,7 @@
               SimulatedRequest &request = Requests.at(numberOf(it.Request));
               request.AnsweredAt = Clock;
               request.RefusedOutcome = it.Outcome;
+              request.Refusal = it.Reason;
               request.RetryAfter = it.RetryAfter;
             },
             [&](const SendProbe &it) { probe(instance, it.Upstream); },
@@ -289,7 +299,12 @@
     event.WarmupRemaining = std::max(it.ColdUntil - Clock, Duration{0});
     const Duration back = it.Unresponsive ? ProbeTimeout : oneWay;
     scheduleAt(Clock + back,
-               [this, instance, event] { dispatchEvent(instance, event); });
+               [this, instance, n, event, incarnation = Incarnations[n]] {
+                 if (event.Reached) {
+                   keepConnection(instance, n, incarnation);
+                 }
+                 dispatchEvent(instance, event);
+               });
   });
 }
 
@@ -300,6 +315,8 @@
   attempt->Request = numberOf(wanted.Request);
   attempt->Upstream = indexOf(wanted.Upstream);
   attempt->Attempt = wanted.Attempt;
+  attempt->Reused = takeConnection(instance, attempt->Upstream);
+  attempt->Connection = Incarnations[attempt->Upstream];
   Attempts[numberOf(wanted.Attempt)] = attempt;
   scheduleAt(Clock + oneWayDelay(instance, Upstreams[attempt->Upstream]),
              [this, attempt] { arrive(attempt); });
@@ -310,10 +327,14 @@
     return;
   }
   SimulatedUpstream &it = Upstreams[attempt->Upstream];
+  if (attempt->Reused &&
+      attempt->Connection != Incarnations[attempt->Upstream]) {
+    return breakAttempt(attempt); // The connection ended with the upstream.
+  }
   if (!it.Reachable) {
     return endAttempt(attempt, AttemptEnd::NotSent, 0);
   }
-  SimulatedRequest &request = Requests.at(attempt->Request);
+  attempt->HasArrived = true;
   ++it.Arrivals;
   if (++ArrivalsOf[attempt->Request] > 1) {
     ++RepeatedArrivals;
@@ -328,14 +349,6 @@
   if (refuses(it, attempt->Instance) || drawFraction(Rng) < it.ShedShare) {
     return endAttempt(attempt, AttemptEnd::RefusedUnrun, 503);
   }
-  if (request.Poison) {
-    ++request.Runs;
-    ++it.Runs;
-    kill(attempt->Upstream);
-    return scheduleAfter(
-        std::chrono::seconds{2},
-        [this, n = attempt->Upstream] { Upstreams[n].Reachable = true; });
-  }
   if (it.Running < it.Plan.Slots) {
     return begin(attempt);
   }
@@ -357,6 +370,10 @@
   ++it.Runs;
   ++Requests.at(attempt->Request).Runs;
   attempt->HoldsSlot = true;
+  if (Requests.at(attempt->Request).Poison &&
+      PoisonCrashes == CrashTime::AtStartOfRun) {
+    return crash(attempt->Upstream);
+  }
   double factor = it.UnreportedSlowdown * (it.Noisy ? Profile.NoiseFactor : 1);
   factor *= Clock < it.ColdUntil ? Profile.ColdFactor : 1;
   factor *= it.Running == it.Plan.Slots ? Profile.LastSlotFactor : 1;
@@ -372,6 +389,9 @@
   if (!attempt->HoldsSlot) {
     return; // It was cancelled, so its slot is already free.
   }
+  if (Requests.at(attempt->Request).Poison) {
+    return crash(attempt->Upstream);
+  }
   SimulatedUpstream &it = Upstreams[attempt->Upstream];
   attempt->HoldsSlot = false;
   --it.Running;
@@ -410,7 +430,14 @@
     event.Report = reportOf(it);
   }
   const Duration back = oneWayDelay(attempt->Instance, it);
-  scheduleAt(Clock + (cancelled ? Duration{0} : back), [this, attempt, event] {
+  const bool keeps = end == AttemptEnd::Answered ||
+                     end == AttemptEnd::RefusedUnrun ||
+                     end == AttemptEnd::Misdirected;
+  scheduleAt(Clock + (cancelled ? Duration{0} : back), [this, attempt, event,
+                                                        keeps] {
+    if (keeps) {
+      keepConnection(attempt->Instance, attempt->Upstream, attempt->Connection);
+    }
     dispatchEvent(attempt->Instance, event);
   });
   if (cancelled && attempt->HoldsSlot) { // The upstream stops running it.
@@ -430,21 +457,66 @@
   it.Running = 0;
   it.Waiting.clear();
   ++Incarnations[upstream];
+  for (std::size_t n = 0; n < Instances.size(); ++n) {
+    scheduleAfter(oneWayDelay(n, it), [this, n, upstream] {
+      KeptConnections.erase({n, upstream});
+    });
+  }
   for (const auto &entry : Attempts) {
     const auto &attempt = entry.second;
-    if (attempt->Upstream == upstream && !attempt->Ended) {
+    if (attempt->Upstream == upstream && attempt->HasArrived) {
       attempt->HoldsSlot = false;
-      attempt->Ended = true;
-      AttemptEnded event;
-      event.Attempt = attempt->Attempt;
-      event.End = AttemptEnd::Broken;
-      scheduleAt(
-          Clock + oneWayDelay(attempt->Instance, it),
-          [this, attempt, event] { dispatchEvent(attempt->Instance, event); });
+      breakAttempt(attempt);
     }
   }
 }
 
+void Simulation::crash(std::size_t upstream) {
+  kill(upstream);
+  scheduleAfter(std::chrono::seconds{2},
+                [this, upstream] { Upstreams[upstream].Reachable = true; });
+}
+
+// Ends an attempt without a response, as its connection does.
+void Simulation::breakAttempt(
+    const std::shared_ptr<SimulatedAttempt> &attempt) {
+  if (attempt->Ended) {
+    return;
+  }
+  attempt->Ended = true;
+  AttemptEnded event;
+  event.Attempt = attempt->Attempt;
+  event.End = AttemptEnd::Broken;
+  event.StaleKeepAlive = attempt->Reused;
+  scheduleAfter(
+      oneWayDelay(attempt->Instance, Upstreams[attempt->Upstream]),
+      [this, attempt, event] { dispatchEvent(attempt->Instance, event); });
+}
+
+bool Simulation::takeConnection(std::size_t instance, std::size_t upstream) {
+  unsigned &kept = KeptConnections[{instance, upstream}];
+  if (kept == 0) {
+    return false;
+  }
+  --kept;
+  return true;
+}
+
+void Simulation::keepConnection(std::size_t instance, std::size_t upstream,
+                                unsigned incarnation) {
+  if (incarnation == Incarnations[upstream]) {
+    ++KeptConnections[{instance, upstream}];
+  }
+}
+
+unsigned Simulation::crashesByRequests() const {
+  unsigned crashes = 0;
+  for (const auto &[id, it] : Requests) {
+    crashes += it.Poison ? it.Runs : 0;
+  }
+  return crashes;
+}
+
 Tally Simulation::tally(Duration from, Duration to,
                         const std::string &kind) const {
   Tally out;
--- a/tests/balance/Simulation.h
+++ b/tests/balance/Simulation.h
@@ -24,6 +24,7 @@
   double RequestsPerSecond = 100; ///< Over all instances.
   Duration ServiceTime = std::chrono::milliseconds{60};
   double LogStdDev = 0.3; ///< Standard deviation of ln(service time).
+  unsigned Contents = 0;  ///< Number of different ones; 0: all differ.
   RoutePolicy Policy;
   Duration Deadline = std::chrono::milliseconds{800};
 };
@@ -95,11 +96,12 @@
   Duration Target{};
   bool Idempotent = true;
   unsigned Runs = 0;
-  bool Poison = false;
+  bool Poison = false; ///< Crashes the upstream that runs it.
   std::uint64_t Fingerprint = 0;
   std::optional<Instant> AnsweredAt;
   bool Delivered = false; ///< Got an upstream's response, of any status.
   std::optional<Execution> RefusedOutcome;
+  std::optional<RefusalReason> Refusal;
   Duration RetryAfter{0};
 };
 
@@ -139,9 +141,18 @@
   /// Makes an upstream unreachable; the attempts that run there end as Broken.
   void kill(std::size_t upstream);
 
+  /// Kills an upstream, which is back after two seconds.
+  void crash(std::size_t upstream);
+
   /// Counts the requests that arrived in a range of times since start().
   Tally tally(Duration from, Duration to, const std::string &kind = "") const;
 
+  /// When a poison request crashes its upstream.
+  enum class CrashTime : std::uint8_t { AtStartOfRun, AtEndOfRun };
+  CrashTime PoisonCrashes = CrashTime::AtEndOfRun;
+  /// The number of runs of poison requests.
+  unsigned crashesByRequests() const;
+
   Instant now() const { return Clock; }
   static Instant start() { return Instant{std::chrono::hours{1}}; }
 
@@ -167,6 +178,9 @@
     std::size_t Upstream = 0;
     bool HoldsSlot = false;
     bool Ended = false;
+    bool HasArrived = false; ///< At its upstream.
+    bool Reused = false;     ///< Sent on a kept connection.
+    unsigned Connection = 0; ///< Incarnation of the upstream that it leads to.
     AttemptId Attempt{};
   };
 
@@ -182,6 +196,11 @@
   void endAttempt(const std::shared_ptr<SimulatedAttempt> &attempt,
                   AttemptEnd end, unsigned status);
   void startNextWaiting(std::size_t upstream);
+  /// Takes a kept connection to the upstream, if there is one.
+  bool takeConnection(std::size_t instance, std::size_t upstream);
+  void keepConnection(std::size_t instance, std::size_t upstream,
+                      unsigned incarnation);
+  void breakAttempt(const std::shared_ptr<SimulatedAttempt> &attempt);
   void probe(std::size_t instance, const std::string &id);
   std::size_t indexOf(const std::string &id) const;
   /// Whether an upstream refuses what has arrived from an instance.
@@ -208,6 +227,8 @@
   std::map<std::uint64_t, Duration> ServiceTimeOf; ///< By request.
   std::map<std::uint64_t, unsigned> ArrivalsOf;    ///< By request.
   std::map<std::size_t, unsigned> Incarnations;    ///< By upstream.
+  /// Numbers of kept connections, by instance and upstream.
+  std::map<std::pair<std::size_t, std::size_t>, unsigned> KeptConnections;
   std::uint64_t LastRequest = 0;
 };
 
