quarantine: crashes with a common cause count once

Cause: evidence was the number of upstreams that ended under a fingerprint, whenever each request had been sent. Change: crashes count one after the other: only those whose request was sent after the crash before. Suspicions that other instances report say how long before the request was sent; a report of an older build counts from its arrival.

--- a/include/zinniarail/balance/Messages.h
+++ b/include/zinniarail/balance/Messages.h
@@ -111,6 +111,8 @@
 struct CrashSuspect {
   std::uint64_t Fingerprint = 0;
   std::string Upstream;
+  /// From when it was sent to the upstream until this is told.
+  Duration SentBefore{0};
 };
 /// Another instance saw an upstream crash with a request of this fingerprint in
 /// flight.
--- a/include/zinniarail/quarantine/Quarantine.h
+++ b/include/zinniarail/quarantine/Quarantine.h
@@ -45,6 +45,7 @@
   std::uint64_t Incarnation = 0;
   /// Time of the last request failure that belongs to this crash.
   Instant LastFailure{};
+  Instant Started{};        ///< When the request was sent to the upstream.
   bool OnlyRequest = false; ///< No other request was in flight.
   /// No other suspect was in flight. Reset when another crash of this
   /// fingerprint is refuted, because it may have been suspect only for that.
@@ -69,6 +70,13 @@
   std::uint64_t Incarnation = 0;
 };
 
+/// A request that was in flight on an upstream when the upstream crashed.
+struct InFlightRequest {
+  std::uint64_t Fingerprint = 0;
+  Instant Started{};  ///< When it was sent to the upstream.
+  Instant LastSeen{}; ///< When its connection broke.
+};
+
 /// Fingerprints whose handling a crash changed, to be reported to the other
 /// instances.
 struct CrashOutcome {
@@ -107,15 +115,17 @@
 Duration remainingRefusal(const Quarantine &quarantine,
                           std::uint64_t fingerprint, Instant now);
 
-/// Records the crash of an upstream. Call it once per crash, with the
-/// fingerprints of all requests that were in flight there. A fingerprint is
-/// quarantined when it was in flight at the crashes of enough different
-/// upstreams, and at one of them as the only request or the only previous
-/// suspect. While any of these crashes may still be refuted it is held instead;
-/// held requests are refused as well.
+/// Records the crash of an upstream. Call it once per crash, with all requests
+/// that were in flight there. A fingerprint is quarantined when it was in
+/// flight at the crashes of enough different upstreams one after the other, and
+/// at one of them as the only request or the only previous suspect. Crashes of
+/// upstreams on which it was in flight at the same time count once: they may
+/// have a common cause. While any of these crashes may still be refuted it is
+/// held instead; held requests are refused as well.
 CrashOutcome recordCrash(Quarantine &quarantine, const QuarantineLimits &limits,
                          const Crash &crash,
-                         std::span<const std::uint64_t> inFlight, Instant now);
+                         std::span<const InFlightRequest> inFlight,
+                         Instant now);
 
 /// Records a further request failure that belongs to a crash recorded before.
 /// Only a report requested after this failure can refute the crash.
@@ -163,7 +173,7 @@
 /// Records that another instance saw a fingerprint in flight at a crash. It is
 /// isolated here from now on; such reports alone never quarantine it.
 void recordPeerSuspicion(Quarantine &quarantine, const QuarantineLimits &limits,
-                         std::uint64_t fingerprint, const Crash &crash,
+                         const InFlightRequest &request, const Crash &crash,
                          Instant now);
 
 } // namespace zinniarail
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -28,6 +28,7 @@
 struct CrashSuspect {
   fingerprint @0 :UInt64;
   upstream @1 :Text;
+  sentBeforeUs @2 :Int64;       # From when it was sent until this message.
 }
 
 # An upstream that announced to the sender that it leaves.
--- a/src/balance/Crashes.cpp
+++ b/src/balance/Crashes.cpp
@@ -63,15 +63,15 @@
   if (reachable || broken.empty()) {
     return;
   }
-  std::vector<std::uint64_t> fingerprints;
+  std::vector<InFlightRequest> inFlight;
   for (const BrokenAttempt &it : broken) {
-    fingerprints.push_back(it.Fingerprint);
-    step.Output.emplace_back(
-        BroadcastSuspected{{it.Fingerprint, upstream.Plan.Id}});
+    inFlight.push_back({it.Fingerprint, it.Started, it.BrokenAt});
+    step.Output.emplace_back(BroadcastSuspected{
+        {it.Fingerprint, upstream.Plan.Id, step.Now - it.Started}});
   }
   const CrashOutcome outcome =
       recordCrash(step.State.CrashQuarantine, Limits, {upstream.Plan.Id, 0},
-                  fingerprints, step.Now);
+                  inFlight, step.Now);
   for (const std::uint64_t it : outcome.Quarantined) {
     ++step.State.Counters.Quarantined;
     step.Output.emplace_back(BroadcastQuarantined{it});
@@ -83,9 +83,10 @@
 }
 
 void onPeerSuspected(Step step, const PeerSuspected &event) {
+  const CrashSuspect &it = event.Suspect;
   recordPeerSuspicion(step.State.CrashQuarantine, Limits,
-                      event.Suspect.Fingerprint, {event.Suspect.Upstream, 0},
-                      step.Now);
+                      {it.Fingerprint, step.Now - it.SentBefore, step.Now},
+                      {it.Upstream, 0}, step.Now);
 }
 
 void onPeerQuarantined(Step step, const PeerQuarantined &event) {
--- a/src/fleet/Codec.cpp
+++ b/src/fleet/Codec.cpp
@@ -268,6 +268,7 @@
     auto out = root.initSuspected();
     out.setFingerprint(it->Suspect.Fingerprint);
     out.setUpstream(it->Suspect.Upstream);
+    out.setSentBeforeUs(it->Suspect.SentBefore.count());
   } else if (const auto *leaving =
                  std::get_if<LeavingUpstream>(&datagram.Payload)) {
     auto out = root.initLeaving();
@@ -297,8 +298,9 @@
       out.Payload = Datagram::Pong{};
     } else if (root.isSuspected()) {
       const auto it = root.getSuspected();
-      out.Payload = balance::PeerSuspected{
-          {it.getFingerprint(), textOf(it.getUpstream())}};
+      out.Payload =
+          balance::PeerSuspected{{it.getFingerprint(), textOf(it.getUpstream()),
+                                  Duration{it.getSentBeforeUs()}}};
     } else if (root.isLeaving()) {
       const auto it = root.getLeaving();
       out.Payload = LeavingUpstream{textOf(it.getId()), it.getStartedMs()};
--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -51,9 +51,9 @@
 }
 
 Evidence &recordEvidence(Quarantine &quarantine, const QuarantineLimits &limits,
-                         std::uint64_t fingerprint, const Crash &crash,
+                         const InFlightRequest &request, const Crash &crash,
                          Instant now) {
-  Suspicion &suspicion = quarantine.Suspects[fingerprint];
+  Suspicion &suspicion = quarantine.Suspects[request.Fingerprint];
   suspicion.ExpiresAt = now + limits.Lifetime;
   const auto [at, isNew] = suspicion.Upstreams.try_emplace(crash.Upstream);
   Evidence &it = at->second;
@@ -61,7 +61,8 @@
   // marks the crash as certain, and the crash stays certain.
   it.Incarnation =
       isNew || it.Incarnation == crash.Incarnation ? crash.Incarnation : 0;
-  it.LastFailure = now;
+  it.LastFailure = request.LastSeen;
+  it.Started = request.Started;
   return it;
 }
 
@@ -73,8 +74,30 @@
       [](const auto &any) { return any.second.Incarnation == 0; });
 }
 
+// The largest number of crashes of which each request was sent after the one
+// before had happened.
+unsigned countSuccessiveCrashes(const Suspicion &it) {
+  std::vector<Evidence> crashes;
+  for (const auto &[upstream, evidence] : it.Upstreams) {
+    crashes.push_back(evidence);
+  }
+  std::sort(crashes.begin(), crashes.end(),
+            [](const Evidence &a, const Evidence &b) {
+              return a.LastFailure < b.LastFailure;
+            });
+  unsigned count = 0;
+  Instant last = Instant::min();
+  for (const Evidence &crash : crashes) {
+    if (crash.Started >= last) {
+      ++count;
+      last = crash.LastFailure;
+    }
+  }
+  return count;
+}
+
 bool hasEnoughEvidence(const Suspicion &it, const QuarantineLimits &limits) {
-  return it.Upstreams.size() >= limits.MinCrashedUpstreams &&
+  return countSuccessiveCrashes(it) >= limits.MinCrashedUpstreams &&
          std::any_of(it.Upstreams.begin(), it.Upstreams.end(),
                      [](const auto &any) {
                        return any.second.OnlyRequest || any.second.OnlySuspect;
@@ -155,18 +178,27 @@
 
 CrashOutcome recordCrash(Quarantine &quarantine, const QuarantineLimits &limits,
                          const Crash &crash,
-                         std::span<const std::uint64_t> inFlight, Instant now) {
+                         std::span<const InFlightRequest> inFlight,
+                         Instant now) {
   dropExpired(quarantine, now);
-  // Two identical requests may be in flight at the same time.
-  const std::set<std::uint64_t> fingerprints(inFlight.begin(), inFlight.end());
-  const auto suspectCount = std::count_if(
-      fingerprints.begin(), fingerprints.end(),
-      [&](std::uint64_t it) { return quarantine.Suspects.contains(it); });
+  // Of two identical requests the one that was sent first counts.
+  std::map<std::uint64_t, InFlightRequest> requests;
+  for (const InFlightRequest &it : inFlight) {
+    InFlightRequest &first =
+        requests.try_emplace(it.Fingerprint, it).first->second;
+    first.Started = std::min(first.Started, it.Started);
+    first.LastSeen = std::max(first.LastSeen, it.LastSeen);
+  }
+  const auto suspectCount =
+      std::count_if(requests.begin(), requests.end(), [&](const auto &it) {
+        return quarantine.Suspects.contains(it.first);
+      });
   CrashOutcome outcome;
-  for (const std::uint64_t it : fingerprints) {
+  for (const auto &[it, request] : requests) {
     const bool wasSuspect = quarantine.Suspects.contains(it);
-    Evidence &evidence = recordEvidence(quarantine, limits, it, crash, now);
-    evidence.OnlyRequest = evidence.OnlyRequest || fingerprints.size() == 1;
+    Evidence &evidence =
+        recordEvidence(quarantine, limits, request, crash, now);
+    evidence.OnlyRequest = evidence.OnlyRequest || requests.size() == 1;
     evidence.OnlySuspect =
         evidence.OnlySuspect || (suspectCount == 1 && wasSuspect);
     Suspicion &suspicion = quarantine.Suspects[it];
@@ -274,10 +306,10 @@
 }
 
 void recordPeerSuspicion(Quarantine &quarantine, const QuarantineLimits &limits,
-                         std::uint64_t fingerprint, const Crash &crash,
+                         const InFlightRequest &request, const Crash &crash,
                          Instant now) {
   dropExpired(quarantine, now);
-  recordEvidence(quarantine, limits, fingerprint, crash, now);
+  recordEvidence(quarantine, limits, request, crash, now);
   evictSuspects(quarantine, limits);
 }
 
