quarantine: a suspicion ends on all instances with a good response

What callers would see: a request that many callers send, and that was in flight when an upstream crashed, is refused for five minutes as soon as one more upstream crashes under it at another instance, however often it has been answered since.

Cause: told once and never taken back. Instances tell each other that a fingerprint is suspect; only the one that gets a response clears it. Change: the response is told as well, in a field of the pong that older builds skip. A new kind of datagram would not do: they read any kind that they don't know as a quarantine. Test: suspicionEndsWhenAnotherInstanceGetsAResponse, by its second row; responsesToSuspectsAreToldToTheOtherInstances; the notice in fleet's tests. None of them compiles without the change.

--- a/include/zinniarail/balance/Messages.h
+++ b/include/zinniarail/balance/Messages.h
@@ -124,6 +124,11 @@
 struct PeerQuarantined {
   std::uint64_t Fingerprint = 0;
 };
+/// Another instance got a complete response to a request of this fingerprint,
+/// which was suspect: it is harmless.
+struct PeerCleared {
+  std::uint64_t Fingerprint = 0;
+};
 /// This instance can't reach any upstream, or can reach some again.
 struct ReachChanged {
   bool AnyReachable = true;
@@ -131,9 +136,9 @@
 /// The time returned by nextTimer has come.
 struct TimerExpired {};
 
-using Event =
-    std::variant<RequestArrived, AttemptEnded, ProbeEnded, CallerGone,
-                 PeerSuspected, PeerQuarantined, ReachChanged, TimerExpired>;
+using Event = std::variant<RequestArrived, AttemptEnded, ProbeEnded, CallerGone,
+                           PeerSuspected, PeerQuarantined, PeerCleared,
+                           ReachChanged, TimerExpired>;
 
 // Actions.
 
@@ -207,6 +212,11 @@
   std::uint64_t Fingerprint = 0;
 };
 
+/// Tell the other instances that a suspect fingerprint is harmless.
+struct BroadcastCleared {
+  std::uint64_t Fingerprint = 0;
+};
+
 /// Log what became of the check that follows a broken attempt.
 struct CrashChecked {
   enum class Verdict : std::uint8_t {
@@ -234,8 +244,8 @@
 
 using Action =
     std::variant<StartAttempt, CancelAttempt, Deliver, Refuse, SendProbe,
-                 BroadcastSuspected, BroadcastQuarantined, CrashChecked,
-                 UpstreamStatusChanged, RetryBudgetExhausted>;
+                 BroadcastSuspected, BroadcastQuarantined, BroadcastCleared,
+                 CrashChecked, UpstreamStatusChanged, RetryBudgetExhausted>;
 using Actions = std::vector<Action>;
 
 const char *nameOf(PlacementReason::LoadKnowledge knowledge);
--- a/include/zinniarail/quarantine/Quarantine.h
+++ b/include/zinniarail/quarantine/Quarantine.h
@@ -158,7 +158,8 @@
 /// Records that a request got a complete response, which clears it of
 /// suspicion. A held or quarantined fingerprint stays so, because a late
 /// response to an earlier request does not prove it harmless.
-void recordCompletion(Quarantine &quarantine, std::uint64_t fingerprint);
+/// \returns whether it was suspect.
+bool recordCompletion(Quarantine &quarantine, std::uint64_t fingerprint);
 
 /// Records that another instance quarantined a fingerprint.
 void recordPeerQuarantine(Quarantine &quarantine,
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -51,6 +51,9 @@
   # In a reader's pong, the sequence of its StateUpdates that the receiver should
   # have by now; 0: unknown.
   sequence @7 :UInt64;
+  # Fingerprints of requests that were suspected to crash upstreams, and have had
+  # a complete response since.
+  clearedFingerprints @8 :List(UInt64);
 }
 
 struct Destination {
--- a/src/balance/Attempts.cpp
+++ b/src/balance/Attempts.cpp
@@ -163,7 +163,7 @@
   }
   switch (event.End) {
   case AttemptEnd::Answered:
-    recordHarmless(engine, attempt.Fingerprint);
+    recordHarmless(step, attempt.Fingerprint);
     if (isServerError(event)) {
       return recordFailure(step, upstream, false, "server error");
     }
--- a/src/balance/Crashes.cpp
+++ b/src/balance/Crashes.cpp
@@ -78,8 +78,10 @@
   }
 }
 
-void recordHarmless(Engine &engine, std::uint64_t fingerprint) {
-  recordCompletion(engine.CrashQuarantine, fingerprint);
+void recordHarmless(Step step, std::uint64_t fingerprint) {
+  if (recordCompletion(step.State.CrashQuarantine, fingerprint)) {
+    step.Output.emplace_back(BroadcastCleared{fingerprint});
+  }
 }
 
 void onPeerSuspected(Step step, const PeerSuspected &event) {
@@ -94,4 +96,8 @@
                        step.Now);
 }
 
+void onPeerCleared(Step step, const PeerCleared &event) {
+  recordCompletion(step.State.CrashQuarantine, event.Fingerprint);
+}
+
 } // namespace zinniarail::balance
--- a/src/balance/Engine.cpp
+++ b/src/balance/Engine.cpp
@@ -25,6 +25,9 @@
 void dispatch(Step step, const PeerQuarantined &event) {
   onPeerQuarantined(step, event);
 }
+void dispatch(Step step, const PeerCleared &event) {
+  onPeerCleared(step, event);
+}
 void dispatch(Step step, const ReachChanged &event) {
   onReachChanged(step, event);
 }
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -254,8 +254,9 @@
 /// the upstream was unreachable.
 void finishCrashCheck(Step step, UpstreamState &upstream, bool reachable);
 /// Clears a fingerprint of suspicion after a complete response.
-void recordHarmless(Engine &engine, std::uint64_t fingerprint);
+void recordHarmless(Step step, std::uint64_t fingerprint);
 void onPeerSuspected(Step step, const PeerSuspected &event);
 void onPeerQuarantined(Step step, const PeerQuarantined &event);
+void onPeerCleared(Step step, const PeerCleared &event);
 
 } // namespace zinniarail::balance
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -248,6 +248,7 @@
       [this](const std::string &address) { Pool.closeIdle(address); },
       [this](const balance::CrashSuspect &it) { Peers.broadcastSuspected(it); },
       [this](std::uint64_t it) { Peers.broadcastQuarantined(it); },
+      [this](std::uint64_t it) { Peers.broadcastCleared(it); },
       [this] {
         return readClock() - stateCurrentAt() > Options.PropagationLimit;
       },
--- a/src/fleet/Codec.cpp
+++ b/src/fleet/Codec.cpp
@@ -285,6 +285,9 @@
     write(members[n], datagram.Members[n]);
   }
   root.setSequence(datagram.Sequence);
+  root.setClearedFingerprints(
+      kj::arrayPtr(datagram.ClearedFingerprints.data(),
+                   datagram.ClearedFingerprints.size()));
   return pack(message);
 }
 
@@ -312,6 +315,9 @@
       out.Members.push_back(read(it));
     }
     out.Sequence = root.getSequence();
+    for (const std::uint64_t it : root.getClearedFingerprints()) {
+      out.ClearedFingerprints.push_back(it);
+    }
     return out;
   });
 }
--- a/src/fleet/Codec.h
+++ b/src/fleet/Codec.h
@@ -35,6 +35,8 @@
   /// In a reader's pong, the sequence number of the update that the receiver
   /// should have by now; 0: unknown.
   std::uint64_t Sequence = 0;
+  /// Fingerprints of requests that were suspect and are harmless.
+  std::vector<std::uint64_t> ClearedFingerprints;
 };
 
 std::string encodeDatagram(const Datagram &datagram);
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -310,6 +310,9 @@
   for (const Member &it : datagram.Members) {
     addIfUnknown(Membership, it, now);
   }
+  for (const std::uint64_t it : datagram.ClearedFingerprints) {
+    Handlers.QuarantineNoticeReceived(balance::PeerCleared{it});
+  }
   if (std::holds_alternative<Datagram::Ping>(datagram.Payload)) {
     Datagram pong{Datagram::Pong{}, Membership.LocalMember, {}};
     for (const auto &[id, it] : Membership.Others) {
@@ -514,6 +517,12 @@
   NoticesToRepeat[fingerprint] = {NoticeRepetitions, readClock()};
 }
 
+void PeerTask::broadcastCleared(std::uint64_t fingerprint) {
+  Datagram datagram{Datagram::Pong{}, Membership.LocalMember, {}};
+  datagram.ClearedFingerprints = {fingerprint};
+  sendToAll(datagram);
+}
+
 void PeerTask::repeatNotices() {
   const Instant now = readClock();
   for (auto &[fingerprint, it] : NoticesToRepeat) {
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -27,7 +27,7 @@
   std::function<void(Duty)> DutyChanged;
   std::function<void(const StateUpdate &)> UpdateReceived;
   std::function<void()> LiveMembersChanged;
-  /// Gets balance::PeerSuspected and balance::PeerQuarantined.
+  /// Gets balance::PeerSuspected, PeerQuarantined and PeerCleared.
   std::function<void(const balance::Event &)> QuarantineNoticeReceived;
   /// Fills in one part of the state to send to followers.
   FillUpdate Fill;
@@ -76,6 +76,9 @@
   void broadcastSuspected(const balance::CrashSuspect &suspect);
   void broadcastQuarantined(std::uint64_t fingerprint);
 
+  /// Notifies all known instances that a request which was suspect is harmless.
+  void broadcastCleared(std::uint64_t fingerprint);
+
   /// Reports to the followed reader, for its other followers, that an upstream
   /// announced that it leaves.
   void reportLeaving(const LeavingUpstream &upstream);
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -388,6 +388,9 @@
                       {"by", "this instance"}});
             Callbacks.BroadcastQuarantined(it.Fingerprint);
           },
+          [&](const balance::BroadcastCleared &it) {
+            Callbacks.BroadcastCleared(it.Fingerprint);
+          },
           [&](const balance::CrashChecked &it) {
             logEvent(EventId::CrashChecked,
                      {{"service", entry.Name},
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -71,6 +71,7 @@
   std::function<void(const std::string &address)> CloseIdleConnections;
   std::function<void(const balance::CrashSuspect &)> BroadcastSuspected;
   std::function<void(std::uint64_t fingerprint)> BroadcastQuarantined;
+  std::function<void(std::uint64_t fingerprint)> BroadcastCleared;
   /// Whether the store may hold a newer configuration than the one in force.
   std::function<bool()> IsStateOutdated;
   /// Called when either changes: whether this instance can reach any upstream,
@@ -104,9 +105,9 @@
   /// http::ServerHandlers.
   void onCallerGone(http::ExchangeId id);
   void onCallEnded(http::CallId id, http::CallResult result);
-  /// Called when another instance suspects that requests crash upstreams, or
-  /// has quarantined such requests. \param notice a PeerSuspected or
-  /// PeerQuarantined event.
+  /// Called when another instance suspects that requests crash upstreams, has
+  /// quarantined such requests, or has found them harmless. \param notice a
+  /// PeerSuspected, PeerQuarantined or PeerCleared event.
   void onQuarantineNotice(const balance::Event &notice);
   void onTimer();
 
--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -284,11 +284,13 @@
   return found;
 }
 
-void recordCompletion(Quarantine &quarantine, std::uint64_t fingerprint) {
+bool recordCompletion(Quarantine &quarantine, std::uint64_t fingerprint) {
   const auto it = quarantine.Suspects.find(fingerprint);
-  if (it != quarantine.Suspects.end() && !isHeld(it->second)) {
+  const bool isCleared = it != quarantine.Suspects.end() && !isHeld(it->second);
+  if (isCleared) {
     quarantine.Suspects.erase(it);
   }
+  return isCleared;
 }
 
 void recordPeerQuarantine(Quarantine &quarantine,
--- /dev/null
+++ b/tests/balance/CrashesTest.cpp
@@ -0,0 +1,119 @@
+// Crash checks and suspicions of one engine, event by event.
+#include <algorithm>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "zinniarail/balance/Balance.h"
+
+using namespace zinniarail;
+using namespace zinniarail::balance;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Fingerprint = 7;
+
+/// An engine with three upstreams that report no load.
+class EngineDriver {
+public:
+  EngineDriver() {
+    ServicePlan plan;
+    plan.Upstreams = {{"u", "a", 4}, {"v", "a", 4}, {"w", "a", 4}};
+    plan.Budget = {1, 100, 1};
+    State = makeEngine(plan, Random{1}, 1, Now);
+    send(1);
+    for (const char *id : {"u", "v", "w"}) {
+      pass(ProbeEnded{id, true, true, LoadReport{0, 0, 4, 1}});
+    }
+    pass(AttemptEnded{Last.Attempt, AttemptEnd::Answered, 200});
+  }
+
+  void pass(const Event &event) {
+    Done.clear();
+    handleEvent(*State, event, Now, Done);
+    if (has<StartAttempt>()) {
+      Last = get<StartAttempt>();
+    }
+  }
+
+  void send(std::uint64_t fingerprint, unsigned maxAttempts = 1) {
+    RequestArrived event{RequestId{++LastRequest}, {}, fingerprint, Now + 10s};
+    event.Policy.Route = "r";
+    event.Policy.Idempotent = true;
+    event.Policy.MaxAttempts = maxAttempts;
+    pass(event);
+  }
+
+  /// Ends the last attempt without a response, and then the crash check.
+  void breakLast(bool upstreamIsGone) {
+    Now += 100ms;
+    pass(AttemptEnded{Last.Attempt, AttemptEnd::Broken});
+    if (has<SendProbe>()) {
+      ProbeEnded end{Last.Upstream};
+      end.Reached = end.Healthy = !upstreamIsGone;
+      pass(end);
+    }
+    Now += 100ms;
+  }
+
+  template <typename Kind> bool has() const {
+    return std::any_of(Done.begin(), Done.end(), [](const Action &it) {
+      return std::holds_alternative<Kind>(it);
+    });
+  }
+  template <typename Kind> const Kind &get() const {
+    const auto it =
+        std::find_if(Done.begin(), Done.end(), [](const Action &any) {
+          return std::holds_alternative<Kind>(any);
+        });
+    BOOST_REQUIRE((it != Done.end()));
+    return std::get<Kind>(*it);
+  }
+
+  Instant Now{1h};
+  EnginePtr State;
+  Actions Done;      ///< By the last event.
+  StartAttempt Last; ///< The attempt that started last.
+  std::uint64_t LastRequest = 0;
+};
+
+/// What follows a crash under a request at another instance, before the next
+/// request of this fingerprint crashes its upstream here.
+struct Notice {
+  const char *Name;
+  bool IsCleared;
+  bool QuarantinedAfterCrash;
+};
+std::ostream &operator<<(std::ostream &out, const Notice &it) {
+  return out << it.Name;
+}
+const Notice Notices[] = {{"still suspect", false, true},
+                          {"answered elsewhere since", true, false}};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(suspicionEndsWhenAnotherInstanceGetsAResponse,
+                     boost::unit_test::data::make(Notices), row) {
+  EngineDriver it;
+  it.pass(PeerSuspected{{Fingerprint, "x"}});
+  if (row.IsCleared) {
+    it.pass(PeerCleared{Fingerprint});
+  }
+  it.Now += 1s;
+  it.send(Fingerprint);
+  it.breakLast(true);
+  BOOST_TEST(it.has<BroadcastQuarantined>() == row.QuarantinedAfterCrash);
+}
+
+BOOST_AUTO_TEST_CASE(responsesToSuspectsAreToldToTheOtherInstances) {
+  EngineDriver it;
+  it.pass(PeerSuspected{{Fingerprint, "x"}});
+  it.send(Fingerprint);
+  it.pass(AttemptEnded{it.Last.Attempt, AttemptEnd::Answered, 200});
+  BOOST_TEST(it.has<BroadcastCleared>());
+  it.send(Fingerprint);
+  it.pass(AttemptEnded{it.Last.Attempt, AttemptEnd::Answered, 200});
+  BOOST_TEST(!it.has<BroadcastCleared>());
+}
--- a/tests/balance/Simulation.cpp
+++ b/tests/balance/Simulation.cpp
@@ -220,30 +220,29 @@
             [](const CrashChecked &) {}, [](const UpstreamStatusChanged &) {},
             [](const RetryBudgetExhausted &) {},
             [&](const BroadcastSuspected &it) {
-              const PeerSuspected event{it.Suspect};
-              scheduleAt(Clock + CrossDomainDelay, [this, instance, event] {
-                for (std::size_t n = 0; n < Instances.size(); ++n) {
-                  if (n != instance) {
-                    dispatchEvent(n, event);
-                  }
-                }
-              });
+              notifyOthers(instance, PeerSuspected{it.Suspect});
             },
             [&](const BroadcastQuarantined &it) {
               ++QuarantineBroadcasts;
-              const PeerQuarantined event{it.Fingerprint};
-              scheduleAt(Clock + CrossDomainDelay, [this, instance, event] {
-                for (std::size_t n = 0; n < Instances.size(); ++n) {
-                  if (n != instance) {
-                    dispatchEvent(n, event);
-                  }
-                }
-              });
+              notifyOthers(instance, PeerQuarantined{it.Fingerprint});
+            },
+            [&](const BroadcastCleared &it) {
+              notifyOthers(instance, PeerCleared{it.Fingerprint});
             }},
         action);
   }
 }
 
+void Simulation::notifyOthers(std::size_t instance, const Event &notice) {
+  scheduleAfter(CrossDomainDelay, [this, instance, notice] {
+    for (std::size_t n = 0; n < Instances.size(); ++n) {
+      if (n != instance) {
+        dispatchEvent(n, notice);
+      }
+    }
+  });
+}
+
 std::size_t Simulation::indexOf(const std::string &id) const {
   const auto it = std::find_if(Upstreams.begin(), Upstreams.end(),
                                [&](const SimulatedUpstream &candidate) {
--- a/tests/balance/Simulation.h
+++ b/tests/balance/Simulation.h
@@ -189,6 +189,7 @@
   void dispatchEvent(std::size_t instance, const Event &event);
   void performActions(std::size_t instance, const Actions &actions);
   void scheduleTimer(std::size_t instance);
+  void notifyOthers(std::size_t instance, const Event &notice);
   void startAttempt(std::size_t instance, const StartAttempt &wanted);
   void arrive(const std::shared_ptr<SimulatedAttempt> &attempt);
   void begin(const std::shared_ptr<SimulatedAttempt> &attempt);
--- a/tests/fleet/CodecTest.cpp
+++ b/tests/fleet/CodecTest.cpp
@@ -107,6 +107,13 @@
   BOOST_TEST(suspect.Upstream == "u1");
   BOOST_TEST((suspect.SentBefore == Duration{70}));
 
+  Datagram cleared{Datagram::Pong{}, sampleMember("x"), {}};
+  cleared.ClearedFingerprints = {1, 1ULL << 63U};
+  const auto decodedCleared = decodeDatagram(encodeDatagram(cleared));
+  BOOST_REQUIRE(decodedCleared.has_value());
+  BOOST_TEST(decodedCleared->ClearedFingerprints == cleared.ClearedFingerprints,
+             boost::test_tools::per_element());
+
   const Datagram leaving{
       LeavingUpstream{"u2", 1700000000000}, sampleMember("x"), {}};
   const auto decodedLeaving = decodeDatagram(encodeDatagram(leaving));
--- a/tests/fleet/PeerTaskTest.cpp
+++ b/tests/fleet/PeerTaskTest.cpp
@@ -42,8 +42,13 @@
             },
             [] {},
             [this](const balance::Event &notice) {
-              QuarantinedFingerprint =
-                  std::get<balance::PeerQuarantined>(notice).Fingerprint;
+              if (const auto *it =
+                      std::get_if<balance::PeerQuarantined>(&notice)) {
+                QuarantinedFingerprint = it->Fingerprint;
+              } else if (const auto *cleared =
+                             std::get_if<balance::PeerCleared>(&notice)) {
+                ClearedFingerprint = cleared->Fingerprint;
+              }
             },
             [this](StateUpdate &update, StatePart part) {
               if (part == StatePart::Configuration) {
@@ -70,6 +75,7 @@
   std::string Address;
   std::uint64_t Version = 0;
   std::uint64_t QuarantinedFingerprint = 0;
+  std::uint64_t ClearedFingerprint = 0;
   std::unique_ptr<PeerTask> Task;
 };
 
@@ -217,16 +223,19 @@
   BOOST_TEST((unhealthy->Task->duty() == Duty::Follow));
 }
 
-BOOST_AUTO_TEST_CASE(quarantineNoticeReachesAll) {
+BOOST_AUTO_TEST_CASE(quarantineNoticesReachAll) {
   Domain it(4);
   BOOST_REQUIRE(it.waitForReader());
   it.reader()->setVersion(5);
   BOOST_REQUIRE(it.waitUntilAllSeeLive(4));
   it.Peers.back()->Task->broadcastQuarantined(99);
+  it.Peers.back()->Task->broadcastCleared(98);
   BOOST_TEST(it.EventLoop.runUntil([&] {
-    return std::all_of(
-        it.Peers.begin(), it.Peers.end() - 1,
-        [](const auto &any) { return any->QuarantinedFingerprint == 99; });
+    return std::all_of(it.Peers.begin(), it.Peers.end() - 1,
+                       [](const auto &any) {
+                         return any->QuarantinedFingerprint == 99 &&
+                                any->ClearedFingerprint == 98;
+                       });
   }));
 }
 
--- a/tests/proxy/FakeNetwork.h
+++ b/tests/proxy/FakeNetwork.h
@@ -152,6 +152,7 @@
     out.CloseIdleConnections = [](const std::string &) {};
     out.BroadcastSuspected = [](const balance::CrashSuspect &) {};
     out.BroadcastQuarantined = [](std::uint64_t) {};
+    out.BroadcastCleared = [](std::uint64_t) {};
     out.ReachChanged = [](bool, bool) {};
     out.RelayTargets = [this] { return Targets; };
     return out;
