balance: a crash on a kept connection is evidence

Cause: an attempt on a reused connection that ended without a byte of a response counted as sent on a stale connection, and no crash check followed. That exempts nearly every crash, since nearly every connection was used before, if only by a health check. Evidence: on real processes crash-checked said stale=maybe verdict=skipped for each of 24 crashes.

Ruled out: checks that are refuted, fingerprints that differ, lost notices (no check was started; one fingerprint in all lines).

Change, in place of the exemption: - An attempt may be stale only if it ends within a round trip of the connection and 10 ms; one that ends later had arrived. - Each broken attempt is checked, on a new connection that is opened after the attempt ended. A health check under way before refutes nothing, and one on a kept connection proves nothing. Only an address that nobody listens at, or that another upstream has, counts as a crash, so that one that resets connections while it is full does not. - One that may be stale makes its request suspect only. Suspects get new connections, so that their next end is no longer in doubt. - While two or more other upstreams crash without a request, it takes three crashes instead of two. - An upstream that wants no health checks gets none; the request is suspect.

--- a/include/zinniarail/balance/Messages.h
+++ b/include/zinniarail/balance/Messages.h
@@ -90,8 +90,8 @@
   /// How long the upstream, which refused the request, wants no further ones;
   /// none if it did not say.
   std::optional<Duration> RetryAfter;
-  /// A reused keep-alive connection closed before the first response byte: the
-  /// upstream may just have timed it out.
+  /// A reused keep-alive connection closed so soon that the upstream may have
+  /// closed it before the request arrived.
   bool StaleKeepAlive = false;
 };
 /// A health check ended.
@@ -102,6 +102,8 @@
   std::optional<LoadReport> Report;
   Duration WarmupRemaining{0};        ///< As reported; zero after warm-up.
   std::optional<Duration> RetryAfter; ///< As AttemptEnded::RetryAfter.
+  /// Nothing accepts connections at its address, or another upstream has it.
+  bool Gone = false;
 };
 /// The caller disconnected before its answer.
 struct CallerGone {
@@ -167,6 +169,8 @@
   std::string Upstream;
   Instant Deadline{};
   PlacementReason Reason;
+  /// Do not reuse a connection: if this one ends, the upstream had the request.
+  bool NewConnection = false;
 };
 /// Cancel an attempt; its AttemptEnded still follows.
 struct CancelAttempt {
@@ -202,6 +206,8 @@
 /// Send a health check to an upstream; ProbeEnded follows.
 struct SendProbe {
   std::string Upstream;
+  /// Do not reuse a connection: one that was kept may have ended unnoticed.
+  bool NewConnection = false;
 };
 /// Tell the other instances that a request may have crashed an upstream.
 struct BroadcastSuspected {
@@ -220,7 +226,7 @@
 /// Log what became of the check that follows a broken attempt.
 struct CrashChecked {
   enum class Verdict : std::uint8_t {
-    Skipped, ///< No health check was sent.
+    Skipped, ///< No health check was sent, since the upstream wants none.
     Reached, ///< The upstream still runs.
     Gone,    ///< The upstream crashed.
   };
--- a/include/zinniarail/quarantine/Quarantine.h
+++ b/include/zinniarail/quarantine/Quarantine.h
@@ -20,8 +20,11 @@
 
 /// Thresholds, time limits and memory bounds.
 struct QuarantineLimits {
-  /// How many different upstreams must crash before a request is quarantined.
+  /// How many different upstreams must crash before a request is quarantined;
+  /// one more while as many others crash without it.
   unsigned MinCrashedUpstreams = 2;
+  /// How long a crash counts as one of those others.
+  Duration CrashMemory = std::chrono::seconds{10};
   /// How long a suspicion or a quarantine lasts after the last evidence.
   Duration Lifetime = std::chrono::minutes{5};
   /// How long a request is held at most while its crashes may still be refuted.
@@ -70,11 +73,14 @@
   std::uint64_t Incarnation = 0;
 };
 
-/// A request that was in flight on an upstream when the upstream crashed.
+/// A request that was sent to an upstream which crashed, and got no response.
 struct InFlightRequest {
   std::uint64_t Fingerprint = 0;
   Instant Started{};  ///< When it was sent to the upstream.
   Instant LastSeen{}; ///< When its connection broke.
+  /// It certainly arrived before the crash. One that may not have becomes
+  /// suspect, but this crash alone identifies it in no case.
+  bool Arrived = true;
 };
 
 /// Fingerprints whose handling a crash changed, to be reported to the other
@@ -88,6 +94,7 @@
 struct Quarantine {
   std::map<std::uint64_t, Suspicion> Suspects;
   std::map<std::uint64_t, Instant> Quarantined; ///< Expiry by fingerprint.
+  std::map<std::string, Instant> CrashedAt;     ///< Last crash by upstream id.
   /// Fingerprints that other instances hold, with the time at which the hold
   /// expires on this instance.
   std::map<std::uint64_t, Instant> HeldByPeers;
--- a/src/balance/Attempts.cpp
+++ b/src/balance/Attempts.cpp
@@ -250,6 +250,7 @@
   engine.Attempts.emplace(numberOf(id), std::move(attempt));
   StartAttempt action{id, request.Id, upstream.Plan.Id, request.Deadline,
                       found.Reason};
+  action.NewConnection = isSuspect(engine, request.Fingerprint, step.Now);
   action.Reason.IsHedge = isHedge;
   action.Reason.IsRetry = !isHedge && request.TriedUpstreams.size() > 1;
   step.Output.emplace_back(std::move(action));
--- a/src/balance/Crashes.cpp
+++ b/src/balance/Crashes.cpp
@@ -1,6 +1,7 @@
 // Detects requests that crash the upstreams that run them. A broken connection
-// is no proof of a crash: a health check is sent at once, and the requests
-// whose connections broke become suspects only if it can't reach the upstream.
+// is no proof of a crash: a health check is sent on a new connection, and the
+// requests whose connections broke become suspects only if the upstream is
+// gone.
 #include "balance/State.h"
 
 #include <utility>
@@ -19,6 +20,24 @@
                                         verdict});
 }
 
+void recordUpstreamCrash(Step step, const UpstreamState &upstream,
+                         const std::vector<BrokenAttempt> &attempts) {
+  std::vector<InFlightRequest> inFlight;
+  for (const BrokenAttempt &it : attempts) {
+    inFlight.push_back(
+        {it.Fingerprint, it.Started, it.BrokenAt, !it.StaleKeepAlive});
+    step.Output.emplace_back(BroadcastSuspected{
+        {it.Fingerprint, upstream.Plan.Id, step.Now - it.Started}});
+  }
+  const CrashOutcome outcome =
+      recordCrash(step.State.CrashQuarantine, Limits, {upstream.Plan.Id, 0},
+                  inFlight, step.Now);
+  for (const std::uint64_t it : outcome.Quarantined) {
+    ++step.State.Counters.Quarantined;
+    step.Output.emplace_back(BroadcastQuarantined{it});
+  }
+}
+
 } // namespace
 
 bool isRefused(const Engine &engine, std::uint64_t fingerprint, Instant now) {
@@ -46,35 +65,42 @@
 
 void startCrashCheck(Step step, UpstreamState &upstream,
                      const BrokenAttempt &attempt) {
-  if (attempt.StaleKeepAlive || isRefusing(upstream, step.Now)) {
-    return logCheck(step, upstream, attempt, CrashChecked::Verdict::Skipped);
-  }
   upstream.BrokenAttempts.push_back(attempt);
-  sendProbe(step, upstream);
+  sendCrashCheck(step, upstream);
 }
 
-void finishCrashCheck(Step step, UpstreamState &upstream, bool reachable) {
-  const auto broken = std::exchange(upstream.BrokenAttempts, {});
-  for (const BrokenAttempt &it : broken) {
-    logCheck(step, upstream, it,
-             reachable ? CrashChecked::Verdict::Reached
-                       : CrashChecked::Verdict::Gone);
+void sendCrashCheck(Step step, UpstreamState &upstream) {
+  if (upstream.BrokenAttempts.empty() || upstream.ProbePending) {
+    return;
   }
-  if (reachable || broken.empty()) {
+  if (!isRefusing(upstream, step.Now)) {
+    sendProbe(step, upstream);
     return;
   }
-  std::vector<InFlightRequest> inFlight;
-  for (const BrokenAttempt &it : broken) {
-    inFlight.push_back({it.Fingerprint, it.Started, it.BrokenAt});
-    step.Output.emplace_back(BroadcastSuspected{
-        {it.Fingerprint, upstream.Plan.Id, step.Now - it.Started}});
+  // Without a health check the requests are suspect, and no more.
+  for (const BrokenAttempt &it : std::exchange(upstream.BrokenAttempts, {})) {
+    logCheck(step, upstream, it, CrashChecked::Verdict::Skipped);
+    recordPeerSuspicion(step.State.CrashQuarantine, Limits,
+                        {it.Fingerprint, it.Started, it.BrokenAt},
+                        {upstream.Plan.Id, 0}, step.Now);
   }
-  const CrashOutcome outcome =
-      recordCrash(step.State.CrashQuarantine, Limits, {upstream.Plan.Id, 0},
-                  inFlight, step.Now);
-  for (const std::uint64_t it : outcome.Quarantined) {
-    ++step.State.Counters.Quarantined;
-    step.Output.emplace_back(BroadcastQuarantined{it});
+}
+
+void finishCrashCheck(Step step, UpstreamState &upstream, bool gone) {
+  std::vector<BrokenAttempt> decided;
+  std::vector<BrokenAttempt> undecided;
+  for (const BrokenAttempt &it : upstream.BrokenAttempts) {
+    const bool isDecided = gone || it.BrokenAt <= upstream.ProbedAt;
+    (isDecided ? decided : undecided).push_back(it);
+  }
+  upstream.BrokenAttempts = std::move(undecided);
+  for (const BrokenAttempt &it : decided) {
+    logCheck(step, upstream, it,
+             gone ? CrashChecked::Verdict::Gone
+                  : CrashChecked::Verdict::Reached);
+  }
+  if (gone && !decided.empty()) {
+    recordUpstreamCrash(step, upstream, decided);
   }
 }
 
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -50,10 +50,11 @@
   Instant NextColdRequestAt{}; ///< No request before this time while cold.
   /// It wants neither requests nor health checks before this time.
   Instant RefusesUntil{};
-  /// Attempts that broke here; a health check is running to find out whether
-  /// the upstream crashed.
+  /// Attempts that broke here. A health check on a new connection is running,
+  /// or follows the one that is, to find out whether the upstream crashed.
   std::vector<BrokenAttempt> BrokenAttempts;
   bool ProbePending = false;
+  bool ProbeIsCrashCheck = false; ///< The pending health check is for them.
   Instant ProbedAt{};
   /// Token bucket of this instance's health checks of this upstream.
   double ProbeTokens = 0;
@@ -250,9 +251,12 @@
 /// request crashed the upstream.
 void startCrashCheck(Step step, UpstreamState &upstream,
                      const BrokenAttempt &attempt);
-/// Ends a crash check: the requests whose connections broke become suspects if
-/// the upstream was unreachable.
-void finishCrashCheck(Step step, UpstreamState &upstream, bool reachable);
+/// Handles the end of a crash check. If the upstream is gone, the requests
+/// whose connections broke become suspects; else those that broke after the
+/// check was sent need another one.
+void finishCrashCheck(Step step, UpstreamState &upstream, bool gone);
+/// Sends the health check of a crash check unless another is pending.
+void sendCrashCheck(Step step, UpstreamState &upstream);
 /// Clears a fingerprint of suspicion after a complete response.
 void recordHarmless(Step step, std::uint64_t fingerprint);
 void onPeerSuspected(Step step, const PeerSuspected &event);
--- a/src/balance/Upstreams.cpp
+++ b/src/balance/Upstreams.cpp
@@ -308,9 +308,11 @@
   engine.ProbeTokens = probeTokens(engine, step.Now) - 1;
   engine.ProbeTokensUpdatedAt = step.Now;
   upstream.ProbePending = true;
+  upstream.ProbeIsCrashCheck = !upstream.BrokenAttempts.empty();
   upstream.ProbedAt = step.Now;
   ++engine.Counters.Probes;
-  step.Output.emplace_back(SendProbe{upstream.Plan.Id});
+  step.Output.emplace_back(
+      SendProbe{upstream.Plan.Id, upstream.ProbeIsCrashCheck});
 }
 
 void onProbeEnded(Step step, const ProbeEnded &event) {
@@ -320,7 +322,9 @@
   }
   UpstreamState &it = at->second;
   it.ProbePending = false;
-  finishCrashCheck(step, it, event.Reached);
+  if (it.ProbeIsCrashCheck) {
+    finishCrashCheck(step, it, event.Gone);
+  }
   if (event.Reached && event.Report) {
     recordLoadReport(step.State, it, *event.Report, step.Now);
   }
@@ -350,6 +354,7 @@
   if (event.RetryAfter) {
     recordRefusal(step, it, *event.RetryAfter);
   }
+  sendCrashCheck(step, it);
   dropUnplanned(step.State, step.Now);
 }
 
--- a/src/http/ClientPool.cpp
+++ b/src/http/ClientPool.cpp
@@ -39,6 +39,10 @@
 
 constexpr unsigned FirstFinalStatus = 200;
 
+// How much later than a round trip a call on a stale connection may end: the
+// loop may handle its end late.
+constexpr Duration StaleMargin = std::chrono::milliseconds{10};
+
 Response takeResponse(Parser &parser) {
   auto message = parser.release();
   Response response;
@@ -74,6 +78,11 @@
 
 } // namespace
 
+bool mayBeStale(const CallResult &result) {
+  return result.ReusedConnection && !result.ResponseStarted &&
+         result.SinceSent <= result.RoundTrip + StaleMargin;
+}
+
 /// A connection to an upstream.
 struct ClientPool::Connection {
   ClientPool *Owner = nullptr;
@@ -87,7 +96,10 @@
   bool Reused = false; ///< An earlier call used this connection.
   std::optional<Call> CurrentCall;
   std::size_t BytesSent = 0; ///< Request bytes of CurrentCall.
-  std::string Input;         ///< Received bytes not parsed yet.
+  Instant OpenedAt{};        ///< When the connection attempt started.
+  Duration RoundTrip{0};
+  Instant SentAt{};  ///< When the first byte of CurrentCall was sent.
+  std::string Input; ///< Received bytes not parsed yet.
   std::optional<Parser> ResponseParser;
   std::size_t HeldBytes = 0; ///< This connection's part of receivedBytes.
   std::size_t HeadBytes = 0; ///< Parsed so far of an incomplete head.
@@ -117,7 +129,8 @@
 
 void ClientPool::start(Call call) {
   Endpoint &endpoint = Endpoints[call.Address];
-  Connection *connection = takeIdle(endpoint, call.MaxIdleTime);
+  Connection *connection =
+      call.NewConnection ? nullptr : takeIdle(endpoint, call.MaxIdleTime);
   if (connection == nullptr) {
     connection = openConnection(endpoint, call);
   }
@@ -171,6 +184,7 @@
   it.Owner = this;
   it.Address = call.Address;
   it.Fd = fd;
+  it.OpenedAt = readClock();
   ev_io_init(
       &it.ReadWatcher,
       [](struct ev_loop *, ev_io *watcher, int) {
@@ -231,6 +245,7 @@
       return fail(connection, std::strerror(error));
     }
     connection.Connecting = false;
+    connection.RoundTrip = readClock() - connection.OpenedAt;
     ev_io_start(Loop, &connection.ReadWatcher);
   }
   if (!connection.CurrentCall) {
@@ -255,6 +270,9 @@
       ev_feed_fd_event(Loop, connection.Fd, EV_READ);
       return;
     }
+    if (connection.BytesSent == 0) {
+      connection.SentAt = readClock();
+    }
     connection.BytesSent += static_cast<std::size_t>(n);
   }
   ev_io_stop(Loop, &connection.WriteWatcher);
@@ -443,6 +461,10 @@
   result.ReusedConnection = connection.Reused;
   result.OpenedConnection = !connection.Reused;
   result.ResponseStarted = connection.ResponseStarted;
+  result.RoundTrip = connection.RoundTrip;
+  if (connection.BytesSent > 0) {
+    result.SinceSent = readClock() - connection.SentAt;
+  }
   if (!connection.CurrentCall) {
     return closeConnection(connection);
   }
--- a/src/http/ClientPool.h
+++ b/src/http/ClientPool.h
@@ -36,6 +36,7 @@
   /// Connections that were idle for longer are not reused: the peer may have
   /// dropped its end without notice.
   Duration MaxIdleTime = std::chrono::seconds{60};
+  bool NewConnection = false; ///< Reuse no connection.
   Duration ConnectTimeout = std::chrono::milliseconds{250};
   /// Time from the start after which an unanswered call ends, as Broken if any
   /// byte of it was sent; Duration::max(): none.
@@ -57,8 +58,16 @@
   bool ReusedConnection = false; ///< An earlier call used the connection.
   bool ResponseStarted = false;  ///< At least one response byte arrived.
   bool OpenedConnection = false; ///< The call got a new connection.
+  Duration RoundTrip{0};         ///< Time that the connection took to open.
+  /// From when the first byte of the call was sent to its end.
+  Duration SinceSent{0};
 };
 
+/// Whether a Broken call may not have arrived, because the peer had closed the
+/// connection before. Such a call has a reused connection and ends within a
+/// round trip; one that ends later was received.
+bool mayBeStale(const CallResult &result);
+
 /// Owns the connections. Used on one thread, that of its loop. The handler is
 /// called from the loop, never from within start or cancel.
 class ClientPool {
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -377,7 +377,7 @@
           },
           [&](const balance::Deliver &it) { deliver(it); },
           [&](const balance::Refuse &it) { refuse(it); },
-          [&](const balance::SendProbe &it) { startProbe(entry, it.Upstream); },
+          [&](const balance::SendProbe &it) { startProbe(entry, it); },
           [&](const balance::BroadcastSuspected &it) {
             Callbacks.BroadcastSuspected(it.Suspect);
           },
@@ -463,23 +463,25 @@
   }
   call.MaxIdleTime =
       request.Idempotent ? MaxIdleTimeIdempotent : MaxIdleTimeNonIdempotent;
+  call.NewConnection = action.NewConnection;
   call.ConnectTimeout = ConnectTimeout;
   recordCallStart(entry, balance::CallPurpose::Request);
   Callbacks.StartCall(std::move(call));
 }
 
-void Proxy::startProbe(ServiceEntry &entry, const std::string &upstream) {
-  const auto target = entry.Targets.find(upstream);
+void Proxy::startProbe(ServiceEntry &entry, const balance::SendProbe &action) {
+  const auto target = entry.Targets.find(action.Upstream);
   if (target == entry.Targets.end()) {
-    postEvent(entry, balance::ProbeEnded{upstream});
+    postEvent(entry, balance::ProbeEnded{action.Upstream});
     return;
   }
   RequestMetrics.recordProbe(entry.Name);
   const http::CallId id = ProbeIdBase + ++LastProbeNumber;
-  Calls[id] = {&entry, 0, upstream, target->second.StartedMs};
+  Calls[id] = {&entry, 0, action.Upstream, target->second.StartedMs};
   recordCallStart(entry, balance::CallPurpose::HealthCheck);
   http::Call call =
       makeHealthCheck(id, target->second.Address, entry.HealthPath);
+  call.NewConnection = action.NewConnection;
   call.ConnectTimeout = ProbeConnectTimeout;
   call.Timeout = ProbeTimeout;
   Callbacks.StartCall(std::move(call));
@@ -497,7 +499,7 @@
 balance::AttemptEnded
 Proxy::classifyResult(const http::CallResult &result) const {
   balance::AttemptEnded event;
-  event.StaleKeepAlive = result.ReusedConnection && !result.ResponseStarted;
+  event.StaleKeepAlive = http::mayBeStale(result);
   switch (result.Outcome) {
   case http::CallOutcome::NotSent:
     event.End = balance::AttemptEnd::NotSent;
@@ -619,11 +621,14 @@
 void Proxy::endProbe(const UpstreamCall &call, const http::CallResult &result) {
   balance::ProbeEnded event;
   event.Upstream = call.Upstream;
+  event.Gone =
+      result.Outcome == http::CallOutcome::NotSent && result.OpenedConnection;
   if (result.Outcome == http::CallOutcome::Answered) {
     const http::Headers &fields = result.Response.Fields;
     const std::string *id =
         http::findHeader(fields, Context.PlatformDialect->InstanceId);
     event.Reached = id == nullptr || *id == call.Upstream;
+    event.Gone = !event.Reached;
     event.Healthy = event.Reached && result.Response.Status >= FirstSuccess &&
                     result.Response.Status < FirstRedirect;
     event.Report = Context.PlatformDialect->ReadLoad(fields);
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -190,7 +190,7 @@
   void updateTimer(ServiceEntry &entry);
   void performAction(ServiceEntry &entry, balance::Action &action);
   void startAttempt(ServiceEntry &entry, const balance::StartAttempt &action);
-  void startProbe(ServiceEntry &entry, const std::string &upstream);
+  void startProbe(ServiceEntry &entry, const balance::SendProbe &action);
   http::Call makeHealthCheck(http::CallId id, const std::string &address,
                              const std::string &path) const;
   void recordCallStart(ServiceEntry &entry, balance::CallPurpose purpose);
--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -55,6 +55,10 @@
                          Instant now) {
   Suspicion &suspicion = quarantine.Suspects[request.Fingerprint];
   suspicion.ExpiresAt = now + limits.Lifetime;
+  std::erase_if(quarantine.CrashedAt, [&](const auto &it) {
+    return now - it.second > limits.CrashMemory;
+  });
+  quarantine.CrashedAt[crash.Upstream] = now;
   const auto [at, isNew] = suspicion.Upstreams.try_emplace(crash.Upstream);
   Evidence &it = at->second;
   // Two different incarnations prove a crash in between. An incarnation of 0
@@ -96,8 +100,24 @@
   return count;
 }
 
-bool hasEnoughEvidence(const Suspicion &it, const QuarantineLimits &limits) {
-  return countSuccessiveCrashes(it) >= limits.MinCrashedUpstreams &&
+// While upstreams crash for another reason, harmless requests may be in flight
+// at two of them in succession.
+unsigned neededCrashes(const Quarantine &quarantine, const Suspicion &suspicion,
+                       const QuarantineLimits &limits, Instant now) {
+  const auto others =
+      std::count_if(quarantine.CrashedAt.begin(), quarantine.CrashedAt.end(),
+                    [&](const auto &it) {
+                      return now - it.second <= limits.CrashMemory &&
+                             !suspicion.Upstreams.contains(it.first);
+                    });
+  return limits.MinCrashedUpstreams +
+         (others >= limits.MinCrashedUpstreams ? 1 : 0);
+}
+
+bool hasEnoughEvidence(const Quarantine &quarantine, const Suspicion &it,
+                       const QuarantineLimits &limits, Instant now) {
+  return countSuccessiveCrashes(it) >=
+             neededCrashes(quarantine, it, limits, now) &&
          std::any_of(it.Upstreams.begin(), it.Upstreams.end(),
                      [](const auto &any) {
                        return any.second.OnlyRequest || any.second.OnlySuspect;
@@ -188,6 +208,7 @@
         requests.try_emplace(it.Fingerprint, it).first->second;
     first.Started = std::min(first.Started, it.Started);
     first.LastSeen = std::max(first.LastSeen, it.LastSeen);
+    first.Arrived = first.Arrived || it.Arrived;
   }
   const auto suspectCount =
       std::count_if(requests.begin(), requests.end(), [&](const auto &it) {
@@ -198,11 +219,12 @@
     const bool wasSuspect = quarantine.Suspects.contains(it);
     Evidence &evidence =
         recordEvidence(quarantine, limits, request, crash, now);
-    evidence.OnlyRequest = evidence.OnlyRequest || requests.size() == 1;
-    evidence.OnlySuspect =
-        evidence.OnlySuspect || (suspectCount == 1 && wasSuspect);
+    evidence.OnlyRequest =
+        evidence.OnlyRequest || (request.Arrived && requests.size() == 1);
+    evidence.OnlySuspect = evidence.OnlySuspect ||
+                           (request.Arrived && suspectCount == 1 && wasSuspect);
     Suspicion &suspicion = quarantine.Suspects[it];
-    if (!hasEnoughEvidence(suspicion, limits)) {
+    if (!hasEnoughEvidence(quarantine, suspicion, limits, now)) {
       continue;
     }
     if (isCertain(suspicion)) {
@@ -238,7 +260,7 @@
   }
   for (auto &[fingerprint, it] : quarantine.Suspects) {
     applyReport(it, upstream, incarnation, requestedAt);
-    if (!hasEnoughEvidence(it, limits)) {
+    if (!hasEnoughEvidence(quarantine, it, limits, now)) {
       it.HeldUntil = Instant::max();
     } else if (isHeld(it) && isCertain(it)) {
       quarantined.push_back(fingerprint);
--- a/tests/balance/CrashesTest.cpp
+++ b/tests/balance/CrashesTest.cpp
@@ -53,6 +53,7 @@
     if (has<SendProbe>()) {
       ProbeEnded end{Last.Upstream};
       end.Reached = end.Healthy = !upstreamIsGone;
+      end.Gone = upstreamIsGone;
       pass(end);
     }
     Now += 100ms;
--- a/tests/balance/Simulation.cpp
+++ b/tests/balance/Simulation.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <random>
 
+#include "http/ClientPool.h"
+
 namespace zinniarail::balance {
 
 namespace {
@@ -216,7 +218,7 @@
               request.Refusal = it.Reason;
               request.RetryAfter = it.RetryAfter;
             },
-            [&](const SendProbe &it) { probe(instance, it.Upstream); },
+            [&](const SendProbe &it) { probe(instance, it); },
             [](const CrashChecked &) {}, [](const UpstreamStatusChanged &) {},
             [](const RetryBudgetExhausted &) {},
             [&](const BroadcastSuspected &it) {
@@ -275,7 +277,8 @@
   return true;
 }
 
-void Simulation::probe(std::size_t instance, const std::string &id) {
+void Simulation::probe(std::size_t instance, const SendProbe &wanted) {
+  const std::string &id = wanted.Upstream;
   const std::size_t n = indexOf(id);
   if (n == Upstreams.size()) {
     return;
@@ -287,6 +290,7 @@
     ProbeEnded event;
     event.Upstream = id;
     event.Reached = it.Reachable && !it.Unresponsive;
+    event.Gone = !it.Reachable;
     const bool refuses = event.Reached && this->refuses(it, instance);
     event.Healthy = event.Reached && !it.ReportsUnhealthy && !refuses;
     if (refuses) {
@@ -314,7 +318,9 @@
   attempt->Request = numberOf(wanted.Request);
   attempt->Upstream = indexOf(wanted.Upstream);
   attempt->Attempt = wanted.Attempt;
-  attempt->Reused = takeConnection(instance, attempt->Upstream);
+  attempt->Reused =
+      !wanted.NewConnection && takeConnection(instance, attempt->Upstream);
+  attempt->SentAt = Clock;
   attempt->Connection = Incarnations[attempt->Upstream];
   Attempts[numberOf(wanted.Attempt)] = attempt;
   scheduleAt(Clock + oneWayDelay(instance, Upstreams[attempt->Upstream]),
@@ -486,10 +492,16 @@
   AttemptEnded event;
   event.Attempt = attempt->Attempt;
   event.End = AttemptEnd::Broken;
-  event.StaleKeepAlive = attempt->Reused;
-  scheduleAfter(
-      oneWayDelay(attempt->Instance, Upstreams[attempt->Upstream]),
-      [this, attempt, event] { dispatchEvent(attempt->Instance, event); });
+  const Duration back =
+      oneWayDelay(attempt->Instance, Upstreams[attempt->Upstream]);
+  http::CallResult result;
+  result.ReusedConnection = attempt->Reused;
+  result.RoundTrip = back * 2;
+  result.SinceSent = Clock + back - attempt->SentAt;
+  event.StaleKeepAlive = http::mayBeStale(result);
+  scheduleAfter(back, [this, attempt, event] {
+    dispatchEvent(attempt->Instance, event);
+  });
 }
 
 bool Simulation::takeConnection(std::size_t instance, std::size_t upstream) {
--- a/tests/balance/Simulation.h
+++ b/tests/balance/Simulation.h
@@ -179,6 +179,7 @@
     bool HoldsSlot = false;
     bool Ended = false;
     bool HasArrived = false; ///< At its upstream.
+    Instant SentAt{};
     bool Reused = false;     ///< Sent on a kept connection.
     unsigned Connection = 0; ///< Incarnation of the upstream that it leads to.
     AttemptId Attempt{};
@@ -202,7 +203,7 @@
   void keepConnection(std::size_t instance, std::size_t upstream,
                       unsigned incarnation);
   void breakAttempt(const std::shared_ptr<SimulatedAttempt> &attempt);
-  void probe(std::size_t instance, const std::string &id);
+  void probe(std::size_t instance, const SendProbe &wanted);
   std::size_t indexOf(const std::string &id) const;
   /// Whether an upstream refuses what has arrived from an instance.
   bool refuses(SimulatedUpstream &upstream, std::size_t instance) const;
--- a/tests/quarantine/QuarantineTest.cpp
+++ b/tests/quarantine/QuarantineTest.cpp
@@ -87,6 +87,22 @@
      {{"a", {Poison}}, {"b", {Poison}, 0, 50ms}, {"c", {Poison}}},
      Handling::Refuse,
      Handling::Normal},
+    {"at two crashes beside two others, which have another reason",
+     {{"x", {1}}, {"y", {2}}, {"a", {Poison}}, {"b", {Poison}}},
+     Handling::Isolate,
+     Handling::Normal},
+    {"at three crashes beside two others",
+     {{"x", {1}},
+      {"y", {2}},
+      {"a", {Poison}},
+      {"b", {Poison}},
+      {"c", {Poison}}},
+     Handling::Refuse,
+     Handling::Normal},
+    {"at two crashes long after two others",
+     {{"x", {1}}, {"y", {2}}, {"a", {Poison}, 0, 11s}, {"b", {Poison}}},
+     Handling::Refuse,
+     Handling::Normal},
     {"two identical requests in flight count as one",
      {{"a", {Poison, Poison}}, {"b", {Poison, Poison}}},
      Handling::Refuse,
@@ -136,6 +152,22 @@
               row.HarmlessHandling));
 }
 
+// A harmless request that was sent just after each of three crashes.
+BOOST_AUTO_TEST_CASE(requestsThatMayNotHaveArrivedAreNotQuarantined) {
+  Quarantine state;
+  Instant now{};
+  for (const char *upstream : {"a", "b", "c"}) {
+    now += 1s;
+    const std::vector<InFlightRequest> one{{Harmless, now, now, false}};
+    BOOST_TEST(
+        recordCrash(state, {}, {upstream}, one, now).Quarantined.empty());
+  }
+  BOOST_TEST((chooseHandling(state, Harmless, now) == Handling::Isolate));
+  now += 1s;
+  recordCrash(state, {}, {"d"}, inFlight({Harmless}, now), now);
+  BOOST_TEST((chooseHandling(state, Harmless, now) == Handling::Refuse));
+}
+
 BOOST_AUTO_TEST_CASE(quarantineExpiresAfterItsLifetime) {
   const auto replay = replaySteps({{"a", {Poison}}, {"b", {Poison}}}, {});
   BOOST_TEST((remainingRefusal(replay.State, Poison, replay.Now) == 5min));
