quarantine: one for all services of a process

What callers would see: a request that crashed an upstream of one service starts anew at the next one, when its route moves or is split over two, and at each instance that has had no request for its service yet.

Cause: each service's engine had its own quarantine, and is made with the first request for the service. What other instances told before was dropped.

Change: the proxy has one quarantine, which its engines share. The fingerprint covers the host, so that equal paths of two hosts don't meet in it; instances of an older build compute another one, and each build finds such a request by itself during an upgrade.

--- a/include/zinniarail/balance/Engine.h
+++ b/include/zinniarail/balance/Engine.h
@@ -16,6 +16,7 @@
 #include "zinniarail/balance/Messages.h"
 #include "zinniarail/core/Random.h"
 #include "zinniarail/core/Time.h"
+#include "zinniarail/quarantine/Quarantine.h"
 
 namespace zinniarail::balance {
 
@@ -65,8 +66,16 @@
 /// Makes an engine.
 /// \param firstAttempt the first attempt id; the id ranges of the services of
 /// one process must not overlap.
+/// \param quarantine shared by the engines of one process, since a request may
+/// reach several services; null: the engine has its own.
 EnginePtr makeEngine(ServicePlan plan, Random random,
-                     std::uint64_t firstAttempt, Instant now);
+                     std::uint64_t firstAttempt, Instant now,
+                     std::shared_ptr<Quarantine> quarantine = nullptr);
+
+/// Applies what another instance told: a PeerSuspected, PeerQuarantined or
+/// PeerCleared event. Engines that share the quarantine apply it to their
+/// queues with the next event.
+void applyNotice(Quarantine &quarantine, const Event &notice, Instant now);
 
 /// Applies a new plan. Attempts that run on removed upstreams may finish.
 void updatePlan(Engine &engine, ServicePlan plan, Instant now, Actions &out);
--- a/src/balance/Crashes.cpp
+++ b/src/balance/Crashes.cpp
@@ -30,7 +30,7 @@
         {it.Fingerprint, upstream.Plan.Id, step.Now - it.Started}});
   }
   const CrashOutcome outcome =
-      recordCrash(step.State.CrashQuarantine, Limits, {upstream.Plan.Id, 0},
+      recordCrash(*step.State.CrashQuarantine, Limits, {upstream.Plan.Id, 0},
                   inFlight, step.Now);
   for (const std::uint64_t it : outcome.Quarantined) {
     ++step.State.Counters.Quarantined;
@@ -42,12 +42,12 @@
 
 bool isRefused(const Engine &engine, std::uint64_t fingerprint, Instant now) {
   const Handling handling =
-      chooseHandling(engine.CrashQuarantine, fingerprint, now);
+      chooseHandling(*engine.CrashQuarantine, fingerprint, now);
   return handling == Handling::Refuse || handling == Handling::Hold;
 }
 
 bool isSuspect(const Engine &engine, std::uint64_t fingerprint, Instant now) {
-  return chooseHandling(engine.CrashQuarantine, fingerprint, now) !=
+  return chooseHandling(*engine.CrashQuarantine, fingerprint, now) !=
          Handling::Normal;
 }
 
@@ -60,7 +60,7 @@
 
 Duration refusalRemaining(const Engine &engine, std::uint64_t fingerprint,
                           Instant now) {
-  return remainingRefusal(engine.CrashQuarantine, fingerprint, now);
+  return remainingRefusal(*engine.CrashQuarantine, fingerprint, now);
 }
 
 void startCrashCheck(Step step, UpstreamState &upstream,
@@ -80,7 +80,7 @@
   // Without a health check the requests are suspect, and no more.
   for (const BrokenAttempt &it : std::exchange(upstream.BrokenAttempts, {})) {
     logCheck(step, upstream, it, CrashChecked::Verdict::Skipped);
-    recordPeerSuspicion(step.State.CrashQuarantine, Limits,
+    recordPeerSuspicion(*step.State.CrashQuarantine, Limits,
                         {it.Fingerprint, it.Started, it.BrokenAt},
                         {upstream.Plan.Id, 0}, step.Now);
   }
@@ -105,25 +105,22 @@
 }
 
 void recordHarmless(Step step, std::uint64_t fingerprint) {
-  if (recordCompletion(step.State.CrashQuarantine, fingerprint)) {
+  if (recordCompletion(*step.State.CrashQuarantine, fingerprint)) {
     step.Output.emplace_back(BroadcastCleared{fingerprint});
   }
 }
 
-void onPeerSuspected(Step step, const PeerSuspected &event) {
-  const CrashSuspect &it = event.Suspect;
-  recordPeerSuspicion(step.State.CrashQuarantine, Limits,
-                      {it.Fingerprint, step.Now - it.SentBefore, step.Now},
-                      {it.Upstream, 0}, step.Now);
-}
-
-void onPeerQuarantined(Step step, const PeerQuarantined &event) {
-  recordPeerQuarantine(step.State.CrashQuarantine, Limits, event.Fingerprint,
-                       step.Now);
-}
-
-void onPeerCleared(Step step, const PeerCleared &event) {
-  recordCompletion(step.State.CrashQuarantine, event.Fingerprint);
+void applyNotice(Quarantine &quarantine, const Event &notice, Instant now) {
+  if (const auto *suspected = std::get_if<PeerSuspected>(&notice)) {
+    const CrashSuspect &it = suspected->Suspect;
+    recordPeerSuspicion(quarantine, Limits,
+                        {it.Fingerprint, now - it.SentBefore, now},
+                        {it.Upstream, 0}, now);
+  } else if (const auto *it = std::get_if<PeerQuarantined>(&notice)) {
+    recordPeerQuarantine(quarantine, Limits, it->Fingerprint, now);
+  } else if (const auto *cleared = std::get_if<PeerCleared>(&notice)) {
+    recordCompletion(quarantine, cleared->Fingerprint);
+  }
 }
 
 } // namespace zinniarail::balance
--- a/src/balance/Engine.cpp
+++ b/src/balance/Engine.cpp
@@ -20,13 +20,13 @@
 void dispatch(Step step, const ProbeEnded &event) { onProbeEnded(step, event); }
 void dispatch(Step step, const CallerGone &event) { onCallerGone(step, event); }
 void dispatch(Step step, const PeerSuspected &event) {
-  onPeerSuspected(step, event);
+  applyNotice(*step.State.CrashQuarantine, event, step.Now);
 }
 void dispatch(Step step, const PeerQuarantined &event) {
-  onPeerQuarantined(step, event);
+  applyNotice(*step.State.CrashQuarantine, event, step.Now);
 }
 void dispatch(Step step, const PeerCleared &event) {
-  onPeerCleared(step, event);
+  applyNotice(*step.State.CrashQuarantine, event, step.Now);
 }
 void dispatch(Step step, const ReachChanged &event) {
   onReachChanged(step, event);
@@ -38,8 +38,11 @@
 void EngineDelete::operator()(Engine *engine) const { delete engine; }
 
 EnginePtr makeEngine(ServicePlan plan, Random random,
-                     std::uint64_t firstAttempt, Instant now) {
+                     std::uint64_t firstAttempt, Instant now,
+                     std::shared_ptr<Quarantine> quarantine) {
   EnginePtr engine(new Engine);
+  engine->CrashQuarantine =
+      quarantine ? std::move(quarantine) : std::make_shared<Quarantine>();
   engine->Plan = std::move(plan);
   engine->Rng = random;
   engine->NextAttempt = firstAttempt;
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -131,7 +131,7 @@
   /// Token bucket of this instance's health checks of all upstreams.
   double ProbeTokens = 1;
   Instant ProbeTokensUpdatedAt{};
-  Quarantine CrashQuarantine;
+  std::shared_ptr<Quarantine> CrashQuarantine; ///< Never null.
   bool AnyReachable = true; ///< False: requests are refused, not queued.
   Instant QueueRecheckAt = Instant::max(); ///< When to dispatch the queue next.
   EngineCounters Counters;
@@ -259,8 +259,5 @@
 void sendCrashCheck(Step step, UpstreamState &upstream);
 /// Clears a fingerprint of suspicion after a complete response.
 void recordHarmless(Step step, std::uint64_t fingerprint);
-void onPeerSuspected(Step step, const PeerSuspected &event);
-void onPeerQuarantined(Step step, const PeerQuarantined &event);
-void onPeerCleared(Step step, const PeerCleared &event);
 
 } // namespace zinniarail::balance
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -63,8 +63,17 @@
 };
 template <typename... Cases> Overloaded(Cases...) -> Overloaded<Cases...>;
 
+// The host in a request's Host header, without the port; empty if there is
+// none.
+std::string_view hostOf(const http::Request &request) {
+  const std::string *host = http::findHeader(request.Fields, "Host");
+  return host == nullptr ? std::string_view{}
+                         : std::string_view(*host).substr(0, host->find(':'));
+}
+
 std::uint64_t fingerprintOf(const http::Request &request) {
   std::uint64_t digest = hashBytes(request.Method);
+  digest = hashCombine(digest, hashBytes(hostOf(request)));
   digest = hashCombine(digest, hashBytes(request.Target));
   return hashCombine(digest, hashBytes(request.Body));
 }
@@ -154,7 +163,7 @@
         (static_cast<std::uint64_t>(Services.size()) << AttemptNumberBits) + 1;
     entry->Engine = balance::makeEngine(
         makePlan(service), Random(Context.Seed, hashBytes(service)),
-        firstAttempt, readClock());
+        firstAttempt, readClock(), CrashQuarantine);
     if (!AllServices.Applied) {
       postEvent(*entry, balance::ReachChanged{false});
     }
@@ -163,13 +172,11 @@
 }
 
 const Route *Proxy::routeOf(const http::Request &request) const {
-  const std::string *host = http::findHeader(request.Fields, "Host");
-  if (!Snapshot || !Snapshot->Config || host == nullptr) {
+  const std::string_view host = hostOf(request);
+  if (!Snapshot || !Snapshot->Config || host.empty()) {
     return nullptr;
   }
-  const std::string_view name =
-      std::string_view(*host).substr(0, host->find(':'));
-  return findRoute(*Snapshot->Config, name, http::pathOf(request.Target));
+  return findRoute(*Snapshot->Config, host, http::pathOf(request.Target));
 }
 
 bool Proxy::mayRunConcurrently(const http::Request &request) const {
@@ -303,8 +310,10 @@
     logEvent(EventId::RequestsCondemned,
              {{"fingerprint", it->Fingerprint}, {"by", "another instance"}});
   }
+  balance::applyNotice(*CrashQuarantine, notice, readClock());
   for (auto &[name, entry] : Services) {
-    postEvent(*entry, notice);
+    postEvent(*entry,
+              balance::TimerExpired{}); // Queued requests may be refused.
   }
   processEvents();
 }
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -236,6 +236,9 @@
   RequestLog Log;
   Random Rng;
   std::shared_ptr<const RoutingSnapshot> Snapshot;
+  /// Shared by the engines; it outlives them, and knows what was told before
+  /// the first request of a service.
+  std::shared_ptr<Quarantine> CrashQuarantine = std::make_shared<Quarantine>();
   std::map<std::string, std::unique_ptr<ServiceEntry>> Services;
   std::unordered_map<http::ExchangeId, OpenRequest> OpenRequests;
   std::unordered_map<http::CallId, UpstreamCall> Calls;
--- a/tests/balance/CrashesTest.cpp
+++ b/tests/balance/CrashesTest.cpp
@@ -18,14 +18,17 @@
 /// An engine with three upstreams that report no load.
 class EngineDriver {
 public:
-  EngineDriver() {
+  explicit EngineDriver(std::shared_ptr<Quarantine> quarantine = nullptr,
+                        const std::string &service = "s") {
     ServicePlan plan;
-    plan.Upstreams = {{"u", "a", 4}, {"v", "a", 4}, {"w", "a", 4}};
+    for (const char *id : {"u", "v", "w"}) {
+      plan.Upstreams.push_back({service + id, "a", 4});
+    }
     plan.Budget = {1, 100, 1};
-    State = makeEngine(plan, Random{1}, 1, Now);
+    State = makeEngine(plan, Random{1}, 1, Now, std::move(quarantine));
     send(1);
-    for (const char *id : {"u", "v", "w"}) {
-      pass(ProbeEnded{id, true, true, LoadReport{0, 0, 4, 1}});
+    for (const PlannedUpstream &it : plan.Upstreams) {
+      pass(ProbeEnded{it.Id, true, true, LoadReport{0, 0, 4, 1}});
     }
     pass(AttemptEnded{Last.Attempt, AttemptEnd::Answered, 200});
   }
@@ -108,6 +111,22 @@
   BOOST_TEST(it.has<BroadcastQuarantined>() == row.QuarantinedAfterCrash);
 }
 
+// A route that is split over two services, or moves from one to another.
+BOOST_AUTO_TEST_CASE(crashesOfTwoServicesQuarantineARequest) {
+  const auto quarantine = std::make_shared<Quarantine>();
+  EngineDriver first(quarantine);
+  EngineDriver second(quarantine, "t");
+  first.send(Fingerprint);
+  first.breakLast(true);
+  second.Now = first.Now;
+  second.send(Fingerprint);
+  BOOST_TEST((chooseHandling(*quarantine, Fingerprint, second.Now) ==
+              Handling::Isolate));
+  second.breakLast(true);
+  BOOST_TEST((chooseHandling(*quarantine, Fingerprint, second.Now) ==
+              Handling::Refuse));
+}
+
 BOOST_AUTO_TEST_CASE(responsesToSuspectsAreToldToTheOtherInstances) {
   EngineDriver it;
   it.pass(PeerSuspected{{Fingerprint, "x"}});
