quarantine: an error response clears no suspicion

Cause: any response cleared a fingerprint, also an error. Beside upstreams that fail a part of their requests with 500, a request that crashes the others is cleared now and then, and its evidence starts anew. Found by reading. Change: only a good response clears. Test: errorsDoNotClearASuspect, which failed before.

--- a/src/balance/Attempts.cpp
+++ b/src/balance/Attempts.cpp
@@ -163,10 +163,10 @@
   }
   switch (event.End) {
   case AttemptEnd::Answered:
-    recordHarmless(step, attempt.Fingerprint);
     if (isServerError(event)) {
       return recordFailure(step, upstream, false, "server error");
     }
+    recordHarmless(step, attempt.Fingerprint);
     recordSuccess(upstream);
     if (!event.Report) {
       engine.ReportsLoad = false;
--- a/tests/balance/CrashesTest.cpp
+++ b/tests/balance/CrashesTest.cpp
@@ -127,6 +127,17 @@
               Handling::Refuse));
 }
 
+// Some upstreams answer a part of all requests with an error and run none.
+BOOST_AUTO_TEST_CASE(errorsDoNotClearASuspect) {
+  EngineDriver it;
+  it.pass(PeerSuspected{{Fingerprint, "x"}});
+  it.send(Fingerprint);
+  it.pass(AttemptEnded{it.Last.Attempt, AttemptEnd::Answered, 500});
+  it.send(Fingerprint);
+  it.breakLast(true);
+  BOOST_TEST(it.has<BroadcastQuarantined>());
+}
+
 BOOST_AUTO_TEST_CASE(responsesToSuspectsAreToldToTheOtherInstances) {
   EngineDriver it;
   it.pass(PeerSuspected{{Fingerprint, "x"}});
