fleet: pings and pongs tell the quarantines in force

What callers would see: an instance that was cut off or has just started goes on sending a request that crashes upstreams, though all others refuse it.

Cause: a quarantine was told three times and never reconciled. The class: what is told once between instances. Change: each ping and pong lists the sender's quarantines (at most 32, those that last longest) with the time left. One that is known already stays as it is, so that repeated notices do not prolong it, and is logged once. Older builds skip the field.

--- a/include/zinniarail/balance/Engine.h
+++ b/include/zinniarail/balance/Engine.h
@@ -75,7 +75,13 @@
 /// Applies what another instance told: a PeerSuspected, PeerQuarantined or
 /// PeerCleared event. Engines that share the quarantine apply it to their
 /// queues with the next event.
-void applyNotice(Quarantine &quarantine, const Event &notice, Instant now);
+/// \returns whether a fingerprint is refused now that was not before.
+bool applyNotice(Quarantine &quarantine, const Event &notice, Instant now);
+
+/// The fingerprints that are quarantined for the longest time from now, to be
+/// told to instances that may have missed it.
+std::vector<PeerQuarantined> latestQuarantines(const Quarantine &quarantine,
+                                               std::size_t most, Instant now);
 
 /// Applies a new plan. Attempts that run on removed upstreams may finish.
 void updatePlan(Engine &engine, ServicePlan plan, Instant now, Actions &out);
--- a/include/zinniarail/balance/Messages.h
+++ b/include/zinniarail/balance/Messages.h
@@ -125,6 +125,8 @@
 /// upstreams.
 struct PeerQuarantined {
   std::uint64_t Fingerprint = 0;
+  /// For how much longer; none if it was quarantined just now.
+  std::optional<Duration> Remaining;
 };
 /// Another instance got a complete response to a request of this fingerprint,
 /// which was suspect: it is harmless.
--- a/include/zinniarail/quarantine/Quarantine.h
+++ b/include/zinniarail/quarantine/Quarantine.h
@@ -168,10 +168,14 @@
 /// \returns whether it was suspect.
 bool recordCompletion(Quarantine &quarantine, std::uint64_t fingerprint);
 
-/// Records that another instance quarantined a fingerprint.
-void recordPeerQuarantine(Quarantine &quarantine,
+/// Records that another instance quarantined a fingerprint. A quarantine that
+/// is known already stays as it is, so that repeated notices do not prolong it.
+/// \param remaining how much longer it lasts.
+/// \returns whether it was not known.
+bool recordPeerQuarantine(Quarantine &quarantine,
                           const QuarantineLimits &limits,
-                          std::uint64_t fingerprint, Instant now);
+                          std::uint64_t fingerprint, Duration remaining,
+                          Instant now);
 
 /// Records that another instance holds a fingerprint. It is refused here only
 /// until that instance's decision is due, even if the decision never arrives.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -31,6 +31,12 @@
   sentBeforeUs @2 :Int64;       # From when it was sent until this message.
 }
 
+# A fingerprint of requests that crash upstreams, which are refused.
+struct Quarantine {
+  fingerprint @0 :UInt64;
+  remainingUs @1 :Int64;
+}
+
 # An upstream that announced to the sender that it leaves.
 struct LeavingUpstream {
   id @0 :Text;
@@ -54,6 +60,8 @@
   # Fingerprints of requests that were suspected to crash upstreams, and have had
   # a complete response since.
   clearedFingerprints @8 :List(UInt64);
+  # In a ping or pong, the sender's quarantines that last longest.
+  quarantines @9 :List(Quarantine);
 }
 
 struct Destination {
--- a/src/balance/Crashes.cpp
+++ b/src/balance/Crashes.cpp
@@ -4,6 +4,7 @@
 // gone.
 #include "balance/State.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace zinniarail::balance {
@@ -110,17 +111,37 @@
   }
 }
 
-void applyNotice(Quarantine &quarantine, const Event &notice, Instant now) {
+bool applyNotice(Quarantine &quarantine, const Event &notice, Instant now) {
   if (const auto *suspected = std::get_if<PeerSuspected>(&notice)) {
     const CrashSuspect &it = suspected->Suspect;
     recordPeerSuspicion(quarantine, Limits,
                         {it.Fingerprint, now - it.SentBefore, now},
                         {it.Upstream, 0}, now);
   } else if (const auto *it = std::get_if<PeerQuarantined>(&notice)) {
-    recordPeerQuarantine(quarantine, Limits, it->Fingerprint, now);
+    return recordPeerQuarantine(quarantine, Limits, it->Fingerprint,
+                                it->Remaining.value_or(Limits.Lifetime), now);
   } else if (const auto *cleared = std::get_if<PeerCleared>(&notice)) {
     recordCompletion(quarantine, cleared->Fingerprint);
   }
+  return false;
+}
+
+std::vector<PeerQuarantined> latestQuarantines(const Quarantine &quarantine,
+                                               std::size_t most, Instant now) {
+  std::vector<PeerQuarantined> all;
+  for (const auto &[fingerprint, until] : quarantine.Quarantined) {
+    if (until > now) {
+      all.push_back({fingerprint, until - now});
+    }
+  }
+  const auto count = std::min(most, all.size());
+  std::partial_sort(all.begin(),
+                    all.begin() + static_cast<std::ptrdiff_t>(count), all.end(),
+                    [](const PeerQuarantined &a, const PeerQuarantined &b) {
+                      return a.Remaining > b.Remaining;
+                    });
+  all.resize(count);
+  return all;
 }
 
 } // namespace zinniarail::balance
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -298,6 +298,9 @@
           },
           [this](const fleet::LeavingUpstream &it) {
             noteLeaving(it, "another instance");
+          },
+          [this](std::size_t most) {
+            return RequestProxy.latestQuarantines(most);
           }};
 }
 
--- a/src/fleet/Codec.cpp
+++ b/src/fleet/Codec.cpp
@@ -285,6 +285,13 @@
     write(members[n], datagram.Members[n]);
   }
   root.setSequence(datagram.Sequence);
+  auto quarantines =
+      root.initQuarantines(static_cast<unsigned>(datagram.Quarantines.size()));
+  for (unsigned n = 0; n < quarantines.size(); ++n) {
+    const balance::PeerQuarantined &it = datagram.Quarantines[n];
+    quarantines[n].setFingerprint(it.Fingerprint);
+    quarantines[n].setRemainingUs(it.Remaining.value_or(Duration{0}).count());
+  }
   root.setClearedFingerprints(
       kj::arrayPtr(datagram.ClearedFingerprints.data(),
                    datagram.ClearedFingerprints.size()));
@@ -315,6 +322,10 @@
       out.Members.push_back(read(it));
     }
     out.Sequence = root.getSequence();
+    for (const auto it : root.getQuarantines()) {
+      out.Quarantines.push_back(
+          {it.getFingerprint(), Duration{it.getRemainingUs()}});
+    }
     for (const std::uint64_t it : root.getClearedFingerprints()) {
       out.ClearedFingerprints.push_back(it);
     }
--- a/src/fleet/Codec.h
+++ b/src/fleet/Codec.h
@@ -37,6 +37,8 @@
   std::uint64_t Sequence = 0;
   /// Fingerprints of requests that were suspect and are harmless.
   std::vector<std::uint64_t> ClearedFingerprints;
+  /// Those that the sender knows, for instances that missed the notices.
+  std::vector<balance::PeerQuarantined> Quarantines;
 };
 
 std::string encodeDatagram(const Datagram &datagram);
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -63,6 +63,9 @@
 
 constexpr std::size_t MaxDatagramBytes = 8192;
 
+// Maximum number of quarantines in a ping or pong.
+constexpr std::size_t MaxQuarantinesTold = 32;
+
 // Maximum number of datagrams read in one iteration of the loop, so that a
 // flood of them does not keep the loop from all else.
 constexpr int MaxDatagramsPerWakeup = 64;
@@ -219,7 +222,8 @@
 void PeerTask::sendPings() {
   const Instant now = readClock();
   PingedAt = now;
-  const Datagram datagram{Datagram::Ping{}, Membership.LocalMember, {}};
+  Datagram datagram{Datagram::Ping{}, Membership.LocalMember, {}};
+  datagram.Quarantines = Handlers.ListQuarantines(MaxQuarantinesTold);
   std::vector<std::string> targets;
   for (const Member &it :
        topCandidates(Membership, PingedCandidateCount, now)) {
@@ -310,6 +314,9 @@
   for (const Member &it : datagram.Members) {
     addIfUnknown(Membership, it, now);
   }
+  for (const balance::PeerQuarantined &it : datagram.Quarantines) {
+    Handlers.QuarantineNoticeReceived(it);
+  }
   for (const std::uint64_t it : datagram.ClearedFingerprints) {
     Handlers.QuarantineNoticeReceived(balance::PeerCleared{it});
   }
@@ -323,6 +330,7 @@
     }
     std::sort(pong.Members.begin(), pong.Members.end(), hasHigherPriority);
     pong.Members.resize(std::min(pong.Members.size(), MaxMembersInPong));
+    pong.Quarantines = Handlers.ListQuarantines(MaxQuarantinesTold);
     pong.Sequence = Publisher.sequenceFor(datagram.Sender.BootId);
     send(from, pong);
   } else if (const auto *suspected =
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -33,6 +33,9 @@
   FillUpdate Fill;
   /// A follower reports that an upstream announced that it leaves.
   std::function<void(const LeavingUpstream &)> LeavingUpstreamReported;
+  /// The quarantines in force, at most so many, which each ping and pong tells.
+  std::function<std::vector<balance::PeerQuarantined>(std::size_t most)>
+      ListQuarantines;
 };
 
 /// Used only on the thread of its loop.
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -306,18 +306,24 @@
 }
 
 void Proxy::onQuarantineNotice(const balance::Event &notice) {
+  if (!balance::applyNotice(*CrashQuarantine, notice, readClock())) {
+    return;
+  }
   if (const auto *it = std::get_if<balance::PeerQuarantined>(&notice)) {
     logEvent(EventId::RequestsCondemned,
              {{"fingerprint", it->Fingerprint}, {"by", "another instance"}});
   }
-  balance::applyNotice(*CrashQuarantine, notice, readClock());
-  for (auto &[name, entry] : Services) {
-    postEvent(*entry,
-              balance::TimerExpired{}); // Queued requests may be refused.
+  for (auto &[name, entry] : Services) { // Queued requests may be refused now.
+    postEvent(*entry, balance::TimerExpired{});
   }
   processEvents();
 }
 
+std::vector<balance::PeerQuarantined>
+Proxy::latestQuarantines(std::size_t most) const {
+  return balance::latestQuarantines(*CrashQuarantine, most, readClock());
+}
+
 void Proxy::onTimer() {
   const Instant now = readClock();
   while (!Timers.empty() && Timers.begin()->first <= now) {
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -111,6 +111,10 @@
   void onQuarantineNotice(const balance::Event &notice);
   void onTimer();
 
+  /// The quarantines to tell to instances that may have missed them.
+  std::vector<balance::PeerQuarantined>
+  latestQuarantines(std::size_t most) const;
+
   /// When to call onTimer next; Instant::max() when no timer is pending.
   Instant nextTimer() const;
 
--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -44,10 +44,10 @@
 
 void quarantineFingerprint(Quarantine &quarantine,
                            const QuarantineLimits &limits,
-                           std::uint64_t fingerprint, Instant now) {
+                           std::uint64_t fingerprint, Instant until) {
   quarantine.Suspects.erase(fingerprint);
   extendExpiry(quarantine.Quarantined, limits.MaxQuarantined, fingerprint,
-               now + limits.Lifetime);
+               until);
 }
 
 Evidence &recordEvidence(Quarantine &quarantine, const QuarantineLimits &limits,
@@ -129,7 +129,7 @@
                    const std::vector<std::uint64_t> &fingerprints,
                    Instant now) {
   for (const std::uint64_t it : fingerprints) {
-    quarantineFingerprint(quarantine, limits, it, now);
+    quarantineFingerprint(quarantine, limits, it, now + limits.Lifetime);
   }
   quarantine.NextHoldExpiry = Instant::max();
   for (const auto &[fingerprint, it] : quarantine.Suspects) {
@@ -315,11 +315,18 @@
   return isCleared;
 }
 
-void recordPeerQuarantine(Quarantine &quarantine,
+bool recordPeerQuarantine(Quarantine &quarantine,
                           const QuarantineLimits &limits,
-                          std::uint64_t fingerprint, Instant now) {
+                          std::uint64_t fingerprint, Duration remaining,
+                          Instant now) {
   dropExpired(quarantine, now);
-  quarantineFingerprint(quarantine, limits, fingerprint, now);
+  if (remaining <= Duration::zero() ||
+      quarantine.Quarantined.contains(fingerprint)) {
+    return false;
+  }
+  quarantineFingerprint(quarantine, limits, fingerprint,
+                        now + std::min(remaining, limits.Lifetime));
+  return true;
 }
 
 void recordPeerHold(Quarantine &quarantine, const QuarantineLimits &limits,
--- a/tests/drill/CrashingRequestTest.cpp
+++ b/tests/drill/CrashingRequestTest.cpp
@@ -1,4 +1,5 @@
 // Requests that crash the upstreams that run them, on real processes.
+#include <csignal>
 #include <string>
 
 #include <boost/test/data/test_case.hpp>
@@ -33,6 +34,14 @@
   }
 }
 
+void sendCrashing(Drill &drill, std::size_t instance) {
+  static unsigned sent = 0;
+  drill.get(drill.Deployed.Instances[instance].CallerAddress, "/order/crashing",
+            "X-Request-Id: c" + std::to_string(++sent) +
+                "\r\nX-Deadline-Milliseconds: 2000\r\n",
+            "POST");
+}
+
 } // namespace
 
 // Connections to the upstreams are kept from health checks and other requests.
@@ -50,11 +59,7 @@
                                    "w" + std::to_string(++sent),
                                    instance) == 200);
     }
-    drill.get(drill.Deployed.Instances[instance].CallerAddress,
-              "/order/crashing",
-              "X-Request-Id: c" + std::to_string(n) +
-                  "\r\nX-Deadline-Milliseconds: 2000\r\n",
-              "POST");
+    sendCrashing(drill, instance);
     drill.EventLoop.runFor(300ms);
     restartCrashed(drill);
     drill.EventLoop.runFor(200ms);
@@ -62,3 +67,24 @@
   BOOST_TEST(drill.Deployed.Executions.Crashes >= 1);
   BOOST_TEST(drill.Deployed.Executions.Crashes <= 3);
 }
+
+BOOST_AUTO_TEST_CASE(restartedInstanceKnowsTheQuarantine) {
+  Drill drill(makePlan());
+  for (auto &it : drill.Deployed.Upstreams) {
+    it->Faults.CrashOn = "crashing";
+  }
+  for (unsigned n = 0; n < CrashingRequests; ++n) {
+    sendCrashing(drill, 0);
+    drill.EventLoop.runFor(100ms);
+  }
+  const unsigned before = drill.Deployed.Executions.Crashes;
+  BOOST_REQUIRE(before <= 3);
+  drill.Deployed.Instances[1].Child.signal(SIGKILL);
+  drill.Deployed.Instances[1].Child.wait(5s);
+  BOOST_REQUIRE(drill.Deployed.startInstance(1));
+  BOOST_REQUIRE(drill.EventLoop.runUntil([&] { return drill.isReady(1); }));
+  drill.EventLoop.runFor(1s);
+  sendCrashing(drill, 1);
+  drill.EventLoop.runFor(200ms);
+  BOOST_TEST(drill.Deployed.Executions.Crashes == before);
+}
--- a/tests/fleet/CodecTest.cpp
+++ b/tests/fleet/CodecTest.cpp
@@ -109,10 +109,14 @@
 
   Datagram cleared{Datagram::Pong{}, sampleMember("x"), {}};
   cleared.ClearedFingerprints = {1, 1ULL << 63U};
+  cleared.Quarantines = {{5, Duration{6}}};
   const auto decodedCleared = decodeDatagram(encodeDatagram(cleared));
   BOOST_REQUIRE(decodedCleared.has_value());
   BOOST_TEST(decodedCleared->ClearedFingerprints == cleared.ClearedFingerprints,
              boost::test_tools::per_element());
+  BOOST_REQUIRE(decodedCleared->Quarantines.size() == 1);
+  BOOST_TEST(decodedCleared->Quarantines[0].Fingerprint == 5);
+  BOOST_TEST((decodedCleared->Quarantines[0].Remaining == Duration{6}));
 
   const Datagram leaving{
       LeavingUpstream{"u2", 1700000000000}, sampleMember("x"), {}};
--- a/tests/fleet/PeerTaskTest.cpp
+++ b/tests/fleet/PeerTaskTest.cpp
@@ -60,6 +60,14 @@
                 update.Members = {{true, Task->liveMembers(), {}},
                                   Task->fleetSize()};
               }
+            },
+            {},
+            [this](std::size_t) {
+              std::vector<balance::PeerQuarantined> all;
+              if (OwnQuarantine != 0) {
+                all.push_back({OwnQuarantine, 60s});
+              }
+              return all;
             }};
   }
 
@@ -76,6 +84,7 @@
   std::uint64_t Version = 0;
   std::uint64_t QuarantinedFingerprint = 0;
   std::uint64_t ClearedFingerprint = 0;
+  std::uint64_t OwnQuarantine = 0; ///< Told with pings and pongs.
   std::unique_ptr<PeerTask> Task;
 };
 
@@ -391,6 +400,20 @@
       [&] { return it.Follower.QuarantinedFingerprint == 99; }));
 }
 
+BOOST_AUTO_TEST_CASE(quarantineReachesAnInstanceThatMissesAllNotices) {
+  RelayedPair it;
+  it.Relay.Change = [&](const Datagram &datagram) {
+    return !std::holds_alternative<balance::PeerQuarantined>(datagram.Payload);
+  };
+  it.Follower.OwnQuarantine = 99;
+  it.start();
+  BOOST_TEST(it.EventLoop.runUntil(
+      [&] { return it.Reader.QuarantinedFingerprint == 99; }));
+  it.Reader.OwnQuarantine = 98;
+  BOOST_TEST(it.EventLoop.runUntil(
+      [&] { return it.Follower.QuarantinedFingerprint == 98; }));
+}
+
 // Guards against reading datagrams for as long as they arrive, which keeps
 // the loop from all else.
 BOOST_AUTO_TEST_CASE(floodOfDatagramsIsReadInBoundedTurns) {
--- a/tests/quarantine/QuarantineTest.cpp
+++ b/tests/quarantine/QuarantineTest.cpp
@@ -184,12 +184,24 @@
   recordPeerSuspicion(state, {}, {Harmless, Instant{}, Instant{}}, {"b"},
                       Instant{});
   BOOST_TEST((chooseHandling(state, Harmless, Instant{}) == Handling::Isolate));
-  recordPeerQuarantine(state, {}, Poison, Instant{});
+  recordPeerQuarantine(state, {}, Poison, 5min, Instant{});
   recordPeerSuspicion(state, {}, {Poison, Instant{}, Instant{}}, {"c"},
                       Instant{});
   BOOST_TEST((chooseHandling(state, Poison, Instant{}) == Handling::Refuse));
 }
 
+BOOST_AUTO_TEST_CASE(repeatedPeerQuarantinesDoNotProlongIt) {
+  Quarantine state;
+  BOOST_TEST(recordPeerQuarantine(state, {}, Poison, 1min, Instant{}));
+  BOOST_TEST(!recordPeerQuarantine(state, {}, Poison, 1min, Instant{30s}));
+  BOOST_TEST((remainingRefusal(state, Poison, Instant{30s}) == 30s));
+  BOOST_TEST(!recordPeerQuarantine(state, {}, Harmless, 0s, Instant{30s}));
+  BOOST_TEST(
+      (chooseHandling(state, Harmless, Instant{30s}) == Handling::Normal));
+  recordPeerQuarantine(state, {}, Harmless, 24h, Instant{30s});
+  BOOST_TEST((remainingRefusal(state, Harmless, Instant{30s}) == 5min));
+}
+
 namespace {
 
 constexpr std::uint64_t KnownIncarnation = 3;
@@ -285,7 +297,7 @@
   for (std::uint64_t it = 0; it < 1000; ++it) {
     const Instant now{std::chrono::seconds{it}};
     recordCrash(state, limits, {"a"}, inFlight({it, it + 5000}, now), now);
-    recordPeerQuarantine(state, limits, it + 10000, now);
+    recordPeerQuarantine(state, limits, it + 10000, 5min, now);
     recordPeerSuspicion(state, limits, {it + 20000, now, now}, {"b"}, now);
     recordPeerHold(state, limits, it + 30000, now);
     BOOST_TEST(state.HeldByPeers.size() <= limits.MaxQuarantined);
