--- a/standins/upstream/Upstream.cpp
+++ b/standins/upstream/Upstream.cpp
@@ -171,14 +171,17 @@
   respond(id, std::move(response));
 }
 
-void Upstream::announceLeaving(http::Headers &fields) const {
+void Upstream::announce(http::Headers &fields) const {
+  if (!Faults.RateLimit.empty()) {
+    fields.push_back({"Server-Limit", Faults.RateLimit});
+  }
   if (Faults.Leaving) {
     fields.push_back({"Server-Leaving", "1"});
   }
 }
 
 void Upstream::respond(http::ExchangeId id, http::Response response) {
-  announceLeaving(response.Fields);
+  announce(response.Fields);
   Server->sendResponse(id, response);
 }
 
@@ -257,7 +260,7 @@
                            {"X-Response-Signature", "s." + request.RequestId},
                            {"X-Server-Load", loadReport()}},
                           "answer to " + request.RequestId + " by " + Id};
-  announceLeaving(response.Fields);
+  announce(response.Fields);
   const bool isHead = request.Request.Method == "HEAD";
   std::string bytes = http::serializeResponse(response, isHead, false);
   if (shouldInjectFault(Faults.LostResponseFraction)) {
--- a/standins/upstream/Upstream.h
+++ b/standins/upstream/Upstream.h
@@ -83,6 +83,8 @@
   /// Refuses requests and health checks with 503 and this Retry-After; empty:
   /// serves them.
   std::string RetryAfter;
+  /// Names this limit on its requests in all responses; empty: none.
+  std::string RateLimit;
   /// Added to the start time that the upstream registers.
   std::chrono::milliseconds ClockOffset{0};
 };
@@ -142,9 +144,10 @@
   void handleHealthCheck(http::ExchangeId id);
   void refuse(http::ExchangeId id, const std::string &requestId,
               unsigned status);
-  /// Sends a response, with the header of an upstream that leaves.
+  /// Sends a response, with what the upstream says of itself.
   void respond(http::ExchangeId id, http::Response response);
-  void announceLeaving(http::Headers &fields) const;
+  /// Adds what it says of itself in each response.
+  void announce(http::Headers &fields) const;
   void startOrQueue(ActiveRequest request);
   void startRequest(ActiveRequest request);
   void finishRequest(const ActiveRequest &request);
