balance: keep the limits that upstreams name

Cause: nothing read Server-Limit.

Change: a response to a request names the limit, or ends it; one to a health check can only name it. Equal parts for all were ruled out: after a calm moment each of 300 instances may send its request. The others send one after 10 s for each instance in the fleet, and hear from the one that finds that the limit ended. Each way to place a request goes through the same check: hedges, retries, ejected upstreams and panic mode too. Where all upstreams name limits, requests wait in the order of their priority and goal, and what exceeds the turns before a deadline is refused at once; Retry-After spreads callers over the turns. New line upstream-limited.

--- a/include/zinniarail/balance/Engine.h
+++ b/include/zinniarail/balance/Engine.h
@@ -44,7 +44,10 @@
 /// The configuration and upstreams of the service, as this instance uses them.
 struct ServicePlan {
   std::string Service;
-  std::string Domain; ///< Failure domain of this instance.
+  std::string Domain;   ///< Failure domain of this instance.
+  std::string Instance; ///< Id of this instance.
+  /// Ids of all instances, which share the limits that upstreams name.
+  std::vector<std::string> Instances;
   std::vector<PlannedUpstream> Upstreams;
   RetryBudgetLimits Budget;
   ColdLimits ColdUpstreams;
--- a/include/zinniarail/balance/Messages.h
+++ b/include/zinniarail/balance/Messages.h
@@ -90,6 +90,9 @@
   /// How long the upstream, which refused the request, wants no further ones;
   /// none if it did not say.
   std::optional<Duration> RetryAfter;
+  /// Requests per second that the upstream says it takes from all instances
+  /// together; none if its response named no limit.
+  std::optional<double> RateLimit;
   /// A reused keep-alive connection closed so soon that the upstream may have
   /// closed it before the request arrived.
   bool StaleKeepAlive = false;
@@ -104,6 +107,9 @@
   std::optional<Duration> RetryAfter; ///< As AttemptEnded::RetryAfter.
   /// Nothing accepts connections at its address, or another upstream has it.
   bool Gone = false;
+  /// As AttemptEnded::RateLimit; but a health check that names none tells
+  /// nothing, since it may never name one.
+  std::optional<double> RateLimit;
 };
 /// The caller disconnected before its answer.
 struct CallerGone {
@@ -133,6 +139,10 @@
 struct PeerCleared {
   std::uint64_t Fingerprint = 0;
 };
+/// Another instance got a response by which an upstream's limit has ended.
+struct PeerLimitEnded {
+  std::string Upstream;
+};
 /// This instance can't reach any upstream, or can reach some again.
 struct ReachChanged {
   bool AnyReachable = true;
@@ -142,7 +152,7 @@
 
 using Event = std::variant<RequestArrived, AttemptEnded, ProbeEnded, CallerGone,
                            PeerSuspected, PeerQuarantined, PeerCleared,
-                           ReachChanged, TimerExpired>;
+                           PeerLimitEnded, ReachChanged, TimerExpired>;
 
 // Actions.
 
@@ -195,6 +205,7 @@
   unsigned Stale = 0;     ///< Load report missing or older than MaxFreshAge.
   std::size_t Queued = 0; ///< Requests in the queue, maybe this one too.
   double RetryTokens = 0;
+  unsigned Limited = 0; ///< Named a limit that allows no request yet.
 };
 
 /// Answer the caller with a refusal instead of an upstream's response.
@@ -225,6 +236,11 @@
   std::uint64_t Fingerprint = 0;
 };
 
+/// Tell the other instances that an upstream's limit has ended.
+struct BroadcastLimitEnded {
+  std::string Upstream;
+};
+
 /// Log what became of the check that follows a broken attempt.
 struct CrashChecked {
   enum class Verdict : std::uint8_t {
@@ -240,7 +256,14 @@
 
 /// Log that an upstream's status changed.
 struct UpstreamStatusChanged {
-  enum class Status : std::uint8_t { Ejected, Readmitted, Cold, Refusing };
+  enum class Status : std::uint8_t {
+    Ejected,
+    Readmitted,
+    Cold,
+    Refusing,
+    Limited,
+    Unlimited
+  };
   std::string Upstream;
   Status NewStatus{};
   std::string Reason;
@@ -250,10 +273,10 @@
 /// Log that a retry was not sent, since the retry budget is exhausted.
 struct RetryBudgetExhausted {};
 
-using Action =
-    std::variant<StartAttempt, CancelAttempt, Deliver, Refuse, SendProbe,
-                 BroadcastSuspected, BroadcastQuarantined, BroadcastCleared,
-                 CrashChecked, UpstreamStatusChanged, RetryBudgetExhausted>;
+using Action = std::variant<StartAttempt, CancelAttempt, Deliver, Refuse,
+                            SendProbe, BroadcastSuspected, BroadcastQuarantined,
+                            BroadcastCleared, BroadcastLimitEnded, CrashChecked,
+                            UpstreamStatusChanged, RetryBudgetExhausted>;
 using Actions = std::vector<Action>;
 
 const char *nameOf(PlacementReason::LoadKnowledge knowledge);
--- a/include/zinniarail/events/Events.h
+++ b/include/zinniarail/events/Events.h
@@ -59,6 +59,7 @@
   InstanceFound = 331,
   InstanceLost = 332,
   CrashChecked = 333,
+  UpstreamLimited = 334,
   LinesDropped = 340,
 };
 
--- a/include/zinniarail/fleet/RoutingSnapshot.h
+++ b/include/zinniarail/fleet/RoutingSnapshot.h
@@ -23,6 +23,9 @@
   std::set<std::string> EvacuatedDomains;
 
   std::size_t FleetSize = 1; ///< Instances in the fleet that may be running.
+  /// Ids of the instances that are known and don't leave, this one included;
+  /// sorted.
+  std::vector<std::string> InstanceIds;
 };
 
 } // namespace zinniarail
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -62,6 +62,8 @@
   clearedFingerprints @8 :List(UInt64);
   # In a ping or pong, the sender's quarantines that last longest.
   quarantines @9 :List(Quarantine);
+  # Upstreams that named a limit on their requests, and name none any more.
+  endedLimits @10 :List(Text);
 }
 
 struct Destination {
--- a/src/balance/Attempts.cpp
+++ b/src/balance/Attempts.cpp
@@ -161,6 +161,10 @@
   if (event.RetryAfter) {
     recordRefusal(step, upstream, *event.RetryAfter);
   }
+  if (event.End == AttemptEnd::Answered ||
+      event.End == AttemptEnd::RefusedUnrun) {
+    recordRateLimit(step, upstream, event.RateLimit);
+  }
   switch (event.End) {
   case AttemptEnd::Answered:
     if (isServerError(event)) {
@@ -238,6 +242,7 @@
   ++engine.Counters.Attempts;
   engine.LastAttemptAt = step.Now;
   paceColdRequests(engine, upstream, step.Now);
+  paceLimitedRequests(engine, upstream, step.Now);
   const bool mayHedge = request.Policy.Idempotent &&
                         request.AttemptsSent < request.Policy.MaxAttempts;
   if (mayHedge) {
--- a/src/balance/Engine.cpp
+++ b/src/balance/Engine.cpp
@@ -28,6 +28,9 @@
 void dispatch(Step step, const PeerCleared &event) {
   applyNotice(*step.State.CrashQuarantine, event, step.Now);
 }
+void dispatch(Step step, const PeerLimitEnded &event) {
+  onPeerLimitEnded(step, event);
+}
 void dispatch(Step step, const ReachChanged &event) {
   onReachChanged(step, event);
 }
@@ -56,8 +59,12 @@
 
 void updatePlan(Engine &engine, ServicePlan plan, Instant now, Actions &out) {
   const Step step{engine, now, out};
+  const bool fleetChanged = engine.Plan.Instances != plan.Instances;
   engine.Plan = std::move(plan);
   applyPlan(engine, now);
+  if (fleetChanged) {
+    updateLimitShares(engine, now);
+  }
   dropUnplanned(engine, now);
   dispatchQueue(step);
   probeEjectedUpstreams(step);
@@ -116,7 +123,8 @@
                          {"drag", currentResidualSlowdown(it, now)},
                          {"ejected", isEjected(it, now)},
                          {"cold", isCold(it, now)},
-                         {"refusing", isRefusing(it, now)}});
+                         {"refusing", isRefusing(it, now)},
+                         {"rateLimit", it.RateLimit.value_or(0)}});
   }
   const EngineCounters &n = engine.Counters;
   return {{"service", engine.Plan.Service},
@@ -189,6 +197,10 @@
     return "cold";
   case UpstreamStatusChanged::Status::Refusing:
     return "refusing";
+  case UpstreamStatusChanged::Status::Limited:
+    return "limited";
+  case UpstreamStatusChanged::Status::Unlimited:
+    return "unlimited";
   }
   return "";
 }
--- a/src/balance/Placing.cpp
+++ b/src/balance/Placing.cpp
@@ -162,7 +162,7 @@
     if (isolated && hasSuspectInFlight(engine, it, now)) {
       continue;
     }
-    if (!it.Planned || isRefusing(it, now) ||
+    if (!it.Planned || isRefusing(it, now) || awaitsTurn(it, now) ||
         (isCold(it, now) && now < it.NextColdRequestAt)) {
       continue;
     }
@@ -368,6 +368,8 @@
     const Candidate seen = evaluateUpstream(engine, request, it, now);
     if (isRefusing(it, now)) {
       ++out.Refusing;
+    } else if (awaitsTurn(it, now)) {
+      ++out.Limited;
     } else if (isEjected(it, now)) {
       ++out.Ejected;
     } else if (isCold(it, now) && now < it.NextColdRequestAt) {
--- a/src/balance/Requests.cpp
+++ b/src/balance/Requests.cpp
@@ -42,13 +42,16 @@
                                          : Execution::Unknown;
 }
 
-Duration retryAfter(const Engine &engine, const RequestState &request,
+Duration retryAfter(Engine &engine, const RequestState &request,
                     RefusalReason reason, Instant now) {
   switch (reason) {
   case RefusalReason::NoUpstream:
   case RefusalReason::Unreachable:
     return NoUpstreamRetryAfter;
   case RefusalReason::Overloaded:
+    if (turnsBefore(engine, now, now)) {
+      return limitedRetryAfter(engine, now);
+    }
     return std::max<Duration>({endOfRefusals(engine, now) - now,
                                usualServiceTime(engine, request) / 2,
                                std::chrono::milliseconds{20}});
@@ -82,11 +85,12 @@
 
 // Requests that can still meet their latency target go before late ones; then
 // by priority, and then by when the target ends.
+// \param lateLast false to ignore the first.
 bool hasPrecedence(const Engine &engine, const RequestState &a,
-                   const RequestState &b, Instant now) {
+                   const RequestState &b, bool lateLast, Instant now) {
   const auto key = [&](const RequestState &it) {
     const Instant goal = it.Arrived + it.Policy.LatencyTarget;
-    const bool late = now + usualServiceTime(engine, it) > goal;
+    const bool late = lateLast && now + usualServiceTime(engine, it) > goal;
     return std::make_tuple(late, it.Policy.Priority, goal, numberOf(it.Id));
   };
   return key(a) < key(b);
@@ -96,18 +100,25 @@
   if (engine.Queue.size() < 2) {
     return;
   }
-  std::sort(engine.Queue.begin(), engine.Queue.end(),
-            [&](RequestId a, RequestId b) {
-              return hasPrecedence(engine, engine.Requests.at(numberOf(a)),
-                                   engine.Requests.at(numberOf(b)), now);
-            });
+  // A request that waits for a turn of an upstream's limit keeps its place:
+  // else later ones would take it, and it would be refused late.
+  const bool lateLast = !turnsBefore(engine, now, now);
+  std::sort(
+      engine.Queue.begin(), engine.Queue.end(), [&](RequestId a, RequestId b) {
+        return hasPrecedence(engine, engine.Requests.at(numberOf(a)),
+                             engine.Requests.at(numberOf(b)), lateLast, now);
+      });
 }
 
 // Refuses a request at once if it can't be served before its deadline.
-bool refuseIfTooLate(Step step, RequestState &request) {
-  if (endOfRefusals(step.State, step.Now) +
-          usualServiceTime(step.State, request) <=
-      request.Deadline - AnswerMargin) {
+// \param waitingBefore the number of queued requests that have precedence.
+bool refuseIfTooLate(Step step, RequestState &request,
+                     std::size_t waitingBefore) {
+  const Instant latest =
+      request.Deadline - AnswerMargin - usualServiceTime(step.State, request);
+  const auto turns = turnsBefore(step.State, latest, step.Now);
+  if (endOfRefusals(step.State, step.Now) <= latest &&
+      (!turns || waitingBefore < *turns)) {
     return false;
   }
   refuse(step, request, RefusalReason::Overloaded);
@@ -229,9 +240,10 @@
   engine.QueueRecheckAt = Instant::max();
   sortQueue(engine, step.Now);
   const std::vector<RequestId> queue = engine.Queue;
+  std::size_t waiting = 0;
   for (const RequestId id : queue) {
     RequestState &request = engine.Requests.at(numberOf(id));
-    if (refuseIfTooLate(step, request)) {
+    if (refuseIfTooLate(step, request, waiting)) {
       continue;
     }
     if (isRefused(engine, request.Fingerprint, step.Now)) {
@@ -245,6 +257,7 @@
     if (awaitsCrashCheck(engine, request, step.Now)) {
       engine.QueueRecheckAt =
           std::min(engine.QueueRecheckAt, request.CrashCheckDeadline);
+      ++waiting;
       continue;
     }
     const Instant latest = latestStart(engine, request);
@@ -262,12 +275,14 @@
       }
       engine.QueueRecheckAt =
           std::min(engine.QueueRecheckAt, step.Now + QueueRecheckInterval);
+      ++waiting;
       continue;
     case Placement::Kind::Wait:
       engine.QueueRecheckAt =
           std::min({engine.QueueRecheckAt, step.Now + QueueRecheckInterval,
                     request.Deadline - AnswerMargin -
                         usualServiceTime(engine, request) + Duration{1}});
+      ++waiting;
       continue;
     case Placement::Kind::NoUpstream:
       refuse(step, request, RefusalReason::NoUpstream);
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "balance/RateLimits.h"
 #include "zinniarail/balance/Engine.h"
 #include "zinniarail/balance/Forecast.h"
 #include "zinniarail/quarantine/Quarantine.h"
@@ -50,6 +51,10 @@
   Instant NextColdRequestAt{}; ///< No request before this time while cold.
   /// It wants neither requests nor health checks before this time.
   Instant RefusesUntil{};
+  /// As AttemptEnded::RateLimit.
+  std::optional<double> RateLimit;
+  RateShare LimitShare; ///< Set while there is a RateLimit.
+  Instant NextLimitedRequestAt{};
   /// Attempts that broke here. A health check on a new connection is running,
   /// or follows the one that is, to find out whether the upstream crashed.
   std::vector<BrokenAttempt> BrokenAttempts;
@@ -196,8 +201,8 @@
 /// Records that an upstream wants no requests for a time.
 void recordRefusal(Step step, UpstreamState &upstream, Duration retryAfter);
 bool isRefusing(const UpstreamState &upstream, Instant now);
-/// When the first planned upstream takes requests again, if all of them refuse
-/// requests now; else \p now.
+/// When the first planned upstream takes requests of this instance again, if
+/// all of them refuse requests or have reached their limits now; else \p now.
 Instant endOfRefusals(const Engine &engine, Instant now);
 /// Updates the residual slowdown with the outcome of one attempt.
 /// \param ratio the attempt's measured time divided by its expected time, which
@@ -218,6 +223,24 @@
 void paceColdRequests(const Engine &engine, UpstreamState &upstream,
                       Instant now);
 
+// RateLimits.cpp
+/// Records the limit that a response named, or that it named none.
+void recordRateLimit(Step step, UpstreamState &upstream,
+                     std::optional<double> limit);
+void onPeerLimitEnded(Step step, const PeerLimitEnded &event);
+/// Applies a change of the plan's instances.
+void updateLimitShares(Engine &engine, Instant now);
+void paceLimitedRequests(Engine &engine, UpstreamState &upstream, Instant now);
+/// Whether the upstream's limit allows this instance no request yet.
+bool awaitsTurn(const UpstreamState &upstream, Instant now);
+/// The number of requests that the upstreams' limits allow until \p when; none
+/// if one of the planned upstreams has no limit.
+std::optional<std::size_t> turnsBefore(const Engine &engine, Instant when,
+                                       Instant now);
+/// Retry-After while the upstreams' limits allow no request: spreads callers
+/// over the turns that follow.
+Duration limitedRetryAfter(Engine &engine, Instant now);
+
 // Placing.cpp
 /// Chooses an upstream for a request.
 /// \param lastResort true to place the request by a stale report even if most
--- a/src/balance/Upstreams.cpp
+++ b/src/balance/Upstreams.cpp
@@ -189,10 +189,17 @@
 Instant endOfRefusals(const Engine &engine, Instant now) {
   Instant first = Instant::max();
   for (const auto &[id, it] : engine.Upstreams) {
-    if (it.Planned && !isRefusing(it, now)) {
+    if (!it.Planned) {
+      continue;
+    }
+    Instant available = isRefusing(it, now) ? it.RefusesUntil : now;
+    if (awaitsTurn(it, now)) {
+      available = std::max(available, it.NextLimitedRequestAt);
+    }
+    if (available <= now) {
       return now;
     }
-    first = it.Planned ? std::min(first, it.RefusesUntil) : first;
+    first = std::min(first, available);
   }
   return first == Instant::max() ? now : first;
 }
@@ -328,6 +335,9 @@
   if (event.Reached && event.Report) {
     recordLoadReport(step.State, it, *event.Report, step.Now);
   }
+  if (event.Reached && event.RateLimit) {
+    recordRateLimit(step, it, event.RateLimit);
+  }
   if (event.Reached) {
     if (event.WarmupRemaining > Duration{0} && !isCold(it, step.Now)) {
       step.Output.emplace_back(UpstreamStatusChanged{
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -249,6 +249,7 @@
       [this](const balance::CrashSuspect &it) { Peers.broadcastSuspected(it); },
       [this](std::uint64_t it) { Peers.broadcastQuarantined(it); },
       [this](std::uint64_t it) { Peers.broadcastCleared(it); },
+      [this](const std::string &it) { Peers.broadcastLimitEnded(it); },
       [this] {
         return readClock() - stateCurrentAt() > Options.PropagationLimit;
       },
@@ -287,21 +288,21 @@
 }
 
 fleet::PeerHandlers Daemon::peerHandlers() {
-  return {[this](Duty duty) { onDutyChanged(duty); },
-          [this](const fleet::StateUpdate &update) { applyUpdate(update); },
-          [this] { onLiveMembersChanged(); },
-          [this](const balance::Event &notice) {
-            RequestProxy.onQuarantineNotice(notice);
-          },
-          [this](fleet::StateUpdate &update, fleet::StatePart part) {
-            fillUpdate(update, part);
-          },
-          [this](const fleet::LeavingUpstream &it) {
-            noteLeaving(it, "another instance");
-          },
-          [this](std::size_t most) {
-            return RequestProxy.latestQuarantines(most);
-          }};
+  return {
+      [this](Duty duty) { onDutyChanged(duty); },
+      [this](const fleet::StateUpdate &update) { applyUpdate(update); },
+      [this] { onLiveMembersChanged(); },
+      [this](const balance::Event &notice) {
+        RequestProxy.onQuarantineNotice(notice);
+      },
+      [this](fleet::StateUpdate &update, fleet::StatePart part) {
+        fillUpdate(update, part);
+      },
+      [this](const fleet::LeavingUpstream &it) {
+        noteLeaving(it, "another instance");
+      },
+      [this](std::size_t most) { return RequestProxy.latestQuarantines(most); },
+      [this](const std::string &it) { RequestProxy.onLimitEnded(it); }};
 }
 
 store::StoreHandlers Daemon::storeHandlers() {
@@ -559,6 +560,7 @@
     snapshot->EvacuatedDomains.insert(domain);
   }
   snapshot->FleetSize = std::max(Peers.fleetSize(), Peers.liveMembers().size());
+  snapshot->InstanceIds = Peers.instanceIds();
   if (snapshot->Config) {
     CallerServer.setLimits(snapshot->Config->Limits);
   }
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -150,6 +150,10 @@
      "kept, and the verdict: reached (the upstream still runs), gone (it "
      "crashed; the request is suspect), or skipped (no health check was "
      "sent)."},
+    {EventId::UpstreamLimited, "upstream-limited", EventLevel::Info,
+     "An upstream named a limit on the requests that it takes from all "
+     "instances together, or its limit has ended. Few instances use a small "
+     "limit; the field why says whether this one does."},
     {EventId::LinesDropped, "lines-dropped", EventLevel::Warn,
      "Log lines were dropped before this one because the reader was too slow; "
      "the field gives their number."},
--- a/src/fleet/Codec.cpp
+++ b/src/fleet/Codec.cpp
@@ -292,6 +292,11 @@
     quarantines[n].setFingerprint(it.Fingerprint);
     quarantines[n].setRemainingUs(it.Remaining.value_or(Duration{0}).count());
   }
+  auto ended =
+      root.initEndedLimits(static_cast<unsigned>(datagram.EndedLimits.size()));
+  for (unsigned n = 0; n < ended.size(); ++n) {
+    ended.set(n, datagram.EndedLimits[n]);
+  }
   root.setClearedFingerprints(
       kj::arrayPtr(datagram.ClearedFingerprints.data(),
                    datagram.ClearedFingerprints.size()));
@@ -326,6 +331,9 @@
       out.Quarantines.push_back(
           {it.getFingerprint(), Duration{it.getRemainingUs()}});
     }
+    for (const auto it : root.getEndedLimits()) {
+      out.EndedLimits.push_back(textOf(it));
+    }
     for (const std::uint64_t it : root.getClearedFingerprints()) {
       out.ClearedFingerprints.push_back(it);
     }
--- a/src/fleet/Codec.h
+++ b/src/fleet/Codec.h
@@ -39,6 +39,8 @@
   std::vector<std::uint64_t> ClearedFingerprints;
   /// Those that the sender knows, for instances that missed the notices.
   std::vector<balance::PeerQuarantined> Quarantines;
+  /// Upstreams whose limits have ended.
+  std::vector<std::string> EndedLimits;
 };
 
 std::string encodeDatagram(const Datagram &datagram);
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -320,6 +320,9 @@
   for (const std::uint64_t it : datagram.ClearedFingerprints) {
     Handlers.QuarantineNoticeReceived(balance::PeerCleared{it});
   }
+  for (const std::string &it : datagram.EndedLimits) {
+    Handlers.LimitEndReported(it);
+  }
   if (std::holds_alternative<Datagram::Ping>(datagram.Payload)) {
     Datagram pong{Datagram::Pong{}, Membership.LocalMember, {}};
     for (const auto &[id, it] : Membership.Others) {
@@ -531,6 +534,12 @@
   sendToAll(datagram);
 }
 
+void PeerTask::broadcastLimitEnded(const std::string &upstream) {
+  Datagram datagram{Datagram::Pong{}, Membership.LocalMember, {}};
+  datagram.EndedLimits = {upstream};
+  sendToAll(datagram);
+}
+
 void PeerTask::repeatNotices() {
   const Instant now = readClock();
   for (auto &[fingerprint, it] : NoticesToRepeat) {
@@ -571,6 +580,17 @@
   return all;
 }
 
+std::vector<std::string> PeerTask::instanceIds() const {
+  std::vector<std::string> ids{Membership.LocalMember.Record.Id};
+  for (const auto &[id, it] : Membership.Others) {
+    if (!it.LastStatus.Record.Leaving) {
+      ids.push_back(id);
+    }
+  }
+  std::sort(ids.begin(), ids.end());
+  return ids;
+}
+
 std::vector<Member> PeerTask::liveMembers() const {
   return listLiveMembers(Membership, readClock());
 }
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -36,6 +36,8 @@
   /// The quarantines in force, at most so many, which each ping and pong tells.
   std::function<std::vector<balance::PeerQuarantined>(std::size_t most)>
       ListQuarantines;
+  /// Another instance found that an upstream's limit has ended.
+  std::function<void(const std::string &upstream)> LimitEndReported;
 };
 
 /// Used only on the thread of its loop.
@@ -82,6 +84,9 @@
   /// Notifies all known instances that a request which was suspect is harmless.
   void broadcastCleared(std::uint64_t fingerprint);
 
+  /// Notifies all known instances that an upstream's limit has ended.
+  void broadcastLimitEnded(const std::string &upstream);
+
   /// Reports to the followed reader, for its other followers, that an upstream
   /// announced that it leaves.
   void reportLeaving(const LeavingUpstream &upstream);
@@ -93,6 +98,9 @@
   /// included, sorted by id.
   std::vector<Instance> instancesInOwnDomain() const;
 
+  /// Ids of all known instances that don't leave, this one included; sorted.
+  std::vector<std::string> instanceIds() const;
+
   /// The live instances of this failure domain, this one included.
   std::vector<Member> liveMembers() const;
 
--- a/src/proxy/Dialect.h
+++ b/src/proxy/Dialect.h
@@ -35,6 +35,9 @@
 
   /// Reads the load report from a response; none when it is absent or invalid.
   std::optional<balance::LoadReport> (*ReadLoad)(const http::Headers &);
+  /// Reads the requests per second that an upstream takes from all instances;
+  /// none when the response names no limit or an invalid one.
+  std::optional<double> (*ReadRateLimit)(const http::Headers &);
   /// Reads the remaining warm-up time of an upstream from a health check's
   /// response; zero when it is warm.
   Duration (*ReadRemainingWarmup)(const http::Headers &);
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -128,6 +128,8 @@
   balance::ServicePlan plan;
   plan.Service = service;
   plan.Domain = Context.Domain;
+  plan.Instance = Context.InstanceId;
+  plan.Instances = Snapshot->InstanceIds;
   for (const Upstream &it : Snapshot->Upstreams) {
     if (it.Service == service && !it.Draining &&
         !Snapshot->EvacuatedDomains.contains(it.Domain)) {
@@ -319,6 +321,15 @@
   processEvents();
 }
 
+void Proxy::onLimitEnded(const std::string &upstream) {
+  for (auto &[name, entry] : Services) {
+    if (entry->Targets.contains(upstream)) {
+      postEvent(*entry, balance::PeerLimitEnded{upstream});
+    }
+  }
+  processEvents();
+}
+
 std::vector<balance::PeerQuarantined>
 Proxy::latestQuarantines(std::size_t most) const {
   return balance::latestQuarantines(*CrashQuarantine, most, readClock());
@@ -406,6 +417,9 @@
           [&](const balance::BroadcastCleared &it) {
             Callbacks.BroadcastCleared(it.Fingerprint);
           },
+          [&](const balance::BroadcastLimitEnded &it) {
+            Callbacks.BroadcastLimitEnded(it.Upstream);
+          },
           [&](const balance::CrashChecked &it) {
             logEvent(EventId::CrashChecked,
                      {{"service", entry.Name},
@@ -435,6 +449,11 @@
   } else if (change.NewStatus ==
              balance::UpstreamStatusChanged::Status::Refusing) {
     id = EventId::UpstreamRefusing;
+  } else if (change.NewStatus ==
+                 balance::UpstreamStatusChanged::Status::Limited ||
+             change.NewStatus ==
+                 balance::UpstreamStatusChanged::Status::Unlimited) {
+    id = EventId::UpstreamLimited;
   }
   logEvent(id, {{"service", entry.Name},
                 {"upstream", change.Upstream},
@@ -528,6 +547,7 @@
   const http::Response &response = result.Response;
   event.Status = response.Status;
   event.Report = Context.PlatformDialect->ReadLoad(response.Fields);
+  event.RateLimit = Context.PlatformDialect->ReadRateLimit(response.Fields);
   const auto has = [&](const std::string &name) {
     return http::findHeader(response.Fields, name) != nullptr;
   };
@@ -647,6 +667,7 @@
     event.Healthy = event.Reached && result.Response.Status >= FirstSuccess &&
                     result.Response.Status < FirstRedirect;
     event.Report = Context.PlatformDialect->ReadLoad(fields);
+    event.RateLimit = Context.PlatformDialect->ReadRateLimit(fields);
     event.RetryAfter = event.Reached
                            ? retryAfterOf(result.Response, call.Upstream)
                            : std::nullopt;
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -72,6 +72,7 @@
   std::function<void(const balance::CrashSuspect &)> BroadcastSuspected;
   std::function<void(std::uint64_t fingerprint)> BroadcastQuarantined;
   std::function<void(std::uint64_t fingerprint)> BroadcastCleared;
+  std::function<void(const std::string &upstream)> BroadcastLimitEnded;
   /// Whether the store may hold a newer configuration than the one in force.
   std::function<bool()> IsStateOutdated;
   /// Called when either changes: whether this instance can reach any upstream,
@@ -109,6 +110,8 @@
   /// quarantined such requests, or has found them harmless. \param notice a
   /// PeerSuspected, PeerQuarantined or PeerCleared event.
   void onQuarantineNotice(const balance::Event &notice);
+  /// Called when another instance has found that an upstream's limit ended.
+  void onLimitEnded(const std::string &upstream);
   void onTimer();
 
   /// The quarantines to tell to instances that may have missed them.
--- a/src/proxy/RequestLog.cpp
+++ b/src/proxy/RequestLog.cpp
@@ -76,7 +76,8 @@
          " slow=" + std::to_string(it.Slow) +
          " unknown=" + std::to_string(it.Stale) +
          " waiting=" + std::to_string(it.Queued) +
-         " retry-tokens=" + formatNumber(it.RetryTokens);
+         " retry-tokens=" + formatNumber(it.RetryTokens) +
+         " limited=" + std::to_string(it.Limited);
 }
 
 } // namespace
--- a/tests/balance/Simulation.cpp
+++ b/tests/balance/Simulation.cpp
@@ -38,6 +38,7 @@
 Simulation::Simulation(std::size_t instances, UpstreamProfile upstreams,
                        std::uint64_t seed)
     : Profile(upstreams), Rng(seed) {
+  KnownInstances = instances;
   Plan.Service = "s";
   Plan.Budget = {0.2, 56, instances};
   Plan.ProbesPerSecond = 54.0 / static_cast<double>(instances);
@@ -59,6 +60,10 @@
 ServicePlan Simulation::planFor(std::size_t instance) const {
   ServicePlan plan = Plan;
   plan.Domain = domainOf(instance);
+  plan.Instance = "i" + std::to_string(instance);
+  for (std::size_t n = 0; n < KnownInstances; ++n) {
+    plan.Instances.push_back("i" + std::to_string(n));
+  }
   plan.Upstreams.clear();
   for (const SimulatedUpstream &it : Upstreams) {
     plan.Upstreams.push_back(it.Plan);
@@ -228,6 +233,9 @@
               ++QuarantineBroadcasts;
               notifyOthers(instance, PeerQuarantined{it.Fingerprint});
             },
+            [&](const BroadcastLimitEnded &it) {
+              notifyOthers(instance, PeerLimitEnded{it.Upstream});
+            },
             [&](const BroadcastCleared &it) {
               notifyOthers(instance, PeerCleared{it.Fingerprint});
             }},
@@ -341,6 +349,7 @@
   }
   attempt->HasArrived = true;
   ++it.Arrivals;
+  recordLimitedArrival(it, attempt->Instance);
   if (++ArrivalsOf[attempt->Request] > 1) {
     ++RepeatedArrivals;
   }
@@ -407,6 +416,15 @@
   startNextWaiting(attempt->Upstream);
 }
 
+void Simulation::recordLimitedArrival(SimulatedUpstream &upstream,
+                                      std::size_t instance) {
+  const auto named = upstream.LimitNamedAt.find(instance);
+  if (upstream.RateLimit && named != upstream.LimitNamedAt.end() &&
+      Clock - named->second >= std::chrono::milliseconds{500}) {
+    upstream.LimitedArrivals.push_back(Clock);
+  }
+}
+
 void Simulation::startNextWaiting(std::size_t upstream) {
   SimulatedUpstream &it = Upstreams[upstream];
   if (it.Running < it.Plan.Slots && !it.Waiting.empty()) {
@@ -434,12 +452,20 @@
   if (carriesReport && Profile.ReportsLoad) {
     event.Report = reportOf(it);
   }
+  if (carriesReport) {
+    event.RateLimit = it.RateLimit;
+  }
   const Duration back = oneWayDelay(attempt->Instance, it);
+  const bool namesLimit = carriesReport && it.RateLimit;
   const bool keeps = end == AttemptEnd::Answered ||
                      end == AttemptEnd::RefusedUnrun ||
                      end == AttemptEnd::Misdirected;
   scheduleAt(Clock + (cancelled ? Duration{0} : back), [this, attempt, event,
-                                                        keeps] {
+                                                        keeps, namesLimit] {
+    if (namesLimit) {
+      Upstreams[attempt->Upstream].LimitNamedAt.try_emplace(attempt->Instance,
+                                                            Clock);
+    }
     if (keeps) {
       keepConnection(attempt->Instance, attempt->Upstream, attempt->Connection);
     }
--- a/tests/balance/Simulation.h
+++ b/tests/balance/Simulation.h
@@ -76,6 +76,13 @@
   /// half a second after it had first refused one of that instance.
   std::map<std::size_t, unsigned> ArrivalsWhileRefusing;
   std::map<std::size_t, Instant> FirstRefusalAt; ///< By instance.
+  /// Requests per second that it says it takes from all instances.
+  std::optional<double> RateLimit;
+  /// When it named the limit to each instance first.
+  std::map<std::size_t, Instant> LimitNamedAt;
+  /// Arrivals from instances that it had named the limit to half a second
+  /// before or earlier.
+  std::vector<Instant> LimitedArrivals;
   double UnreportedSlowdown = 1; ///< Missing from its load reports.
   Instant ColdUntil{};
   unsigned ColdArrivals = 0;
@@ -159,6 +166,8 @@
   std::vector<SimulatedUpstream> Upstreams;
   std::map<std::uint64_t, SimulatedRequest> Requests;
   ServicePlan Plan; ///< The same on all instances; updatePlan adds Upstreams.
+  /// Instances that the others know: those with a lower number.
+  std::size_t KnownInstances = 0;
   unsigned QuarantineBroadcasts = 0;
   /// Arrivals at upstreams beyond the first of each request.
   std::uint64_t RepeatedArrivals = 0;
@@ -198,6 +207,7 @@
   void endAttempt(const std::shared_ptr<SimulatedAttempt> &attempt,
                   AttemptEnd end, unsigned status);
   void startNextWaiting(std::size_t upstream);
+  void recordLimitedArrival(SimulatedUpstream &upstream, std::size_t instance);
   /// Takes a kept connection to the upstream, if there is one.
   bool takeConnection(std::size_t instance, std::size_t upstream);
   void keepConnection(std::size_t instance, std::size_t upstream,
--- a/tests/drill/RateLimitTest.cpp
+++ b/tests/drill/RateLimitTest.cpp
@@ -79,4 +79,10 @@
   const double seconds = std::chrono::duration<double>(LimitWindow).count();
   BOOST_TEST(mostWithin(arrivals, LimitWindow) <=
              NamedLimit * seconds * OverLimitFactor + ExtraRequests);
+  limited.Faults.RateLimit.clear();
+  sendRequests(drill, 3s);
+  const Instant ended = readClock();
+  sendRequests(drill, 2s);
+  BOOST_TEST(arrivalsAt(drill, limited.id(), ended).size() >=
+             NamedLimit * 2 * 2); // Twice what the limit would have allowed.
 }
--- a/tests/fleet/CodecTest.cpp
+++ b/tests/fleet/CodecTest.cpp
@@ -110,10 +110,13 @@
   Datagram cleared{Datagram::Pong{}, sampleMember("x"), {}};
   cleared.ClearedFingerprints = {1, 1ULL << 63U};
   cleared.Quarantines = {{5, Duration{6}}};
+  cleared.EndedLimits = {"u1"};
   const auto decodedCleared = decodeDatagram(encodeDatagram(cleared));
   BOOST_REQUIRE(decodedCleared.has_value());
   BOOST_TEST(decodedCleared->ClearedFingerprints == cleared.ClearedFingerprints,
              boost::test_tools::per_element());
+  BOOST_TEST(decodedCleared->EndedLimits == cleared.EndedLimits,
+             boost::test_tools::per_element());
   BOOST_REQUIRE(decodedCleared->Quarantines.size() == 1);
   BOOST_TEST(decodedCleared->Quarantines[0].Fingerprint == 5);
   BOOST_TEST((decodedCleared->Quarantines[0].Remaining == Duration{6}));
--- a/tests/fleet/PeerTaskTest.cpp
+++ b/tests/fleet/PeerTaskTest.cpp
@@ -68,7 +68,8 @@
                 all.push_back({OwnQuarantine, 60s});
               }
               return all;
-            }};
+            },
+            [this](const std::string &upstream) { EndedLimit = upstream; }};
   }
 
   /// Sets the state as if this instance had read it from the store.
@@ -84,6 +85,7 @@
   std::uint64_t Version = 0;
   std::uint64_t QuarantinedFingerprint = 0;
   std::uint64_t ClearedFingerprint = 0;
+  std::string EndedLimit;
   std::uint64_t OwnQuarantine = 0; ///< Told with pings and pongs.
   std::unique_ptr<PeerTask> Task;
 };
@@ -248,6 +250,18 @@
   }));
 }
 
+BOOST_AUTO_TEST_CASE(endOfALimitReachesAll) {
+  Domain it(4);
+  BOOST_REQUIRE(it.waitForReader());
+  it.reader()->setVersion(5);
+  BOOST_REQUIRE(it.waitUntilAllSeeLive(4));
+  it.Peers.back()->Task->broadcastLimitEnded("u1");
+  BOOST_TEST(it.EventLoop.runUntil([&] {
+    return std::all_of(it.Peers.begin(), it.Peers.end() - 1,
+                       [](const auto &any) { return any->EndedLimit == "u1"; });
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(leavingInstanceIsReportedToAll) {
   Domain it(4);
   BOOST_REQUIRE(it.waitForReader());
--- a/tests/proxy/FakeNetwork.h
+++ b/tests/proxy/FakeNetwork.h
@@ -153,6 +153,7 @@
     out.BroadcastSuspected = [](const balance::CrashSuspect &) {};
     out.BroadcastQuarantined = [](std::uint64_t) {};
     out.BroadcastCleared = [](std::uint64_t) {};
+    out.BroadcastLimitEnded = [](const std::string &) {};
     out.ReachChanged = [](bool, bool) {};
     out.RelayTargets = [this] { return Targets; };
     return out;
