--- a/tests/balance/LoadTest.cpp
+++ b/tests/balance/LoadTest.cpp
@@ -456,7 +456,7 @@
   RequestKind kind = lookups(150);
   kind.Contents = 20;
   simulation.addLoad(kind, 20s);
-  for (unsigned n = 0; n < 60; ++n) {
+  for (std::size_t n = 0; n < 60; ++n) {
     simulation.scheduleAfter(1s + 300ms * n, [&simulation, n] {
       simulation.crash(n * 5 % simulation.Upstreams.size());
     });
--- a/tests/quarantine/QuarantineTest.cpp
+++ b/tests/quarantine/QuarantineTest.cpp
@@ -114,6 +114,7 @@
 inFlight(const std::vector<std::uint64_t> &fingerprints, Instant now,
          Duration ranFor = 100ms) {
   std::vector<InFlightRequest> all;
+  all.reserve(fingerprints.size());
   for (const std::uint64_t it : fingerprints) {
     all.push_back({it, now - ranFor, now});
   }
