store: a cut-off call is no outage while health checks succeed

Cause: each failed call counts as an outage, and after an outage removals wait 2.3 s for registrations that expired meanwhile to be renewed. A watch that the store cuts off is such a call, though the health check that follows at once succeeds: nothing expired, since the store was there. Ruled out: that the wait is allowed. The platform grants it after the store's return only. Change: the wait follows only an outage that a health check has met. One is sent at once when a call fails. New: registrationsThatExpireInAnOutageGetTimeToBeRenewed, in two kinds of outage, which fails if the wait is left out altogether.

--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -316,9 +316,9 @@
            call + ": " + nameOf(reply.Result) + ", " + reply.Error);
 }
 
-// Registrations that expired during the outage get a grace period to be
-// renewed. All reads start over, because the store may have dropped pending
-// calls.
+// Registrations that expired during an outage get a grace period to be renewed.
+// A call that was cut off while health checks succeed was no outage. All reads
+// start over, because the store may have dropped pending calls.
 void StoreTask::noteAvailable() {
   if (!Unavailable) {
     return;
@@ -326,7 +326,9 @@
   Unavailable = false;
   logEvent(EventId::PlatformBack,
            "after " + std::to_string(Ping.Failures) + " failed health checks");
-  recordStoreRecovery(LocalMirror.Upstreams, readClock());
+  if (Ping.Failures > 0) {
+    recordStoreRecovery(LocalMirror.Upstreams, readClock());
+  }
   restartReads();
 }
 
--- a/tests/store/StoreTaskTest.cpp
+++ b/tests/store/StoreTaskTest.cpp
@@ -315,11 +315,6 @@
   if (fault == ReadFault::LostAfterDroppedWatch) {
     it.Store.compactHistory();
     BOOST_REQUIRE(it.runUntil([&] { return it.Store.pendingWatches() == 4; }));
-    if (std::string(change.Kind) == "removed upstream") {
-      // Removals are delayed until registrations that expired are renewed; see
-      // removalRightAfterDroppedWatchesIsInForceInTime.
-      it.EventLoop.runFor(ReregistrationGrace);
-    }
   }
   if (fault == ReadFault::StaleReads) {
     it.Store.beginStaleReads();
@@ -332,6 +327,30 @@
   BOOST_TEST((readClock() - madeAt <= PropagationLimit));
 }
 
+BOOST_DATA_TEST_CASE(registrationsThatExpireInAnOutageGetTimeToBeRenewed,
+                     (std::vector<int>{
+                         static_cast<int>(standins::OutageMode::Unavailable),
+                         static_cast<int>(standins::OutageMode::NoResponse)}),
+                     outage) {
+  Fixture it;
+  it.Store.put("config", "main", configuration(1));
+  it.Store.put("servers", "u1", registration("s"));
+  it.Task.startReading();
+  BOOST_REQUIRE(it.untilHealthy());
+  it.Store.Faults.ActiveOutage = static_cast<standins::OutageMode>(outage);
+  it.Store.disconnectWatches();
+  BOOST_REQUIRE(it.runUntil([&] { return !it.Healthy; }));
+  it.EventLoop.runFor(500ms);
+  it.Store.remove("servers", "u1");
+  it.Store.Faults.ActiveOutage = standins::OutageMode::None;
+  BOOST_REQUIRE(it.untilHealthy());
+  it.EventLoop.runFor(1s);
+  BOOST_TEST(it.hasUpstream("u1"));
+  it.Store.put("servers", "u1", registration("s"));
+  it.EventLoop.runFor(ReregistrationGrace);
+  BOOST_TEST(it.hasUpstream("u1"));
+}
+
 BOOST_AUTO_TEST_CASE(removalRightAfterDroppedWatchesIsInForceInTime) {
   Fixture it;
   it.LocalMirror.Era = it.Store.era();
