fleet: datagrams of unknown kinds are not read as quarantines

What callers would see: during an upgrade to a build that sends a new kind of datagram, this build quarantines whatever fingerprint its bytes happen to give. Cause: the decoder took each kind that it did not know for the last one. Test: datagramOfAnUnknownKindIsNotDecoded, which failed before.

--- a/src/fleet/Codec.cpp
+++ b/src/fleet/Codec.cpp
@@ -304,7 +304,7 @@
 }
 
 std::optional<Datagram> decodeDatagram(std::string_view bytes) {
-  return unpack(bytes, [](capnp::MessageReader &message) {
+  const auto datagram = unpack(bytes, [](capnp::MessageReader &message) {
     const auto root = message.getRoot<wire::Datagram>();
     Datagram out;
     if (root.isPing()) {
@@ -319,8 +319,10 @@
     } else if (root.isLeaving()) {
       const auto it = root.getLeaving();
       out.Payload = LeavingUpstream{textOf(it.getId()), it.getStartedMs()};
-    } else {
+    } else if (root.isQuarantined()) {
       out.Payload = balance::PeerQuarantined{root.getQuarantined()};
+    } else {
+      return std::optional<Datagram>{}; // Of a newer build.
     }
     out.Sender = read(root.getSender());
     for (const auto it : root.getMembers()) {
@@ -337,8 +339,9 @@
     for (const std::uint64_t it : root.getClearedFingerprints()) {
       out.ClearedFingerprints.push_back(it);
     }
-    return out;
+    return std::optional(std::move(out));
   });
+  return datagram.value_or(std::nullopt);
 }
 
 std::string encodeConfiguration(const Configuration &config) {
--- a/src/fleet/Codec.h
+++ b/src/fleet/Codec.h
@@ -45,7 +45,8 @@
 
 std::string encodeDatagram(const Datagram &datagram);
 
-/// \returns none if the bytes are malformed.
+/// \returns none if the bytes are malformed or the datagram is of a kind that
+/// only newer builds know.
 std::optional<Datagram> decodeDatagram(std::string_view bytes);
 
 /// A complete list, or the changes to it.
--- a/tests/fleet/CodecTest.cpp
+++ b/tests/fleet/CodecTest.cpp
@@ -1,6 +1,13 @@
+#include <algorithm>
+
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <capnp/any.h>
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
 
+#include "fleet.capnp.h"
 #include "fleet/Codec.h"
 
 using namespace zinniarail;
@@ -80,6 +87,28 @@
   BOOST_TEST(decoded->Sequence == 300);
 }
 
+// Guards against reading it as a quarantine of whatever its bytes say.
+BOOST_AUTO_TEST_CASE(datagramOfAnUnknownKindIsNotDecoded) {
+  constexpr kj::byte quarantinedKind = 2;
+  constexpr kj::byte unknownKind = 99;
+  capnp::MallocMessageBuilder message;
+  message.initRoot<wire::fleet::Datagram>().setQuarantined(77);
+  capnp::AnyStruct::Builder root = message.getRoot<capnp::AnyStruct>();
+  capnp::Data::Builder data = root.getDataSection();
+  kj::byte *kind = std::find(data.begin(), data.end(), quarantinedKind);
+  BOOST_REQUIRE((kind != data.end()));
+  const auto decode = [&] {
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, message);
+    const auto bytes = out.getArray();
+    return decodeDatagram(
+        {reinterpret_cast<const char *>(bytes.begin()), bytes.size()});
+  };
+  BOOST_REQUIRE(decode().has_value());
+  *kind = unknownKind;
+  BOOST_TEST(!decode().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(datagramsRoundTrip) {
   const Datagram ping{Datagram::Ping{},
                       sampleMember("x"),
