quarantine: breaks of an upstream that wants no health checks are no evidence

What callers would see: a request that broke off at an upstream which asked for a pause is quarantined with one crash more. Cause: without a health check it was recorded as a crash that another instance reports. Found by reading the change. Change: it makes the request suspect only. Test: breaksOfAnUpstreamThatWantsNoHealthChecksAreNoEvidence, which failed.

--- a/include/zinniarail/quarantine/Quarantine.h
+++ b/include/zinniarail/quarantine/Quarantine.h
@@ -134,6 +134,11 @@
                          std::span<const InFlightRequest> inFlight,
                          Instant now);
 
+/// Makes a fingerprint suspect without evidence: it is isolated, so that the
+/// next crash counts.
+void recordSuspicion(Quarantine &quarantine, const QuarantineLimits &limits,
+                     std::uint64_t fingerprint, Instant now);
+
 /// Records a further request failure that belongs to a crash recorded before.
 /// Only a report requested after this failure can refute the crash.
 void recordFurtherFailure(Quarantine &quarantine, const std::string &upstream,
--- a/src/balance/Crashes.cpp
+++ b/src/balance/Crashes.cpp
@@ -81,9 +81,8 @@
   // Without a health check the requests are suspect, and no more.
   for (const BrokenAttempt &it : std::exchange(upstream.BrokenAttempts, {})) {
     logCheck(step, upstream, it, CrashChecked::Verdict::Skipped);
-    recordPeerSuspicion(*step.State.CrashQuarantine, Limits,
-                        {it.Fingerprint, it.Started, it.BrokenAt},
-                        {upstream.Plan.Id, 0}, step.Now);
+    recordSuspicion(*step.State.CrashQuarantine, Limits, it.Fingerprint,
+                    step.Now);
   }
 }
 
--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -239,6 +239,13 @@
   return outcome;
 }
 
+void recordSuspicion(Quarantine &quarantine, const QuarantineLimits &limits,
+                     std::uint64_t fingerprint, Instant now) {
+  dropExpired(quarantine, now);
+  quarantine.Suspects[fingerprint].ExpiresAt = now + limits.Lifetime;
+  evictSuspects(quarantine, limits);
+}
+
 void recordFurtherFailure(Quarantine &quarantine, const std::string &upstream,
                           Instant now) {
   for (auto &[fingerprint, suspicion] : quarantine.Suspects) {
--- a/tests/balance/CrashesTest.cpp
+++ b/tests/balance/CrashesTest.cpp
@@ -138,6 +138,24 @@
   BOOST_TEST(it.has<BroadcastQuarantined>());
 }
 
+BOOST_AUTO_TEST_CASE(breaksOfAnUpstreamThatWantsNoHealthChecksAreNoEvidence) {
+  EngineDriver it;
+  it.send(Fingerprint);
+  ProbeEnded pause{it.Last.Upstream, true, false};
+  pause.RetryAfter = 10s;
+  it.pass(pause);
+  it.pass(AttemptEnded{it.Last.Attempt, AttemptEnd::Broken});
+  BOOST_TEST(!it.has<SendProbe>());
+  it.Now += 1s;
+  it.send(Fingerprint);
+  BOOST_TEST(it.Last.NewConnection);
+  it.breakLast(true);
+  BOOST_TEST(!it.has<BroadcastQuarantined>());
+  it.send(Fingerprint);
+  it.breakLast(true);
+  BOOST_TEST(it.has<BroadcastQuarantined>());
+}
+
 BOOST_AUTO_TEST_CASE(responsesToSuspectsAreToldToTheOtherInstances) {
   EngineDriver it;
   it.pass(PeerSuspected{{Fingerprint, "x"}});
