balance: without upstreams the refusal says so again

What callers saw: requests to a service without upstreams were refused with Retry-After 1 s in place of 300 ms, and the log said overloaded. Cause: since limits are kept, a service without upstreams counted as one whose upstreams all named limits that allow no request. Change: there must be an upstream that has a limit.

--- a/src/balance/RateLimits.cpp
+++ b/src/balance/RateLimits.cpp
@@ -152,6 +152,7 @@
 std::optional<std::size_t> turnsBefore(const Engine &engine, Instant when,
                                        Instant now) {
   std::size_t turns = 0;
+  bool anyPlanned = false;
   for (const auto &[id, it] : engine.Upstreams) {
     if (!it.Planned) {
       continue;
@@ -159,13 +160,14 @@
     if (!it.RateLimit) {
       return std::nullopt;
     }
+    anyPlanned = true;
     const Instant next = std::max(it.NextLimitedRequestAt, now);
     if (next <= when) {
       turns +=
           1 + static_cast<std::size_t>((when - next) / it.LimitShare.Interval);
     }
   }
-  return turns;
+  return anyPlanned ? std::optional(turns) : std::nullopt;
 }
 
 Duration limitedRetryAfter(Engine &engine, Instant now) {
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -234,7 +234,7 @@
 /// Whether the upstream's limit allows this instance no request yet.
 bool awaitsTurn(const UpstreamState &upstream, Instant now);
 /// The number of requests that the upstreams' limits allow until \p when; none
-/// if one of the planned upstreams has no limit.
+/// if one of the planned upstreams has no limit, or there is none.
 std::optional<std::size_t> turnsBefore(const Engine &engine, Instant when,
                                        Instant now);
 /// Retry-After while the upstreams' limits allow no request: spreads callers
--- a/tests/balance/LoadTest.cpp
+++ b/tests/balance/LoadTest.cpp
@@ -265,6 +265,7 @@
   BOOST_TEST((*it.RefusedOutcome == Execution::DidNotRun));
   BOOST_TEST((*it.AnsweredAt == it.Arrived));
   BOOST_TEST((it.RetryAfter > Duration{0}));
+  BOOST_TEST((it.Refusal == RefusalReason::NoUpstream));
 }
 
 // Three of the upstreams refuse all requests for two seconds and say so. The
