balance: an instance without a share sends callers to others soon

What callers would see: an instance that holds no share of any limit refused with the Retry-After of its own next request, minutes away in a large fleet, though other instances hold shares. Change: only shares count; without any it is one second. Test: refusalsWithoutAShareSayWhenOthersMayServe (848 of the refusals said more than 10 s before).

--- a/src/balance/RateLimits.cpp
+++ b/src/balance/RateLimits.cpp
@@ -30,8 +30,8 @@
 
 constexpr Duration MinInterval = std::chrono::microseconds{100};
 
-// Retry-After while no upstream can be used for longer than is known.
-constexpr Duration DefaultTurn = std::chrono::seconds{1};
+// Retry-After of an instance that holds no share of any limit: others do.
+constexpr Duration NoShareRetryAfter = std::chrono::seconds{1};
 
 std::uint64_t priorityOf(const std::string &instance,
                          const std::string &upstream) {
@@ -174,14 +174,14 @@
   double turnsPerSecond = 0;
   Instant first = Instant::max();
   for (const auto &[id, it] : engine.Upstreams) {
-    if (it.Planned && it.RateLimit) {
+    if (it.Planned && it.RateLimit && it.LimitShare.IsHolder) {
       first = std::min(first, std::max(it.NextLimitedRequestAt, now));
       turnsPerSecond +=
           MicrosPerSecond / static_cast<double>(it.LimitShare.Interval.count());
     }
   }
   if (turnsPerSecond <= 0) {
-    return DefaultTurn;
+    return NoShareRetryAfter;
   }
   const double waiting = static_cast<double>(engine.Queue.size()) + 1;
   const Duration spread = scaled(
--- a/tests/balance/RateLimitTest.cpp
+++ b/tests/balance/RateLimitTest.cpp
@@ -168,6 +168,24 @@
   BOOST_TEST(all.InTime + all.Late >= taken / 2);
 }
 
+// Most of the instances hold no share, and must not send callers away for long.
+BOOST_AUTO_TEST_CASE(refusalsWithoutAShareSayWhenOthersMayServe) {
+  UpstreamProfile two;
+  two.Count = 2;
+  Simulation simulation(100, two, 89);
+  simulation.addLoad(lookups(40), 30s);
+  simulation.run(2s);
+  for (SimulatedUpstream &it : simulation.Upstreams) {
+    it.RateLimit = 2;
+  }
+  simulation.run(30s);
+  for (const auto &[id, it] : simulation.Requests) {
+    if (it.Refusal == RefusalReason::Overloaded) {
+      BOOST_TEST((it.RetryAfter <= 10s));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(anUpstreamWhoseLimitEndsIsUsedInFullAgain) {
   Simulation simulation(13, {}, 83);
   simulation.addLoad(lookups(100), 80s);
