fleet: log the first update from a reader and updates that followers wait for

The log said when a follower chose its reader and when a version was in force, not how long its poll waited, what the response held and how large it was, nor how many followers a reader kept waiting. update-received and updates-deferred tell a slow way from a new reader to its followers (hypothesis 1) from an election that takes long (2) and from a reader that seems lost (3).

--- a/include/zinniarail/events/Events.h
+++ b/include/zinniarail/events/Events.h
@@ -39,6 +39,8 @@
   StoreRestored = 217,
   StoreRead = 218,
   PollAbandoned = 219,
+  UpdateReceived = 220,
+  UpdatesDeferred = 221,
   RequestServed = 310,
   RequestSlow = 311,
   RequestRefused = 312,
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -89,6 +89,17 @@
      "starts again on a new one. The fields give the sequence that the "
      "instance has, that of the reader, and for how long it has been behind. "
      "If this repeats, look at the network between the two."},
+    {EventId::UpdateReceived, "update-received", EventLevel::Info,
+     "The first update arrived from a reader that this instance has begun to "
+     "follow. The fields give the reader, the size of the update, the parts in "
+     "it, whether these are complete or only what changed, and how long the "
+     "instance waited for it."},
+    {EventId::UpdatesDeferred, "updates-deferred", EventLevel::Info,
+     "This instance reads the store for others and made some of them wait for "
+     "updates, so that updates leave bandwidth on its link for other messages. "
+     "Logged when none waits any more, and each second until then. The fields "
+     "give the number of followers that wait, the updates that were sent "
+     "late, their size, and the longest wait."},
     {EventId::RequestServed, "request-served", EventLevel::Info,
      "A request was answered in time. Under load only some of these are "
      "listed; see requests-not-listed."},
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -451,6 +451,7 @@
   cancelPoll();
   Lag = {};
   ReaderLiveList.clear();
+  FirstUpdateAwaitedSince = readClock();
 }
 
 void PeerTask::handlePollResult(http::CallId id,
@@ -471,6 +472,7 @@
     NextPollAt = readClock() + PollRetryDelay;
     return;
   }
+  logFirstUpdate(*update, result.Response.Body.size());
   recordUpdate(Lag, update->BootId, update->Sequence);
   if (update->Members) {
     applyReaderMembers(*update->Members);
@@ -480,6 +482,31 @@
   pollReader();
 }
 
+void PeerTask::logFirstUpdate(const StateUpdate &update, std::size_t bytes) {
+  const auto since = std::exchange(FirstUpdateAwaitedSince, {});
+  if (!since) {
+    return;
+  }
+  std::string parts;
+  const auto add = [&](bool contained, const char *name) {
+    if (contained) {
+      parts += (parts.empty() ? "" : ",") + std::string(name);
+    }
+  };
+  add(update.Config != nullptr, "configuration");
+  add(update.EvacuatedDomains.has_value(), "evacuations");
+  add(update.Upstreams.has_value(), "upstreams");
+  add(update.Members.has_value(), "instances");
+  const bool isComplete =
+      (update.Upstreams && update.Upstreams->List.IsComplete) ||
+      (update.Members && update.Members->List.IsComplete);
+  logEvent(EventId::UpdateReceived, {{"reader", ReaderElection.Reader},
+                                     {"parts", parts},
+                                     {"complete", isComplete ? "yes" : "no"},
+                                     {"bytes", bytes},
+                                     {"waited_ms", readClock() - *since}});
+}
+
 void PeerTask::applyReaderMembers(const MembersUpdate &update) {
   if (update.List.IsComplete) {
     ReaderLiveList.clear();
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -158,6 +159,7 @@
   void abandonOverduePoll();
   void cancelPoll();
   void handlePollResult(http::CallId id, const http::CallResult &result);
+  void logFirstUpdate(const StateUpdate &update, std::size_t bytes);
   void applyReaderMembers(const MembersUpdate &update);
   void resetPolling();
   void addRecorded();
@@ -199,6 +201,8 @@
   Instant PollStartedAt{};
   std::string PollAddress; ///< Address that the last poll was sent to.
   FollowerLag Lag;
+  /// When this instance began to follow its reader; none: it has got an update.
+  std::optional<Instant> FirstUpdateAwaitedSince;
   std::map<std::string, Member> ReaderLiveList; ///< By id, from the reader.
 };
 
--- a/src/fleet/UpdateServer.cpp
+++ b/src/fleet/UpdateServer.cpp
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "zinniarail/events/Events.h"
+
 namespace zinniarail::fleet {
 
 namespace {
@@ -17,6 +19,9 @@
 // The encoded snapshot is reused for this long.
 constexpr Duration SnapshotCacheTime = std::chrono::milliseconds{500};
 
+// Time between two log lines while responses are deferred.
+constexpr Duration DeferredLogInterval = std::chrono::seconds{1};
+
 constexpr unsigned Ok = 200;
 constexpr unsigned NotFound = 404;
 
@@ -125,12 +130,15 @@
 // Large responses are spaced out to leave bandwidth for pings and pongs: when
 // many instances poll for the complete state at once, late pongs would make the
 // reader seem lost.
-void UpdateServer::answerOrDefer(const PendingPoll &poll) {
+void UpdateServer::answerOrDefer(PendingPoll poll) {
   const std::string *update = updateSince(State, poll.LastSequence);
   const Instant now = readClock();
   const bool isLarge =
       update != nullptr && update->size() > LargeResponseBytes && LinkMbps > 0;
   if (update == nullptr || (isLarge && now < NextLargeResponseAt)) {
+    if (isLarge && poll.DeferredSince == Instant{}) {
+      poll.DeferredSince = now;
+    }
     PendingPolls.emplace(poll.Id, poll);
     if (isLarge && !ev_is_active(&LargeResponseTimer)) {
       const std::chrono::duration<double> left = NextLargeResponseAt - now;
@@ -145,14 +153,43 @@
                           (LinkMbps * LargeResponseLinkShare);
     NextLargeResponseAt = now + Duration(static_cast<Duration::rep>(micros));
   }
+  recordDeferred(poll, update->size(), now);
   Server.sendResponse(poll.Id, {Ok, {}, *update});
 }
 
+void UpdateServer::recordDeferred(const PendingPoll &poll, std::size_t bytes,
+                                  Instant now) {
+  if (poll.DeferredSince == Instant{}) {
+    return;
+  }
+  ++Deferred.Count;
+  Deferred.Bytes += bytes;
+  Deferred.LongestWait =
+      std::max(Deferred.LongestWait, now - poll.DeferredSince);
+}
+
+void UpdateServer::logDeferred(Instant now) {
+  const auto waiting = std::count_if(
+      PendingPolls.begin(), PendingPolls.end(),
+      [](const auto &it) { return it.second.DeferredSince != Instant{}; });
+  if (Deferred.Count == 0 ||
+      (waiting > 0 && now - DeferredLoggedAt < DeferredLogInterval)) {
+    return;
+  }
+  DeferredLoggedAt = now;
+  logEvent(EventId::UpdatesDeferred, {{"waiting", waiting},
+                                      {"sent", Deferred.Count},
+                                      {"bytes", Deferred.Bytes},
+                                      {"longest_ms", Deferred.LongestWait}});
+  Deferred = {};
+}
+
 void UpdateServer::answerPending() {
   const auto polls = std::exchange(PendingPolls, {});
   for (const auto &[id, it] : polls) {
     answerOrDefer(it);
   }
+  logDeferred(readClock());
 }
 
 const std::string &UpdateServer::encodedSnapshot() {
--- a/src/fleet/UpdateServer.h
+++ b/src/fleet/UpdateServer.h
@@ -75,11 +75,21 @@
     std::uint64_t FollowerBootId = 0; ///< 0: unknown.
     /// Sequence number of the follower's last update; 0: it has none.
     std::uint64_t LastSequence = 0;
+    Instant DeferredSince{}; ///< Since when an update waits to be sent.
+  };
+
+  /// What was sent late since it was last logged.
+  struct DeferredUpdates {
+    std::size_t Count = 0;
+    std::size_t Bytes = 0;
+    Duration LongestWait{0};
   };
 
   void handleRequest(http::ExchangeId id, const http::Request &request);
   void endEarlierPolls(std::uint64_t followerBootId);
-  void answerOrDefer(const PendingPoll &poll);
+  void answerOrDefer(PendingPoll poll);
+  void recordDeferred(const PendingPoll &poll, std::size_t bytes, Instant now);
+  void logDeferred(Instant now);
   void answerPending();
   const std::string &encodedSnapshot();
 
@@ -94,6 +104,8 @@
   /// Earliest time at which the next large response may be sent.
   Instant NextLargeResponseAt{};
   ev_timer LargeResponseTimer{};
+  DeferredUpdates Deferred;
+  Instant DeferredLoggedAt{};
   std::string Snapshot; ///< Encoded state; empty until first requested.
   Instant SnapshotEncodedAt{};
 };
