--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -11,6 +11,7 @@
 
 #include "daemon/StateChangeLog.h"
 #include "fleet/PeerTask.h"
+#include "fleet/StateExchange.h"
 #include "operator/OperatorPort.h"
 #include "platform/Platform.h"
 #include "proxy/Proxy.h"
@@ -91,7 +92,6 @@
 
   void onDutyChanged(Duty duty);
   void applyUpdate(const fleet::StateUpdate &update);
-  void reportLeavingUnknownTo(const fleet::UpstreamsUpdate &update);
   void fillUpdate(fleet::StateUpdate &update, fleet::StatePart part) const;
   void onStoreChanged(platform::Kind kind);
   void onLiveMembersChanged();
@@ -440,77 +440,28 @@
 }
 
 void Daemon::applyUpdate(const fleet::StateUpdate &update) {
-  const Instant now = readClock();
-  const std::uint64_t era =
-      std::max(update.Upstreams ? update.Upstreams->AsOf.Era : 0,
-               update.EvacuatedDomains ? update.EvacuatedDomains->AsOf.Era : 0);
-  enterEra(LocalMirror, era, now);
-  if (update.Config) {
-    if (auto config = fleet::decodeConfiguration(*update.Config)) {
-      updateConfiguration(LocalMirror, std::move(config));
-    }
-  }
+  applyToMirror(LocalMirror, update, readClock());
   if (update.Upstreams) {
-    const auto &[list, asOf] = *update.Upstreams;
-    if (list.IsComplete) {
-      replaceUpstreams(LocalMirror, list.Items, asOf, now);
-    } else {
-      updateUpstreams(LocalMirror, list.Items, list.RemovedIds, asOf, now);
-    }
     HasUpstreamList = true;
-    reportLeavingUnknownTo(*update.Upstreams);
-  }
-  if (update.EvacuatedDomains) {
-    replaceEvacuatedDomains(LocalMirror,
-                            update.EvacuatedDomains->RevisionByName,
-                            update.EvacuatedDomains->AsOf, now);
-  }
-  SnapshotOutdated = true;
-}
-
-// A reader that has just started may not know which upstreams announced that
-// they leave.
-void Daemon::reportLeavingUnknownTo(const fleet::UpstreamsUpdate &update) {
-  for (const store::ListedUpstream &it : update.List.Items) {
-    const auto known = LocalMirror.Upstreams.Entries.find(it.Record.Id);
-    const bool isUnknown =
-        known != LocalMirror.Upstreams.Entries.end() &&
-        known->second.IsLeaving && !it.IsLeaving &&
-        known->second.Record.StartedMs == it.Record.StartedMs;
-    if (isUnknown) {
-      Peers.reportLeaving({it.Record.Id, it.Record.StartedMs});
+    // A reader that has just started may not know which upstreams announced
+    // that they leave.
+    for (const auto &it :
+         listLeavingUnknownTo(*update.Upstreams, LocalMirror)) {
+      Peers.reportLeaving(it);
     }
   }
+  SnapshotOutdated = true;
 }
 
 void Daemon::fillUpdate(fleet::StateUpdate &update,
                         fleet::StatePart part) const {
-  const Instant now = readClock();
-  switch (part) {
-  case fleet::StatePart::Configuration:
-    update.Config = std::make_shared<const std::string>(
-        fleet::encodeConfiguration(*LocalMirror.Config));
-    return;
-  case fleet::StatePart::Upstreams:
-    update.Upstreams.emplace();
-    update.Upstreams->AsOf = LocalMirror.UpstreamsRevision;
-    for (const auto &[id, it] : LocalMirror.Upstreams.Entries) {
-      update.Upstreams->List.Items.push_back(
-          {currentUpstream(it, now), it.Revision, it.IsLeaving});
-    }
-    return;
-  case fleet::StatePart::EvacuatedDomains:
-    update.EvacuatedDomains.emplace().AsOf = LocalMirror.EvacuationsRevision;
-    for (const auto &[domain, it] : LocalMirror.EvacuatedDomains) {
-      update.EvacuatedDomains->RevisionByName.emplace(domain, it.Revision);
-    }
-    return;
-  case fleet::StatePart::Members:
+  if (part == fleet::StatePart::Members) {
     update.Members.emplace();
     update.Members->List.Items = Peers.membersForFollowers();
     update.Members->FleetSize = Peers.fleetSize();
     return;
   }
+  fillFromMirror(update, part, LocalMirror, readClock());
 }
 
 void Daemon::onStoreChanged(platform::Kind kind) {
--- a/src/fleet/Codec.h
+++ b/src/fleet/Codec.h
@@ -75,6 +75,14 @@
   std::size_t FleetSize = 0; ///< Instances in all failure domains.
 };
 
+/// The parts of the state that a reader sends its followers.
+enum class StatePart : std::uint8_t {
+  Configuration,
+  Upstreams,
+  EvacuatedDomains,
+  Members
+};
+
 /// Version number, raised with each change to the encoding of StateUpdate: an
 /// instance only follows readers with the same format.
 constexpr unsigned CurrentUpdateFormat = 4;
--- a/src/fleet/UpdateServer.h
+++ b/src/fleet/UpdateServer.h
@@ -28,14 +28,6 @@
 /// large deployment.
 constexpr std::size_t MaxUpdateBytes = std::size_t{8} << 20;
 
-/// The parts of the state that a reader sends its followers.
-enum class StatePart : std::uint8_t {
-  Configuration,
-  Upstreams,
-  EvacuatedDomains,
-  Members
-};
-
 /// Fills in one part of the state completely and leaves the others empty.
 using FillUpdate = std::function<void(StateUpdate &, StatePart)>;
 
