fleet: pings and pongs don't copy the list of members

Found while 79 instances ran in one test: without a reader, each pings its whole failure domain every 0.4 s, and each pong copied, hashed and sorted all members for the five that it names; each tick and each change did likewise for a digest and a count. The test's processor time was 4.5 s, health checks that nothing held up timed out in it. Now only the members that are returned are copied. The same test: 1.3 s, and the health checks succeed.

--- a/include/zinniarail/fleet/Members.h
+++ b/include/zinniarail/fleet/Members.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -102,10 +103,24 @@
 std::vector<Member> topCandidates(const Members &members, std::size_t count,
                                   Instant now);
 
+/// The members of highest priority in a failure domain that sent a message
+/// within LivenessTimeout, this instance left out.
+/// \param exceptId id of a member that is left out.
+/// \param count maximum number of members.
+std::vector<Member> topRecentMembers(const Members &members,
+                                     const std::string &domain,
+                                     const std::string &exceptId,
+                                     std::size_t count, Instant now);
+
 /// The members that have a snapshot and sent a message within LivenessTimeout,
 /// those of this instance's failure domain first.
 std::vector<Member> membersWithSnapshot(const Members &members, Instant now);
 
+/// Visits the live members of this instance's failure domain, itself included,
+/// in the order of their ids.
+void forEachLiveMember(const Members &members, Instant now,
+                       const std::function<void(const Member &)> &visit);
+
 /// The live members of this instance's failure domain, itself included, sorted
 /// by id.
 std::vector<Member> listLiveMembers(const Members &members, Instant now);
--- a/src/fleet/Members.cpp
+++ b/src/fleet/Members.cpp
@@ -10,6 +10,26 @@
 
 bool isUsable(const Member &it) { return it.Ready && !it.Record.Leaving; }
 
+bool isInOwnDomain(const Members &members, const KnownMember &it) {
+  return it.LastStatus.Record.Domain == members.LocalMember.Record.Domain;
+}
+
+// Copies the members of highest priority, in its order.
+std::vector<Member> copyTop(std::vector<const Member *> members,
+                            std::size_t count) {
+  const auto end = members.begin() +
+                   static_cast<std::ptrdiff_t>(std::min(members.size(), count));
+  std::partial_sort(members.begin(), end, members.end(),
+                    [](const Member *a, const Member *b) {
+                      return hasHigherPriority(*a, *b);
+                    });
+  std::vector<Member> top;
+  for (auto it = members.begin(); it != end; ++it) {
+    top.push_back(**it);
+  }
+  return top;
+}
+
 } // namespace
 
 bool recordMessageFrom(Members &members, const Member &member, Instant now) {
@@ -111,24 +131,34 @@
   if (a.ElectionWeight != b.ElectionWeight) {
     return a.ElectionWeight > b.ElectionWeight;
   }
-  const auto key = [](const Member &it) {
-    return std::make_pair(hashBytes(it.Record.Id), it.Record.Id);
-  };
-  return key(a) < key(b);
+  const std::uint64_t hashA = hashBytes(a.Record.Id);
+  const std::uint64_t hashB = hashBytes(b.Record.Id);
+  return hashA != hashB ? hashA < hashB : a.Record.Id < b.Record.Id;
 }
 
 std::vector<Member> topCandidates(const Members &members, std::size_t count,
                                   Instant now) {
-  std::vector<Member> selected;
+  std::vector<const Member *> responsive;
   for (const auto &[id, it] : members.Others) {
-    if (it.LastStatus.Record.Domain == members.LocalMember.Record.Domain &&
-        !isUnresponsive(it, now)) {
-      selected.push_back(it.LastStatus);
+    if (isInOwnDomain(members, it) && !isUnresponsive(it, now)) {
+      responsive.push_back(&it.LastStatus);
     }
   }
-  std::sort(selected.begin(), selected.end(), hasHigherPriority);
-  selected.resize(std::min(selected.size(), count));
-  return selected;
+  return copyTop(std::move(responsive), count);
+}
+
+std::vector<Member> topRecentMembers(const Members &members,
+                                     const std::string &domain,
+                                     const std::string &exceptId,
+                                     std::size_t count, Instant now) {
+  std::vector<const Member *> recent;
+  for (const auto &[id, it] : members.Others) {
+    if (it.LastStatus.Record.Domain == domain && id != exceptId &&
+        hasRecentMessage(it, now)) {
+      recent.push_back(&it.LastStatus);
+    }
+  }
+  return copyTop(std::move(recent), count);
 }
 
 std::vector<Member> membersWithSnapshot(const Members &members, Instant now) {
@@ -145,25 +175,38 @@
   return selected;
 }
 
-std::vector<Member> listLiveMembers(const Members &members, Instant now) {
-  std::vector<Member> live;
-  for (const auto &[id, it] : members.Others) {
-    if (it.LastStatus.Record.Domain == members.LocalMember.Record.Domain &&
-        isLive(it, now)) {
-      live.push_back(it.LastStatus);
+void forEachLiveMember(const Members &members, Instant now,
+                       const std::function<void(const Member &)> &visit) {
+  const std::string &ownId = members.LocalMember.Record.Id;
+  const auto next = members.Others.lower_bound(ownId);
+  for (auto it = members.Others.begin();; ++it) {
+    if (it == next) {
+      visit(members.LocalMember);
+    }
+    if (it == members.Others.end()) {
+      return;
+    }
+    if (isInOwnDomain(members, it->second) && isLive(it->second, now)) {
+      visit(it->second.LastStatus);
     }
   }
-  live.push_back(members.LocalMember);
-  std::sort(live.begin(), live.end(), [](const Member &a, const Member &b) {
-    return a.Record.Id < b.Record.Id;
-  });
+}
+
+std::vector<Member> listLiveMembers(const Members &members, Instant now) {
+  std::vector<Member> live;
+  forEachLiveMember(members, now,
+                    [&](const Member &it) { live.push_back(it); });
   return live;
 }
 
 bool needsOtherDomains(const Members &members, Instant now) {
-  const std::vector<Member> live = listLiveMembers(members, now);
-  const auto ready = std::count_if(live.begin(), live.end(), isUsable);
-  return static_cast<std::size_t>(ready) * 2 < live.size();
+  std::size_t live = 0;
+  std::size_t usable = 0;
+  forEachLiveMember(members, now, [&](const Member &it) {
+    ++live;
+    usable += isUsable(it) ? 1 : 0;
+  });
+  return usable * 2 < live;
 }
 
 std::vector<Member> listReadyMembers(const Members &members, Instant now) {
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -325,14 +325,9 @@
   }
   if (std::holds_alternative<Datagram::Ping>(datagram.Payload)) {
     Datagram pong{Datagram::Pong{}, Membership.LocalMember, {}};
-    for (const auto &[id, it] : Membership.Others) {
-      if (it.LastStatus.Record.Domain == datagram.Sender.Record.Domain &&
-          id != datagram.Sender.Record.Id && hasRecentMessage(it, now)) {
-        pong.Members.push_back(it.LastStatus);
-      }
-    }
-    std::sort(pong.Members.begin(), pong.Members.end(), hasHigherPriority);
-    pong.Members.resize(std::min(pong.Members.size(), MaxMembersInPong));
+    pong.Members =
+        topRecentMembers(Membership, datagram.Sender.Record.Domain,
+                         datagram.Sender.Record.Id, MaxMembersInPong, now);
     pong.Quarantines = Handlers.ListQuarantines(MaxQuarantinesTold);
     pong.Sequence = Publisher.sequenceFor(datagram.Sender.BootId);
     send(from, pong);
@@ -665,11 +660,11 @@
     applyReaderLiveList(Membership, {}, now);
   }
   std::uint64_t digest = 0;
-  for (const Member &it : listLiveMembers(Membership, now)) {
+  forEachLiveMember(Membership, now, [&](const Member &it) {
     digest = hashCombine(digest,
                          hashBytes(it.Record.Id + it.Record.CallerAddress) +
                              (it.Record.Leaving ? 1 : 0) + (it.Ready ? 2 : 0));
-  }
+  });
   if (digest == LiveDigest) {
     return;
   }
