--- a/tests/fleet/PeerTaskTest.cpp
+++ b/tests/fleet/PeerTaskTest.cpp
@@ -15,10 +15,10 @@
 /// One instance without a store; the test sets the state that it would read.
 struct Peer {
   Peer(struct ev_loop *loop, unsigned number,
-       const std::vector<std::string> &seeds)
+       const std::vector<std::string> &seeds, Duration discoveryTime = 50ms)
       : Id("i" + std::to_string(number)), Address(addressOf(number)),
-        Task(std::make_unique<PeerTask>(loop, describe(number), seeds, 50ms, 0,
-                                        handlers())) {}
+        Task(std::make_unique<PeerTask>(loop, describe(number), seeds,
+                                        discoveryTime, 0, handlers())) {}
 
   static std::string addressOf(unsigned number) {
     return standins::loopbackAddress("11." + std::to_string(number) + ":23000");
@@ -35,6 +35,8 @@
   PeerHandlers handlers() {
     return {[](Duty) {},
             [this](const StateUpdate &update) {
+              CompleteLists +=
+                  update.Members && update.Members->List.IsComplete ? 1 : 0;
               if (update.Config) {
                 Version = decodeConfiguration(*update.Config)->Version;
                 Task->setHasSnapshot(true);
@@ -83,6 +85,7 @@
   std::string Id;
   std::string Address;
   std::uint64_t Version = 0;
+  unsigned CompleteLists = 0; ///< Number of complete lists received.
   std::uint64_t QuarantinedFingerprint = 0;
   std::uint64_t ClearedFingerprint = 0;
   std::string EndedLimit;
@@ -148,11 +151,12 @@
 
 /// A reader with version 5 and a follower that has it, with a relay in between.
 struct RelayedPair {
-  RelayedPair()
+  explicit RelayedPair(Duration followerDiscoveryTime = 50ms)
       : Relay(EventLoop.Loop, Peer::addressOf(1), Peer::addressOf(101),
               Peer::addressOf(2), Peer::addressOf(102)),
         Reader(EventLoop.Loop, 1, {Peer::addressOf(102)}),
-        Follower(EventLoop.Loop, 2, {Peer::addressOf(101)}) {
+        Follower(EventLoop.Loop, 2, {Peer::addressOf(101)},
+                 followerDiscoveryTime) {
     BOOST_REQUIRE(Relay.open());
     BOOST_REQUIRE(Reader.Task->open());
     BOOST_REQUIRE(Follower.Task->open());
@@ -369,6 +373,22 @@
   BOOST_TEST(it.Follower.Task->isStateCurrent());
 }
 
+// Pongs may be late because the reader's link is busy. A follower that asked
+// for the whole state again would keep the link busy.
+BOOST_AUTO_TEST_CASE(followerThatLostSightOfItsReaderGetsOnlyChanges) {
+  RelayedPair it{1h};
+  it.start();
+  BOOST_TEST(it.Follower.CompleteLists == 1);
+  it.Relay.Change = [](Datagram &) { return false; };
+  BOOST_TEST(it.EventLoop.runUntil(
+      [&] { return it.Follower.Task->duty() == Duty::Wait; }));
+  it.Reader.setVersion(6);
+  it.Relay.Change = {};
+  BOOST_TEST(it.EventLoop.runUntil([&] { return it.Follower.Version == 6; }));
+  it.EventLoop.runFor(300ms);
+  BOOST_TEST(it.Follower.CompleteLists == 1);
+}
+
 // As during a rolling upgrade from a version that tells no sequence.
 BOOST_AUTO_TEST_CASE(followerOfAReaderWithoutSequenceGetsChanges) {
   RelayedPair it;
