fleet: the configuration and evacuations have polls of their own

What callers saw: requests handled by version 3 up to 4.4 s after version 5 was acknowledged. Cause: a follower got all parts of the state in one response. Ruled out: no spacing. Change: two channels, each with its own poll, sequence and lag: control (configuration, evacuated failure domains) and lists (upstreams, members). Only lists are spaced out.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -54,8 +54,8 @@
   sender @3 :Member;
   # In a pong, other members of the receiver's failure domain; else empty.
   members @4 :List(Member);
-  # In a reader's pong, the sequence of its StateUpdates that the receiver should
-  # have by now; 0: unknown.
+  # In a reader's pong, the sequence of the StateUpdate of the control channel
+  # that the receiver should have by now; 0: unknown.
   sequence @7 :UInt64;
   # Fingerprints of requests that were suspected to crash upstreams, and have had
   # a complete response since.
@@ -64,6 +64,7 @@
   quarantines @9 :List(Quarantine);
   # Upstreams that named a limit on their requests, and name none any more.
   endedLimits @10 :List(Text);
+  listsSequence @11 :UInt64;    # As sequence, of the channel for lists.
 }
 
 struct Destination {
@@ -144,8 +145,9 @@
   fleetSize @3 :UInt32;         # Instances in all failure domains.
 }
 
-# The parts of the state that changed since a follower's last poll; unchanged
-# parts are left out. Raise CurrentUpdateFormat with each change to this struct.
+# The parts of one channel that changed since a follower's last poll of it;
+# unchanged parts are left out. In a snapshot, all parts but the members. Raise
+# CurrentUpdateFormat with each change to this struct.
 struct StateUpdate {
   bootId @0 :UInt64;            # Boot id of the reader.
   sequence @1 :UInt64;          # The follower sends it with its next poll.
--- a/src/fleet/Codec.cpp
+++ b/src/fleet/Codec.cpp
@@ -284,7 +284,8 @@
   for (unsigned n = 0; n < members.size(); ++n) {
     write(members[n], datagram.Members[n]);
   }
-  root.setSequence(datagram.Sequence);
+  root.setSequence(datagram.Sequences[indexOf(StateChannel::Control)]);
+  root.setListsSequence(datagram.Sequences[indexOf(StateChannel::Lists)]);
   auto quarantines =
       root.initQuarantines(static_cast<unsigned>(datagram.Quarantines.size()));
   for (unsigned n = 0; n < quarantines.size(); ++n) {
@@ -328,7 +329,7 @@
     for (const auto it : root.getMembers()) {
       out.Members.push_back(read(it));
     }
-    out.Sequence = root.getSequence();
+    out.Sequences = {root.getSequence(), root.getListsSequence()};
     for (const auto it : root.getQuarantines()) {
       out.Quarantines.push_back(
           {it.getFingerprint(), Duration{it.getRemainingUs()}});
--- a/src/fleet/Codec.h
+++ b/src/fleet/Codec.h
@@ -2,6 +2,7 @@
 /// Encoding of the messages between instances with Cap'n Proto.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -22,6 +23,20 @@
   std::uint64_t StartedMs = 0; ///< As Upstream::StartedMs.
 };
 
+/// The parts that a follower polls for together. Each channel has polls and
+/// updates of its own, so that what is small and urgent does not wait for the
+/// lists, which may be large.
+enum class StateChannel : std::uint8_t {
+  Control, ///< The configuration and the evacuated failure domains.
+  Lists,   ///< The upstreams and the members.
+};
+
+constexpr std::size_t StateChannelCount = 2;
+
+constexpr std::size_t indexOf(StateChannel channel) {
+  return static_cast<std::size_t>(channel);
+}
+
 /// A datagram between two instances.
 struct Datagram {
   struct Ping {};
@@ -32,9 +47,9 @@
   Member Sender;
   /// In a pong, other members of the receiver's failure domain; else empty.
   std::vector<Member> Members;
-  /// In a reader's pong, the sequence number of the update that the receiver
-  /// should have by now; 0: unknown.
-  std::uint64_t Sequence = 0;
+  /// In a reader's pong, for each channel the sequence number of the update
+  /// that the receiver should have by now; 0: unknown.
+  std::array<std::uint64_t, StateChannelCount> Sequences{};
   /// Fingerprints of requests that were suspect and are harmless.
   std::vector<std::uint64_t> ClearedFingerprints;
   /// Those that the sender knows, for instances that missed the notices.
@@ -83,9 +98,9 @@
   Members
 };
 
-/// Version number, raised with each change to the encoding of StateUpdate: an
-/// instance only follows readers with the same format.
-constexpr unsigned CurrentUpdateFormat = 4;
+/// Version number, raised with each change to the encoding of StateUpdate or to
+/// the polls for it: an instance only follows readers with the same format.
+constexpr unsigned CurrentUpdateFormat = 5;
 
 /// What a reader sends its followers: the parts of the state that changed.
 struct StateUpdate {
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -157,11 +157,8 @@
   }
   repeatNotices();
   runElection();
-  abandonOverduePoll();
-  if (ReaderElection.CurrentDuty == Duty::Follow && !PollInFlight &&
-      now >= NextPollAt) {
-    pollReader();
-  }
+  abandonOverduePolls();
+  pollReader();
   fetchSnapshotIfNeeded();
   notifyIfLiveChanged();
   const bool isWaiting = ReaderElection.CurrentDuty == Duty::Wait ||
@@ -329,7 +326,10 @@
         topRecentMembers(Membership, datagram.Sender.Record.Domain,
                          datagram.Sender.Record.Id, MaxMembersInPong, now);
     pong.Quarantines = Handlers.ListQuarantines(MaxQuarantinesTold);
-    pong.Sequence = Publisher.sequenceFor(datagram.Sender.BootId);
+    for (const ChannelPoll &it : Polls) {
+      pong.Sequences[indexOf(it.Channel)] =
+          Publisher.sequenceFor(it.Channel, datagram.Sender.BootId);
+    }
     send(from, pong);
   } else if (const auto *suspected =
                  std::get_if<balance::PeerSuspected>(&datagram.Payload)) {
@@ -348,8 +348,11 @@
   if (std::holds_alternative<Datagram::Pong>(datagram.Payload) &&
       ReaderElection.CurrentDuty == Duty::Follow &&
       datagram.Sender.Record.Id == ReaderElection.Reader) {
-    recordReaderSequence(Lag, datagram.Sender.BootId, datagram.Sequence, now);
-    abandonOverduePoll();
+    for (ChannelPoll &it : Polls) {
+      recordReaderSequence(it.Lag, datagram.Sender.BootId,
+                           datagram.Sequences[indexOf(it.Channel)], now);
+    }
+    abandonOverduePolls();
   }
 }
 
@@ -380,7 +383,9 @@
   if (Membership.LocalMember.Reading) {
     // A reader drops the list that it got while it followed another; it needs
     // the complete one when it follows that one again.
-    Lag = {};
+    for (ChannelPoll &it : Polls) {
+      it.Lag = {};
+    }
     ReaderLiveList.clear();
   }
   Membership.LocalMember.StoreHealthy = false;
@@ -402,78 +407,98 @@
 }
 
 void PeerTask::pollReader() {
+  const Instant now = readClock();
+  for (ChannelPoll &it : Polls) {
+    if (!it.InFlight && now >= it.NextAt) {
+      pollReader(it);
+    }
+  }
+}
+
+void PeerTask::pollReader(ChannelPoll &poll) {
   const auto reader = Membership.Others.find(ReaderElection.Reader);
-  if (ReaderElection.CurrentDuty != Duty::Follow || PollInFlight ||
+  if (ReaderElection.CurrentDuty != Duty::Follow ||
       reader == Membership.Others.end()) {
     return;
   }
-  PollInFlight = true;
-  PollStartedAt = readClock();
+  poll.InFlight = true;
+  poll.StartedAt = readClock();
   const Member &it = reader->second.LastStatus;
-  const bool sameReader = Lag.ReaderBootId == it.BootId;
+  const bool sameReader = poll.Lag.ReaderBootId == it.BootId;
   http::Call call;
-  call.Id = ++LastCall;
-  call.Address = PollAddress = it.Record.PeerAddress;
-  call.Bytes = std::string("GET ") + UpdatesPath +
-               "?boot=" + std::to_string(Lag.ReaderBootId) +
-               "&after=" + std::to_string(sameReader ? Lag.LastSequence : 0) +
-               "&follower=" + std::to_string(Membership.LocalMember.BootId) +
-               " HTTP/1.1\r\nHost: " + it.Record.PeerAddress + "\r\n\r\n";
+  call.Id = poll.Call = ++LastCall;
+  call.Address = poll.Address = it.Record.PeerAddress;
+  call.Bytes =
+      std::string("GET ") + UpdatesPath + "?channel=" + nameOf(poll.Channel) +
+      "&boot=" + std::to_string(poll.Lag.ReaderBootId) +
+      "&after=" + std::to_string(sameReader ? poll.Lag.LastSequence : 0) +
+      "&follower=" + std::to_string(Membership.LocalMember.BootId) +
+      " HTTP/1.1\r\nHost: " + it.Record.PeerAddress + "\r\n\r\n";
   Pool.start(std::move(call));
 }
 
 // A connection may go silent without a reset. The poll starts again on a new
 // one.
-void PeerTask::abandonOverduePoll() {
+void PeerTask::abandonOverduePolls() {
   const Instant now = readClock();
-  if (!PollInFlight || !isPollOverdue(Lag, PollStartedAt, now)) {
-    return;
+  for (ChannelPoll &it : Polls) {
+    if (!it.InFlight || !isPollOverdue(it.Lag, it.StartedAt, now)) {
+      continue;
+    }
+    logEvent(EventId::PollAbandoned,
+             {{"reader", ReaderElection.Reader},
+              {"channel", nameOf(it.Channel)},
+              {"sequence", it.Lag.LastSequence},
+              {"reader_sequence", it.Lag.ReaderSequence},
+              {"pending_ms", now - it.StartedAt},
+              {"behind_ms", now - *it.Lag.BehindSince}});
+    ++it.Lag.AbandonedPolls;
+    cancelPoll(it);
+    pollReader(it);
   }
-  logEvent(EventId::PollAbandoned, {{"reader", ReaderElection.Reader},
-                                    {"sequence", Lag.LastSequence},
-                                    {"reader_sequence", Lag.ReaderSequence},
-                                    {"pending_ms", now - PollStartedAt},
-                                    {"behind_ms", now - *Lag.BehindSince}});
-  ++Lag.AbandonedPolls;
-  cancelPoll();
-  pollReader();
 }
 
 // Closes its connection even if it is idle: it may go silent until the next
 // poll.
-void PeerTask::cancelPoll() {
-  PollInFlight = false;
-  Pool.cancel(LastCall);
-  ++LastCall; // A late result of the cancelled call is ignored.
-  Pool.closeIdle(PollAddress);
+void PeerTask::cancelPoll(ChannelPoll &poll) {
+  if (poll.InFlight) {
+    Pool.cancel(poll.Call);
+  }
+  poll.InFlight = false; // A late result of the cancelled call is ignored.
+  Pool.closeIdle(poll.Address);
 }
 
 void PeerTask::resetPolling() {
-  cancelPoll();
-  restart(Lag);
-  FirstUpdateAwaitedSince = readClock();
+  for (ChannelPoll &it : Polls) {
+    cancelPoll(it);
+    restart(it.Lag);
+    it.NextAt = Instant{};
+    it.FirstUpdateAwaitedSince = readClock();
+  }
 }
 
 void PeerTask::handlePollResult(http::CallId id,
                                 const http::CallResult &result) {
-  if (id != LastCall || !PollInFlight) {
+  const auto poll =
+      std::find_if(Polls.begin(), Polls.end(), [&](const auto &it) {
+        return it.InFlight && it.Call == id;
+      });
+  if (poll == Polls.end()) {
     return;
   }
-  PollInFlight = false;
-  const auto update = result.Outcome == http::CallOutcome::Answered &&
-                              result.Response.Status == Ok
-                          ? decodeUpdate(result.Response.Body)
-                          : std::nullopt;
+  poll->InFlight = false;
+  const bool answered = result.Outcome == http::CallOutcome::Answered &&
+                        result.Response.Status == Ok;
+  const auto update =
+      answered ? decodeUpdate(result.Response.Body) : std::nullopt;
   if (!update) {
-    const bool answered = result.Outcome == http::CallOutcome::Answered &&
-                          result.Response.Status == Ok;
     UnreadableCount += answered ? 1 : 0;
-    Pool.closeIdle(PollAddress);
-    NextPollAt = readClock() + PollRetryDelay;
+    Pool.closeIdle(poll->Address);
+    poll->NextAt = readClock() + PollRetryDelay;
     return;
   }
-  logFirstUpdate(*update, result.Response.Body.size());
-  recordUpdate(Lag, update->BootId, update->Sequence);
+  logFirstUpdate(*poll, *update, result.Response.Body.size());
+  recordUpdate(poll->Lag, update->BootId, update->Sequence);
   if (update->Members) {
     applyReaderMembers(*update->Members);
   }
@@ -482,8 +507,9 @@
   pollReader();
 }
 
-void PeerTask::logFirstUpdate(const StateUpdate &update, std::size_t bytes) {
-  const auto since = std::exchange(FirstUpdateAwaitedSince, {});
+void PeerTask::logFirstUpdate(ChannelPoll &poll, const StateUpdate &update,
+                              std::size_t bytes) {
+  const auto since = std::exchange(poll.FirstUpdateAwaitedSince, {});
   if (!since) {
     return;
   }
@@ -651,7 +677,10 @@
   return ReaderElection.CurrentDuty == Duty::Follow &&
          reader != Membership.Others.end() &&
          hasRecentMessage(reader->second, now) &&
-         reader->second.LastStatus.StoreHealthy && !isBehind(Lag, now);
+         reader->second.LastStatus.StoreHealthy &&
+         std::none_of(Polls.begin(), Polls.end(), [&](const ChannelPoll &it) {
+           return isBehind(it.Lag, now);
+         });
 }
 
 std::size_t PeerTask::electionRank() const {
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -4,6 +4,7 @@
 /// reader of a failure domain sends its followers.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -137,6 +138,20 @@
   boost::json::object describe(Instant now) const;
 
 private:
+  /// The polls of the followed reader for one channel.
+  struct ChannelPoll {
+    StateChannel Channel;
+    bool InFlight = false;
+    http::CallId Call = 0; ///< Of the poll in flight.
+    Instant NextAt{};
+    Instant StartedAt{};
+    std::string Address; ///< Address that the last poll was sent to.
+    FollowerLag Lag;
+    /// When this instance began to follow its reader; none: it has got an
+    /// update.
+    std::optional<Instant> FirstUpdateAwaitedSince;
+  };
+
   /// A quarantine notice that is sent again.
   struct RepeatedNotice {
     unsigned TimesLeft = 0;
@@ -156,10 +171,12 @@
   void sendToAll(const Datagram &datagram) const;
   void send(const std::string &address, const Datagram &datagram) const;
   void pollReader();
-  void abandonOverduePoll();
-  void cancelPoll();
+  void pollReader(ChannelPoll &poll);
+  void abandonOverduePolls();
+  void cancelPoll(ChannelPoll &poll);
   void handlePollResult(http::CallId id, const http::CallResult &result);
-  void logFirstUpdate(const StateUpdate &update, std::size_t bytes);
+  void logFirstUpdate(ChannelPoll &poll, const StateUpdate &update,
+                      std::size_t bytes);
   void applyReaderMembers(const MembersUpdate &update);
   void resetPolling();
   void addRecorded();
@@ -196,13 +213,8 @@
   // Used while this instance is a follower.
   http::ClientPool Pool;
   http::CallId LastCall = 0;
-  bool PollInFlight = false;
-  Instant NextPollAt{};
-  Instant PollStartedAt{};
-  std::string PollAddress; ///< Address that the last poll was sent to.
-  FollowerLag Lag;
-  /// When this instance began to follow its reader; none: it has got an update.
-  std::optional<Instant> FirstUpdateAwaitedSince;
+  std::array<ChannelPoll, StateChannelCount> Polls{
+      ChannelPoll{StateChannel::Control}, ChannelPoll{StateChannel::Lists}};
   std::map<std::string, Member> ReaderLiveList; ///< By id, from the reader.
 };
 
--- a/src/fleet/UpdateServer.cpp
+++ b/src/fleet/UpdateServer.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -25,6 +27,18 @@
 constexpr unsigned Ok = 200;
 constexpr unsigned NotFound = 404;
 
+constexpr StateChannel AllChannels[]{StateChannel::Control,
+                                     StateChannel::Lists};
+
+std::optional<StateChannel> channelNamed(std::string_view name) {
+  for (const StateChannel it : AllChannels) {
+    if (name == nameOf(it)) {
+      return it;
+    }
+  }
+  return std::nullopt;
+}
+
 std::uint64_t parseNumber(const std::string &text) {
   std::uint64_t number = 0;
   std::from_chars(text.data(), text.data() + text.size(), number);
@@ -33,6 +47,10 @@
 
 } // namespace
 
+const char *nameOf(StateChannel channel) {
+  return channel == StateChannel::Control ? "control" : "lists";
+}
+
 UpdateServer::UpdateServer(struct ev_loop *loop, std::uint64_t bootId,
                            double linkMbps, FillUpdate fill)
     : Loop(loop), Fill(std::move(fill)), LinkMbps(linkMbps),
@@ -75,15 +93,16 @@
   }
 }
 
-std::uint64_t UpdateServer::sequenceFor(std::uint64_t followerBootId) const {
+std::uint64_t UpdateServer::sequenceFor(StateChannel channel,
+                                        std::uint64_t followerBootId) const {
   if (!Reading) {
     return 0;
   }
-  std::uint64_t sequence = State.Sequence;
+  std::uint64_t sequence = lastChange(State, channel);
   // While the timer is not active, no poll waits that could be answered.
   if (ev_is_active(&LargeResponseTimer)) {
     for (const auto &[id, it] : PendingPolls) {
-      if (it.FollowerBootId == followerBootId) {
+      if (it.Channel == channel && it.FollowerBootId == followerBootId) {
         sequence = std::min(sequence, it.LastSequence);
       }
     }
@@ -97,26 +116,30 @@
   if (HasSnapshot && path == SnapshotPath) {
     return Server.sendResponse(id, {Ok, {}, encodedSnapshot()});
   }
-  if (!Reading || path != UpdatesPath) {
+  const auto channel =
+      channelNamed(http::queryParameter(request.Target, "channel"));
+  if (!Reading || path != UpdatesPath || !channel) {
     return Server.sendResponse(id, {NotFound, {}, {}});
   }
   PendingPoll poll{
-      id, parseNumber(http::queryParameter(request.Target, "follower")), 0};
+      id, *channel,
+      parseNumber(http::queryParameter(request.Target, "follower")), 0};
   const std::string bootId = http::queryParameter(request.Target, "boot");
   if (parseNumber(bootId) == State.BootId) {
     poll.LastSequence =
         parseNumber(http::queryParameter(request.Target, "after"));
   }
-  endEarlierPolls(poll.FollowerBootId);
+  endEarlierPolls(poll);
   answerOrDefer(poll);
 }
 
-// A follower has one poll in flight. It abandoned the earlier ones, perhaps on
-// connections that went silent, whose end never shows here.
-void UpdateServer::endEarlierPolls(std::uint64_t followerBootId) {
+// A follower has one poll of a channel in flight. It abandoned the earlier
+// ones, perhaps on connections that went silent, whose end never shows here.
+void UpdateServer::endEarlierPolls(const PendingPoll &poll) {
   std::vector<http::ExchangeId> earlier;
   for (const auto &[id, it] : PendingPolls) {
-    if (followerBootId != 0 && it.FollowerBootId == followerBootId) {
+    if (poll.FollowerBootId != 0 && it.Channel == poll.Channel &&
+        it.FollowerBootId == poll.FollowerBootId) {
       earlier.push_back(id);
     }
   }
@@ -127,14 +150,16 @@
 }
 
 // Answers a long poll if there are changes, and defers the response otherwise.
-// Large responses are spaced out to leave bandwidth for pings and pongs: when
+// Large lists are spaced out to leave bandwidth for pings and pongs: when
 // many instances poll for the complete state at once, late pongs would make the
 // reader seem lost.
 void UpdateServer::answerOrDefer(PendingPoll poll) {
-  const std::string *update = updateSince(State, poll.LastSequence);
+  const std::string *update =
+      updateSince(State, poll.Channel, poll.LastSequence);
   const Instant now = readClock();
-  const bool isLarge =
-      update != nullptr && update->size() > LargeResponseBytes && LinkMbps > 0;
+  const bool isLarge = poll.Channel == StateChannel::Lists &&
+                       update != nullptr &&
+                       update->size() > LargeResponseBytes && LinkMbps > 0;
   if (update == nullptr || (isLarge && now < NextLargeResponseAt)) {
     if (isLarge && poll.DeferredSince == Instant{}) {
       poll.DeferredSince = now;
--- a/src/fleet/UpdateServer.h
+++ b/src/fleet/UpdateServer.h
@@ -18,9 +18,12 @@
 
 namespace zinniarail::fleet {
 
-/// Path that followers poll for updates.
+/// Path that followers poll for updates, once for each channel.
 constexpr const char *UpdatesPath = "/news";
 
+/// The name of a channel in the query of a poll.
+const char *nameOf(StateChannel channel);
+
 /// Path under which each instance serves its snapshot, also if it is no reader.
 constexpr const char *SnapshotPath = "/knowledge";
 
@@ -56,16 +59,19 @@
   /// this instance reads the store.
   void publish(StatePart part);
 
-  /// The sequence number of the update that a follower should have by now: the
-  /// last one, unless its poll waits because large responses are spaced out.
-  /// 0: unknown, or this instance does not read.
-  std::uint64_t sequenceFor(std::uint64_t followerBootId) const;
+  /// The sequence number of the update of a channel that a follower should have
+  /// by now: the last one, unless its poll waits because large responses are
+  /// spaced out. 0: unknown, or this instance does not read.
+  std::uint64_t sequenceFor(StateChannel channel,
+                            std::uint64_t followerBootId) const;
 
 private:
   struct PendingPoll {
     http::ExchangeId Id = 0;
+    StateChannel Channel = StateChannel::Control;
     std::uint64_t FollowerBootId = 0; ///< 0: unknown.
-    /// Sequence number of the follower's last update; 0: it has none.
+    /// Sequence number of the follower's last update of the channel; 0: it has
+    /// none.
     std::uint64_t LastSequence = 0;
     Instant DeferredSince{}; ///< Since when an update waits to be sent.
   };
@@ -78,7 +84,7 @@
   };
 
   void handleRequest(http::ExchangeId id, const http::Request &request);
-  void endEarlierPolls(std::uint64_t followerBootId);
+  void endEarlierPolls(const PendingPoll &poll);
   void answerOrDefer(PendingPoll poll);
   void recordDeferred(const PendingPoll &poll, std::size_t bytes, Instant now);
   void logDeferred(Instant now);
--- a/src/fleet/VersionedState.cpp
+++ b/src/fleet/VersionedState.cpp
@@ -1,14 +1,15 @@
 #include "fleet/VersionedState.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace zinniarail::fleet {
 
 namespace {
 
-// The cached snapshot is encoded again after this many changes of the members,
-// not after each one: while many instances start, each start is a change.
-constexpr std::uint64_t MaxSnapshotLag = 16;
+// The cached lists are encoded again after this many changes, not after each
+// one: while many instances start, each start is a change of the members.
+constexpr std::uint64_t MaxEncodedListsLag = 16;
 
 // Maximum number of recorded removals. Beyond it all are discarded, and
 // followers that may have missed a removal get the complete list.
@@ -102,44 +103,47 @@
   return changed || sizeChanged;
 }
 
-// Encodes the parts that changed after a sequence number; empty if none did.
-std::string encodeChangesAfter(const VersionedState &state,
-                               std::uint64_t after) {
-  StateUpdate update;
-  update.BootId = state.BootId;
-  update.Sequence = state.Sequence;
-  bool any = false;
+void fillControl(StateUpdate &update, const VersionedState &state,
+                 std::uint64_t after) {
   if (state.ConfigChangeSequence > after) {
     update.Config = state.Config;
-    any = true;
   }
+  if (state.EvacuatedDomainsChangeSequence > after) {
+    update.EvacuatedDomains = state.EvacuatedDomains;
+  }
+}
+
+void fillLists(StateUpdate &update, const VersionedState &state,
+               std::uint64_t after) {
   if (state.Upstreams.ChangeSequence > after) {
     UpstreamsUpdate &list = update.Upstreams.emplace();
     list.AsOf = state.UpstreamsRevision;
     fillListUpdate(list.List, state.Upstreams, after);
-    any = true;
-  }
-  if (state.EvacuatedDomainsChangeSequence > after) {
-    update.EvacuatedDomains = state.EvacuatedDomains;
-    any = true;
   }
   if (state.Members.ChangeSequence > after) {
     MembersUpdate &list = update.Members.emplace();
     list.FleetSize = state.FleetSize;
     fillListUpdate(list.List, state.Members, after);
-    any = true;
   }
-  return any ? encodeUpdate(update) : "";
 }
 
-// A new follower uses the cached snapshot before it gets the changes since
-// then, so the snapshot must not contain upstreams that have left.
-bool isSnapshotUsable(const VersionedState &state) {
-  const std::uint64_t at = state.SnapshotSequence;
-  return at != 0 && state.Sequence - at <= MaxSnapshotLag &&
-         state.ConfigChangeSequence <= at &&
-         state.Upstreams.ChangeSequence <= at &&
-         state.EvacuatedDomainsChangeSequence <= at;
+// Encodes the parts of a channel that changed after a sequence number.
+std::string encodeChangesAfter(const VersionedState &state,
+                               StateChannel channel, std::uint64_t after) {
+  StateUpdate update;
+  update.BootId = state.BootId;
+  update.Sequence = state.Sequence;
+  channel == StateChannel::Control ? fillControl(update, state, after)
+                                   : fillLists(update, state, after);
+  return encodeUpdate(update);
+}
+
+// A new follower uses the cached lists before it gets the changes since then,
+// so they must not contain upstreams that have left.
+bool areEncodedListsUsable(const VersionedState &state) {
+  const std::uint64_t at = state.EncodedListsSequence;
+  return at != 0 && state.Sequence - at <= MaxEncodedListsLag &&
+         state.Upstreams.ChangeSequence <= at;
 }
 
 } // namespace
@@ -177,27 +181,34 @@
   reset(state.Upstreams, state.Sequence + 1);
   reset(state.Members, state.Sequence + 1);
   state.EncodedUpdates.clear();
-  state.SnapshotSequence = 0;
+  state.EncodedListsSequence = 0;
+}
+
+std::uint64_t lastChange(const VersionedState &state, StateChannel channel) {
+  return channel == StateChannel::Control
+             ? std::max(state.ConfigChangeSequence,
+                        state.EvacuatedDomainsChangeSequence)
+             : std::max(state.Upstreams.ChangeSequence,
+                        state.Members.ChangeSequence);
 }
 
-const std::string *updateSince(VersionedState &state, std::uint64_t after) {
-  if (after == 0) {
-    if (!isSnapshotUsable(state)) {
-      state.EncodedSnapshot = encodeChangesAfter(state, 0);
-      state.SnapshotSequence =
-          state.EncodedSnapshot.empty() ? 0 : state.Sequence;
+const std::string *updateSince(VersionedState &state, StateChannel channel,
+                               std::uint64_t after) {
+  if (lastChange(state, channel) <= after) {
+    return nullptr;
+  }
+  if (channel == StateChannel::Lists && after == 0) {
+    if (!areEncodedListsUsable(state)) {
+      state.EncodedLists = encodeChangesAfter(state, channel, 0);
+      state.EncodedListsSequence = state.Sequence;
     }
-    return state.EncodedSnapshot.empty() ? nullptr : &state.EncodedSnapshot;
+    return &state.EncodedLists;
   }
-  const auto cached = state.EncodedUpdates.find(after);
-  if (cached != state.EncodedUpdates.end()) {
-    return &cached->second;
+  std::string &update = state.EncodedUpdates[{channel, after}];
+  if (update.empty()) {
+    update = encodeChangesAfter(state, channel, after);
   }
-  std::string update = encodeChangesAfter(state, after);
-  return update.empty()
-             ? nullptr
-             : &state.EncodedUpdates.emplace(after, std::move(update))
-                    .first->second;
+  return &update;
 }
 
 } // namespace zinniarail::fleet
--- a/src/fleet/VersionedState.h
+++ b/src/fleet/VersionedState.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "fleet/Codec.h"
 
@@ -40,13 +41,13 @@
   std::uint64_t EvacuatedDomainsChangeSequence = 0;
   VersionedList<Member> Members;
   std::size_t FleetSize = 0;
-  /// Cache of encoded updates up to Sequence, by the sequence number of the
-  /// follower's last update.
-  std::map<std::uint64_t, std::string> EncodedUpdates;
-  /// Cached complete update for new followers. It may lack the last few
+  /// Cache of encoded updates up to Sequence, by the channel and the sequence
+  /// number of the follower's last update.
+  std::map<std::pair<StateChannel, std::uint64_t>, std::string> EncodedUpdates;
+  /// Cached complete lists for new followers. They may lack the last few
   /// changes of the members; the next poll returns them.
-  std::string EncodedSnapshot;
-  std::uint64_t SnapshotSequence = 0; ///< Sequence of that update; 0: none.
+  std::string EncodedLists;
+  std::uint64_t EncodedListsSequence = 0; ///< Sequence of these; 0: none.
 };
 
 /// Replaces the parts that an update contains; its lists must be complete.
@@ -56,10 +57,14 @@
 /// Removes all parts and keeps the sequence number.
 void clear(VersionedState &state);
 
-/// Encodes the changes that a follower has not got yet.
-/// \param after sequence number of the follower's last update from this reader;
-/// 0: it has none.
+/// Encodes the changes of a channel that a follower has not got yet.
+/// \param after sequence number of the follower's last update of this channel
+/// from this reader; 0: it has none.
 /// \returns the encoded update; null when nothing changed.
-const std::string *updateSince(VersionedState &state, std::uint64_t after);
+const std::string *updateSince(VersionedState &state, StateChannel channel,
+                               std::uint64_t after);
+
+/// The sequence number of the last change to a part of the channel; 0: none.
+std::uint64_t lastChange(const VersionedState &state, StateChannel channel);
 
 } // namespace zinniarail::fleet
