fleet: followers of a new reader get only what differs from what they know

What callers saw: after a change of the reader, an upstream that was leaving stayed in use for as long as the lists needed to reach the last follower. Cause: a new reader has another boot id, so that each follower asked for the complete lists, 33 KB for 720 upstreams and 472 instances, though all readers read one store. For 89 followers that is 2.4 s at half of 20 Mbit/s, and it grows with followers times upstreams. Weighed: asking for what changed after a store revision. Removals, removals that wait, and upstreams that announced that they leave have no revision that both sides share, and a list that was wrong once would stay so. Change: the first poll of a reader carries digests of the lists, divided into buckets by id; the reader answers with the buckets that differ.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -122,6 +122,9 @@
   removedIds @2 :List(Text);
   storeRevision @3 :UInt64;     # Store revision that the list reflects.
   storeEra @4 :UInt64;          # Era of that revision.
+  # Upstreams of these buckets that are not listed are removed; see ListDigests.
+  buckets @5 :List(UInt32);
+  bucketCount @6 :UInt32;       # Of all upstreams; 0: no buckets.
 }
 
 # A failure domain that is out of service.
@@ -143,6 +146,16 @@
   items @1 :List(Member);       # All instances, or the changed ones.
   removedIds @2 :List(Text);
   fleetSize @3 :UInt32;         # Instances in all failure domains.
+  # Instances of these buckets that are not listed are removed.
+  buckets @4 :List(UInt32);
+  bucketCount @5 :UInt32;       # Of all instances; 0: no buckets.
+}
+
+# What a follower has of the lists, in its first poll of a reader, which answers
+# with the buckets that differ. A list that the follower lacks has no buckets.
+struct ListDigests {
+  upstreams @0 :List(UInt64);   # Digest of each bucket.
+  members @1 :List(UInt64);
 }
 
 # The parts of one channel that changed since a follower's last poll of it;
--- a/src/fleet/Codec.cpp
+++ b/src/fleet/Codec.cpp
@@ -170,6 +170,8 @@
   for (unsigned n = 0; n < removedIds.size(); ++n) {
     removedIds.set(n, list.RemovedIds[n]);
   }
+  out.setBuckets(kj::arrayPtr(list.Buckets.data(), list.Buckets.size()));
+  out.setBucketCount(list.BucketCount);
 }
 
 template <typename Reader, typename Item>
@@ -181,6 +183,10 @@
   for (const auto it : in.getRemovedIds()) {
     list.RemovedIds.push_back(textOf(it));
   }
+  for (const std::uint32_t it : in.getBuckets()) {
+    list.Buckets.push_back(it);
+  }
+  list.BucketCount = in.getBucketCount();
 }
 
 void write(wire::UpstreamsUpdate::Builder out, const UpstreamsUpdate &it) {
@@ -426,4 +432,27 @@
   });
 }
 
+std::string encodeDigests(const ListDigests &digests) {
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<wire::ListDigests>();
+  root.setUpstreams(
+      kj::arrayPtr(digests.Upstreams.data(), digests.Upstreams.size()));
+  root.setMembers(kj::arrayPtr(digests.Members.data(), digests.Members.size()));
+  return pack(message);
+}
+
+std::optional<ListDigests> decodeDigests(std::string_view bytes) {
+  return unpack(bytes, [](capnp::MessageReader &message) {
+    const auto root = message.getRoot<wire::ListDigests>();
+    ListDigests out;
+    for (const std::uint64_t it : root.getUpstreams()) {
+      out.Upstreams.push_back(it);
+    }
+    for (const std::uint64_t it : root.getMembers()) {
+      out.Members.push_back(it);
+    }
+    return out;
+  });
+}
+
 } // namespace zinniarail::fleet
--- a/src/fleet/Codec.h
+++ b/src/fleet/Codec.h
@@ -64,11 +64,23 @@
 /// only newer builds know.
 std::optional<Datagram> decodeDatagram(std::string_view bytes);
 
-/// A complete list, or the changes to it.
+/// A complete list, some complete buckets of it, or the changes to it.
 template <typename Item> struct ListUpdate {
   bool IsComplete = true; ///< Items that are not listed are removed.
   std::vector<Item> Items;
   std::vector<std::string> RemovedIds;
+  /// Items of these buckets that are not listed are removed.
+  std::vector<std::uint32_t> Buckets;
+  std::uint32_t BucketCount = 0; ///< All buckets, of this list; 0: no buckets.
+};
+
+/// The digests of a list's buckets; empty: the list is not known.
+using BucketDigests = std::vector<std::uint64_t>;
+
+/// What a follower knows of the lists, for a reader that it has no update of.
+struct ListDigests {
+  BucketDigests Upstreams;
+  BucketDigests Members;
 };
 
 /// The registered upstreams.
@@ -128,4 +140,9 @@
 /// \returns none if the bytes are malformed.
 std::optional<StateUpdate> decodeUpdate(std::string_view bytes);
 
+std::string encodeDigests(const ListDigests &digests);
+
+/// \returns none if the bytes are malformed.
+std::optional<ListDigests> decodeDigests(std::string_view bytes);
+
 } // namespace zinniarail::fleet
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "fleet/ListDigest.h"
 #include "http/Sockets.h"
 #include "zinniarail/core/Hash.h"
 #include "zinniarail/events/Events.h"
@@ -428,15 +429,40 @@
   http::Call call;
   call.Id = poll.Call = ++LastCall;
   call.Address = poll.Address = it.Record.PeerAddress;
+  const std::string digests = digestsFor(poll);
   call.Bytes =
-      std::string("GET ") + UpdatesPath + "?channel=" + nameOf(poll.Channel) +
+      std::string("POST ") + UpdatesPath + "?channel=" + nameOf(poll.Channel) +
       "&boot=" + std::to_string(poll.Lag.ReaderBootId) +
       "&after=" + std::to_string(sameReader ? poll.Lag.LastSequence : 0) +
       "&follower=" + std::to_string(Membership.LocalMember.BootId) +
-      " HTTP/1.1\r\nHost: " + it.Record.PeerAddress + "\r\n\r\n";
+      " HTTP/1.1\r\nHost: " + it.Record.PeerAddress +
+      "\r\nContent-Length: " + std::to_string(digests.size()) + "\r\n\r\n" +
+      digests;
   Pool.start(std::move(call));
 }
 
+// The digests of the lists as this instance knows them, in the first poll of a
+// reader: it may be a new one, or have stopped reading for a while. Empty if
+// this instance knows none.
+std::string PeerTask::digestsFor(const ChannelPoll &poll) const {
+  if (poll.Channel != StateChannel::Lists || !poll.FirstUpdateAwaitedSince) {
+    return "";
+  }
+  StateUpdate own;
+  Handlers.Fill(own, StatePart::Upstreams);
+  ListDigests digests;
+  if (own.Upstreams) {
+    digests.Upstreams = digestBuckets(own.Upstreams->List.Items);
+  }
+  std::vector<Member> members;
+  for (const auto &[id, it] : ReaderLiveList) {
+    members.push_back(it);
+  }
+  digests.Members = digestBuckets(members);
+  const bool knowsNone = digests.Upstreams.empty() && digests.Members.empty();
+  return knowsNone ? "" : encodeDigests(digests);
+}
+
 // A connection may go silent without a reset. The poll starts again on a new
 // one.
 void PeerTask::abandonOverduePolls() {
@@ -533,7 +559,8 @@
                                      {"waited_ms", readClock() - *since}});
 }
 
-void PeerTask::applyReaderMembers(const MembersUpdate &update) {
+void PeerTask::applyReaderMembers(MembersUpdate update) {
+  resolveBuckets(update.List, ReaderLiveList);
   if (update.List.IsComplete) {
     ReaderLiveList.clear();
   }
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -172,12 +172,13 @@
   void send(const std::string &address, const Datagram &datagram) const;
   void pollReader();
   void pollReader(ChannelPoll &poll);
+  std::string digestsFor(const ChannelPoll &poll) const;
   void abandonOverduePolls();
   void cancelPoll(ChannelPoll &poll);
   void handlePollResult(http::CallId id, const http::CallResult &result);
   void logFirstUpdate(ChannelPoll &poll, const StateUpdate &update,
                       std::size_t bytes);
-  void applyReaderMembers(const MembersUpdate &update);
+  void applyReaderMembers(MembersUpdate update);
   void resetPolling();
   void addRecorded();
   void notifyIfLiveChanged();
--- a/src/fleet/StateExchange.cpp
+++ b/src/fleet/StateExchange.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "fleet/ListDigest.h"
+
 namespace zinniarail::fleet {
 
 void fillFromMirror(StateUpdate &update, StatePart part,
@@ -41,7 +43,8 @@
     }
   }
   if (update.Upstreams) {
-    const auto &[list, asOf] = *update.Upstreams;
+    auto [list, asOf] = *update.Upstreams;
+    resolveBuckets(list, mirror.Upstreams.Entries);
     if (list.IsComplete) {
       replaceUpstreams(mirror, list.Items, asOf, now);
     } else {
--- a/src/fleet/UpdateServer.cpp
+++ b/src/fleet/UpdateServer.cpp
@@ -129,8 +129,9 @@
     poll.LastSequence =
         parseNumber(http::queryParameter(request.Target, "after"));
   }
+  poll.Digests = request.Body;
   endEarlierPolls(poll);
-  answerOrDefer(poll);
+  answerOrDefer(std::move(poll));
 }
 
 // A follower has one poll of a channel in flight. It abandoned the earlier
@@ -149,13 +150,21 @@
   }
 }
 
+// \returns null when there is nothing to send yet.
+const std::string *UpdateServer::updateFor(const PendingPoll &poll) {
+  const bool comparesLists = poll.Channel == StateChannel::Lists &&
+                             !poll.Digests.empty() &&
+                             !canSendChangesSince(State, poll.LastSequence);
+  return comparesLists ? differencesFrom(State, poll.Digests)
+                       : updateSince(State, poll.Channel, poll.LastSequence);
+}
+
 // Answers a long poll if there are changes, and defers the response otherwise.
 // Large lists are spaced out to leave bandwidth for pings and pongs: when
 // many instances poll for the complete state at once, late pongs would make the
 // reader seem lost.
 void UpdateServer::answerOrDefer(PendingPoll poll) {
-  const std::string *update =
-      updateSince(State, poll.Channel, poll.LastSequence);
+  const std::string *update = updateFor(poll);
   const Instant now = readClock();
   const bool isLarge = poll.Channel == StateChannel::Lists &&
                        update != nullptr &&
@@ -164,7 +173,7 @@
     if (isLarge && poll.DeferredSince == Instant{}) {
       poll.DeferredSince = now;
     }
-    PendingPolls.emplace(poll.Id, poll);
+    PendingPolls.emplace(poll.Id, std::move(poll));
     if (isLarge && !ev_is_active(&LargeResponseTimer)) {
       const std::chrono::duration<double> left = NextLargeResponseAt - now;
       ev_timer_set(&LargeResponseTimer, left.count(), 0);
--- a/src/fleet/UpdateServer.h
+++ b/src/fleet/UpdateServer.h
@@ -73,6 +73,9 @@
     /// Sequence number of the follower's last update of the channel; 0: it has
     /// none.
     std::uint64_t LastSequence = 0;
+    /// Encoded digests of the follower's lists, with its first poll of a
+    /// reader; else empty.
+    std::string Digests;
     Instant DeferredSince{}; ///< Since when an update waits to be sent.
   };
 
@@ -85,6 +88,7 @@
 
   void handleRequest(http::ExchangeId id, const http::Request &request);
   void endEarlierPolls(const PendingPoll &poll);
+  const std::string *updateFor(const PendingPoll &poll);
   void answerOrDefer(PendingPoll poll);
   void recordDeferred(const PendingPoll &poll, std::size_t bytes, Instant now);
   void logDeferred(Instant now);
--- a/src/fleet/VersionedState.cpp
+++ b/src/fleet/VersionedState.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "fleet/ListDigest.h"
+
 namespace zinniarail::fleet {
 
 namespace {
@@ -72,6 +74,28 @@
   }
 }
 
+// Fills in the buckets that differ from those of a follower, or the complete
+// list if the follower does not know any.
+template <typename Item>
+void fillDifferences(ListUpdate<Item> &out, const VersionedList<Item> &list,
+                     const BucketDigests &followers) {
+  out.IsComplete = followers.empty();
+  BucketDigests own(followers.size());
+  if (!out.IsComplete) {
+    for (const auto &[id, it] : list.Entries) {
+      addToDigests(own, it.Value);
+    }
+    out.Buckets = differingBuckets(own, followers);
+    out.BucketCount = static_cast<std::uint32_t>(own.size());
+  }
+  for (const auto &[id, it] : list.Entries) {
+    if (out.IsComplete ||
+        own[bucketOf(id, own.size())] != followers[bucketOf(id, own.size())]) {
+      out.Items.push_back(it.Value);
+    }
+  }
+}
+
 template <typename Item>
 void reset(VersionedList<Item> &list, std::uint64_t minIncrementalSequence) {
   list = {};
@@ -170,6 +194,7 @@
   if (changed) {
     state.Sequence = next;
     state.EncodedUpdates.clear();
+    state.EncodedDifferences.clear();
   }
   return changed;
 }
@@ -181,6 +206,7 @@
   reset(state.Upstreams, state.Sequence + 1);
   reset(state.Members, state.Sequence + 1);
   state.EncodedUpdates.clear();
+  state.EncodedDifferences.clear();
   state.EncodedListsSequence = 0;
 }
 
@@ -211,4 +237,36 @@
   return &update;
 }
 
+bool canSendChangesSince(const VersionedState &state, std::uint64_t after) {
+  return after != 0 && after >= state.Upstreams.MinIncrementalSequence &&
+         after >= state.Members.MinIncrementalSequence;
+}
+
+const std::string *differencesFrom(VersionedState &state,
+                                   const std::string &encodedDigests) {
+  if (lastChange(state, StateChannel::Lists) == 0) {
+    return nullptr;
+  }
+  std::string &encoded = state.EncodedDifferences[encodedDigests];
+  if (!encoded.empty()) {
+    return &encoded;
+  }
+  const ListDigests followers =
+      decodeDigests(encodedDigests).value_or(ListDigests{});
+  StateUpdate update;
+  update.BootId = state.BootId;
+  update.Sequence = state.Sequence;
+  if (state.Upstreams.ChangeSequence != 0) {
+    update.Upstreams.emplace().AsOf = state.UpstreamsRevision;
+    fillDifferences(update.Upstreams->List, state.Upstreams,
+                    followers.Upstreams);
+  }
+  if (state.Members.ChangeSequence != 0) {
+    update.Members.emplace().FleetSize = state.FleetSize;
+    fillDifferences(update.Members->List, state.Members, followers.Members);
+  }
+  encoded = encodeUpdate(update);
+  return &encoded;
+}
+
 } // namespace zinniarail::fleet
--- a/src/fleet/VersionedState.h
+++ b/src/fleet/VersionedState.h
@@ -48,6 +48,9 @@
   /// changes of the members; the next poll returns them.
   std::string EncodedLists;
   std::uint64_t EncodedListsSequence = 0; ///< Sequence of these; 0: none.
+  /// Cache of encoded updates up to Sequence, by the encoded digests of the
+  /// follower.
+  std::map<std::string, std::string> EncodedDifferences;
 };
 
 /// Replaces the parts that an update contains; its lists must be complete.
@@ -64,6 +67,19 @@
 const std::string *updateSince(VersionedState &state, StateChannel channel,
                                std::uint64_t after);
 
+/// Whether changes alone bring a follower's lists up to date.
+/// \param after sequence number of the follower's last update of the lists from
+/// this reader; 0: it has none.
+bool canSendChangesSince(const VersionedState &state, std::uint64_t after);
+
+/// Encodes what differs between the lists and those of a follower that has no
+/// update from this reader, but knows the lists from elsewhere.
+/// \param encodedDigests ListDigests of the follower.
+/// \returns the encoded update, also if nothing differs; null while the lists
+/// are not known.
+const std::string *differencesFrom(VersionedState &state,
+                                   const std::string &encodedDigests);
+
 /// The sequence number of the last change to a part of the channel; 0: none.
 std::uint64_t lastChange(const VersionedState &state, StateChannel channel);
 
--- a/tests/fleet/CodecTest.cpp
+++ b/tests/fleet/CodecTest.cpp
@@ -53,6 +53,8 @@
   update.Upstreams->AsOf = {2, 40};
   update.Upstreams->List.IsComplete = false;
   update.Upstreams->List.RemovedIds = {"v", "w"};
+  update.Upstreams->List.Buckets = {3, 5};
+  update.Upstreams->List.BucketCount = 16;
   update.Upstreams->List.Items = {
       {{"u", "1.2.3.4:80", "s", "a", 4, true, 1500ms, 1700000000000},
        {2, 39},
@@ -109,6 +111,14 @@
   BOOST_TEST(!decode().has_value());
 }
 
+BOOST_AUTO_TEST_CASE(digestsRoundTrip) {
+  const auto decoded = decodeDigests(encodeDigests({{1, 0, ~0ULL}, {5}}));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST((decoded->Upstreams == BucketDigests{1, 0, ~0ULL}));
+  BOOST_TEST((decoded->Members == BucketDigests{5}));
+  BOOST_TEST(!decodeDigests("malformed").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(datagramsRoundTrip) {
   const Datagram ping{Datagram::Ping{},
                       sampleMember("x"),
@@ -174,6 +184,8 @@
   BOOST_TEST((list.Items.front().Revision == StoreRevision{2, 39}));
   BOOST_TEST(list.Items.front().IsLeaving);
   BOOST_TEST((list.RemovedIds == update.Upstreams->List.RemovedIds));
+  BOOST_TEST((list.Buckets == update.Upstreams->List.Buckets));
+  BOOST_TEST(list.BucketCount == update.Upstreams->List.BucketCount);
   BOOST_TEST((decoded->EvacuatedDomains->RevisionByName ==
               update.EvacuatedDomains->RevisionByName));
   BOOST_TEST((decoded->EvacuatedDomains->AsOf == StoreRevision{2, 41}));
--- a/tests/fleet/PeerTaskTest.cpp
+++ b/tests/fleet/PeerTaskTest.cpp
@@ -217,6 +217,35 @@
   BOOST_TEST(it.waitUntilAllSeeLive(3));
 }
 
+// Complete lists for all followers at once would keep the link of the new
+// reader busy for seconds.
+BOOST_AUTO_TEST_CASE(followersOfANewReaderGetNoCompleteLists) {
+  Domain it(5);
+  BOOST_REQUIRE(it.waitForReader());
+  it.reader()->setVersion(5);
+  BOOST_REQUIRE(it.waitUntilAllHaveVersion(5));
+  BOOST_REQUIRE(it.waitUntilAllSeeLive(5));
+  Peer *unhealthy = it.reader();
+  unhealthy->Task->setStoreHealthy(false);
+  Peer *next = nullptr;
+  BOOST_REQUIRE(it.EventLoop.runUntil([&] {
+    for (auto &peer : it.Peers) {
+      if (peer.get() != unhealthy && peer->Task->duty() == Duty::Read) {
+        next = peer.get();
+      }
+    }
+    return next != nullptr;
+  }));
+  next->setVersion(7);
+  BOOST_TEST(it.waitUntilAllHaveVersion(7));
+  BOOST_TEST(it.waitUntilAllSeeLive(5));
+  for (const auto &peer : it.Peers) {
+    if (peer.get() != unhealthy && peer.get() != next) {
+      BOOST_TEST(peer->CompleteLists == 1);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(followersReplaceAReaderWithoutStore) {
   Domain it(3);
   BOOST_REQUIRE(it.waitForReader());
