fleet: updates of the lists take at most half of the reader's link

What callers saw: with 90 instances behind a reader with 20 Mbit/s, changes of the configuration were in force up to 1.3 s late while a service was replaced. Cause: only responses over 8 KB were spaced. Ten changes a second of 50 upstreams each, 4 KB, for 89 followers take 28 Mbit/s. Pongs wait behind them for over 0.7 s, the reader seems lost, and its followers poll anew. Those with nothing yet wait a second longer.

--- a/src/fleet/Codec.cpp
+++ b/src/fleet/Codec.cpp
@@ -19,8 +19,9 @@
 // Far more than the lists of the largest fleet take.
 constexpr std::size_t MaxUpdateBytes = std::size_t{64} << 20;
 
-// Compressing shorter updates would take more time than it is worth.
-constexpr std::size_t MaxUncompressedBytes = std::size_t{4} << 10;
+// Shorter updates would hardly become smaller. Longer ones are worth the time,
+// since they are compressed once for many followers.
+constexpr std::size_t MaxUncompressedBytes = std::size_t{512};
 
 // The first byte of an encoded update gives the encoding of the rest.
 constexpr char Plain = 'p';
--- a/src/fleet/UpdateServer.cpp
+++ b/src/fleet/UpdateServer.cpp
@@ -13,10 +13,12 @@
 
 namespace {
 
-// Responses longer than LargeResponseBytes are spaced out in time, so that they
-// take up at most LargeResponseLinkShare of the link.
-constexpr std::size_t LargeResponseBytes = std::size_t{8} << 10;
-constexpr double LargeResponseLinkShare = 0.5;
+// Updates of the lists take up at most this share of the link.
+constexpr double ListsLinkShare = 0.5;
+
+// A follower that has no lists yet waits this much longer than one that gets
+// changes, which are small.
+constexpr Duration CompleteListsDelay = std::chrono::seconds{1};
 
 // The encoded snapshot is reused for this long.
 constexpr Duration SnapshotCacheTime = std::chrono::milliseconds{500};
@@ -53,23 +55,24 @@
 
 UpdateServer::UpdateServer(struct ev_loop *loop, std::uint64_t bootId,
                            double linkMbps, FillUpdate fill)
-    : Loop(loop), Fill(std::move(fill)), LinkMbps(linkMbps),
+    : Loop(loop), Fill(std::move(fill)),
       Server(loop, {[](const http::Request &) { return true; },
                     [this](http::ExchangeId id, const http::Request &request) {
                       handleRequest(id, request);
                     },
                     [this](http::ExchangeId id) { PendingPolls.erase(id); }}) {
   State.BootId = bootId;
+  ListsBudget = makeLinkBudget(linkMbps, ListsLinkShare);
   ev_timer_init(
-      &LargeResponseTimer,
+      &ListsTimer,
       [](struct ev_loop *, ev_timer *it, int) {
         static_cast<UpdateServer *>(it->data)->answerPending();
       },
       0, 0);
-  LargeResponseTimer.data = this;
+  ListsTimer.data = this;
 }
 
-UpdateServer::~UpdateServer() { ev_timer_stop(Loop, &LargeResponseTimer); }
+UpdateServer::~UpdateServer() { ev_timer_stop(Loop, &ListsTimer); }
 
 void UpdateServer::setReading(bool reading) {
   Reading = reading;
@@ -100,7 +103,7 @@
   }
   std::uint64_t sequence = lastChange(State, channel);
   // While the timer is not active, no poll waits that could be answered.
-  if (ev_is_active(&LargeResponseTimer)) {
+  if (ev_is_active(&ListsTimer)) {
     for (const auto &[id, it] : PendingPolls) {
       if (it.Channel == channel && it.FollowerBootId == followerBootId) {
         sequence = std::min(sequence, it.LastSequence);
@@ -130,6 +133,7 @@
         parseNumber(http::queryParameter(request.Target, "after"));
   }
   poll.Digests = request.Body;
+  poll.ReceivedAt = readClock();
   endEarlierPolls(poll);
   answerOrDefer(std::move(poll));
 }
@@ -160,37 +164,37 @@
 }
 
 // Answers a long poll if there are changes, and defers the response otherwise.
-// Large lists are spaced out to leave bandwidth for pings and pongs: when
-// many instances poll for the complete state at once, late pongs would make the
-// reader seem lost.
+// Updates of the lists are spaced out to leave bandwidth for pings and pongs:
+// late pongs make the reader seem lost.
 void UpdateServer::answerOrDefer(PendingPoll poll) {
   const std::string *update = updateFor(poll);
   const Instant now = readClock();
-  const bool isLarge = poll.Channel == StateChannel::Lists &&
-                       update != nullptr &&
-                       update->size() > LargeResponseBytes && LinkMbps > 0;
-  if (update == nullptr || (isLarge && now < NextLargeResponseAt)) {
-    if (isLarge && poll.DeferredSince == Instant{}) {
-      poll.DeferredSince = now;
+  const bool isSpaced =
+      update != nullptr && poll.Channel == StateChannel::Lists;
+  if (update == nullptr || (isSpaced && now < nextSendAt(ListsBudget))) {
+    if (isSpaced) {
+      poll.DeferredSince =
+          poll.DeferredSince == Instant{} ? now : poll.DeferredSince;
+      startListsTimer(now);
     }
     PendingPolls.emplace(poll.Id, std::move(poll));
-    if (isLarge && !ev_is_active(&LargeResponseTimer)) {
-      const std::chrono::duration<double> left = NextLargeResponseAt - now;
-      ev_timer_set(&LargeResponseTimer, left.count(), 0);
-      ev_timer_start(Loop, &LargeResponseTimer);
-    }
     return;
   }
-  if (isLarge) {
-    constexpr double bitsPerByte = 8;
-    const double micros = static_cast<double>(update->size()) * bitsPerByte /
-                          (LinkMbps * LargeResponseLinkShare);
-    NextLargeResponseAt = now + Duration(static_cast<Duration::rep>(micros));
+  if (isSpaced) {
+    recordSent(ListsBudget, update->size(), now);
   }
   recordDeferred(poll, update->size(), now);
   Server.sendResponse(poll.Id, {Ok, {}, *update});
 }
 
+void UpdateServer::startListsTimer(Instant now) {
+  if (!ev_is_active(&ListsTimer)) {
+    const std::chrono::duration<double> left = nextSendAt(ListsBudget) - now;
+    ev_timer_set(&ListsTimer, left.count(), 0);
+    ev_timer_start(Loop, &ListsTimer);
+  }
+}
+
 void UpdateServer::recordDeferred(const PendingPoll &poll, std::size_t bytes,
                                   Instant now) {
   if (poll.DeferredSince == Instant{}) {
@@ -218,10 +222,21 @@
   Deferred = {};
 }
 
+// Those that wait longest come first.
 void UpdateServer::answerPending() {
-  const auto polls = std::exchange(PendingPolls, {});
-  for (const auto &[id, it] : polls) {
-    answerOrDefer(it);
+  std::vector<PendingPoll> polls;
+  for (auto &[id, it] : std::exchange(PendingPolls, {})) {
+    polls.push_back(std::move(it));
+  }
+  const auto key = [](const PendingPoll &it) {
+    const bool needsAll = it.LastSequence == 0 && it.Digests.empty();
+    return std::make_pair(
+        it.ReceivedAt + (needsAll ? CompleteListsDelay : Duration{0}), it.Id);
+  };
+  std::sort(polls.begin(), polls.end(),
+            [&](const auto &a, const auto &b) { return key(a) < key(b); });
+  for (PendingPoll &it : polls) {
+    answerOrDefer(std::move(it));
   }
   logDeferred(readClock());
 }
--- a/src/fleet/UpdateServer.h
+++ b/src/fleet/UpdateServer.h
@@ -13,6 +13,7 @@
 #include <ev.h>
 
 #include "fleet/Codec.h"
+#include "fleet/LinkBudget.h"
 #include "fleet/VersionedState.h"
 #include "http/Server.h"
 
@@ -76,6 +77,7 @@
     /// Encoded digests of the follower's lists, with its first poll of a
     /// reader; else empty.
     std::string Digests;
+    Instant ReceivedAt{};
     Instant DeferredSince{}; ///< Since when an update waits to be sent.
   };
 
@@ -90,6 +92,7 @@
   void endEarlierPolls(const PendingPoll &poll);
   const std::string *updateFor(const PendingPoll &poll);
   void answerOrDefer(PendingPoll poll);
+  void startListsTimer(Instant now);
   void recordDeferred(const PendingPoll &poll, std::size_t bytes, Instant now);
   void logDeferred(Instant now);
   void answerPending();
@@ -97,15 +100,13 @@
 
   struct ev_loop *Loop;
   FillUpdate Fill;
-  double LinkMbps;
   http::Server Server;
   VersionedState State;
   bool Reading = false;
   bool HasSnapshot = false;
   std::unordered_map<http::ExchangeId, PendingPoll> PendingPolls;
-  /// Earliest time at which the next large response may be sent.
-  Instant NextLargeResponseAt{};
-  ev_timer LargeResponseTimer{};
+  LinkBudget ListsBudget;
+  ev_timer ListsTimer{};
   DeferredUpdates Deferred;
   Instant DeferredLoggedAt{};
   std::string Snapshot; ///< Encoded state; empty until first requested.
--- a/tests/fleet/UpdateServerTest.cpp
+++ b/tests/fleet/UpdateServerTest.cpp
@@ -1,7 +1,11 @@
+#include <map>
+#include <vector>
+
 #include <boost/test/unit_test.hpp>
 
 #include "../http/RawConnection.h"
 #include "fleet/UpdateServer.h"
+#include "http/ClientPool.h"
 #include "zinniarail/core/Hash.h"
 
 using namespace zinniarail;
@@ -14,9 +18,8 @@
 constexpr double LinkMbps = 0.1;
 
 /// A list that stays large when it is compressed.
-MembersUpdate largeMembersUpdate() {
+MembersUpdate membersUpdate(unsigned count = 400) {
   MembersUpdate update;
-  constexpr unsigned count = 400;
   for (unsigned n = 0; n < count; ++n) {
     Member it;
     it.Record.Id = std::to_string(hashBytes(std::to_string(n)));
@@ -32,7 +35,7 @@
       : Server(EventLoop.Loop, BootId, LinkMbps,
                [](StateUpdate &update, StatePart part) {
                  if (part == StatePart::Members) {
-                   update.Members = largeMembersUpdate();
+                   update.Members = membersUpdate();
                  } else {
                    update.Config = std::make_shared<const std::string>("v5");
                  }
@@ -55,8 +58,86 @@
   std::string Address;
 };
 
+/// Followers that poll the lists again and again, as instances do.
+struct Followers {
+  Followers(struct ev_loop *loop, std::string address, unsigned count)
+      : Address(std::move(address)),
+        Pool(loop, [this](http::CallId id, const http::CallResult &result) {
+          handleResult(id, result);
+        }) {
+    Sequences.resize(count);
+    for (unsigned n = 0; n < count; ++n) {
+      poll(n);
+    }
+  }
+
+  void poll(std::size_t n) {
+    http::Call call;
+    call.Id = ++LastCall;
+    call.Address = Address;
+    call.Bytes = "GET /news?channel=lists&boot=" + std::to_string(BootId) +
+                 "&after=" + std::to_string(Sequences[n]) +
+                 "&follower=" + std::to_string(n + 1) +
+                 " HTTP/1.1\r\nHost: x\r\n\r\n";
+    Calls[call.Id] = n;
+    Pool.start(std::move(call));
+  }
+
+  void handleResult(http::CallId id, const http::CallResult &result) {
+    const std::size_t n = Calls.extract(id).mapped();
+    const auto update = decodeUpdate(result.Response.Body);
+    BOOST_REQUIRE(update.has_value());
+    ReceivedBytes += result.Response.Body.size();
+    Sequences[n] = update->Sequence;
+    poll(n);
+  }
+
+  bool haveAll(std::uint64_t sequence) const {
+    return std::all_of(Sequences.begin(), Sequences.end(),
+                       [&](std::uint64_t it) { return it == sequence; });
+  }
+
+  std::string Address;
+  http::ClientPool Pool;
+  http::CallId LastCall = 0;
+  std::map<http::CallId, std::size_t> Calls;
+  std::vector<std::uint64_t> Sequences; ///< Of the last updates.
+  std::size_t ReceivedBytes = 0;
+};
+
 } // namespace
 
+// Each update is small, but all followers get it, ten times a second. Pongs
+// that wait behind such updates make the reader seem lost.
+BOOST_AUTO_TEST_CASE(changesInQuickSuccessionLeaveHalfOfTheLinkFree) {
+  constexpr double linkMbps = 2;
+  constexpr double halfBytesPerSecond = linkMbps * 1e6 / 8 / 2;
+  constexpr unsigned changes = 20;
+  http::TestLoop eventLoop;
+  unsigned members = 0;
+  UpdateServer server(eventLoop.Loop, BootId, linkMbps,
+                      [&](StateUpdate &update, StatePart) {
+                        update.Members = membersUpdate(members);
+                      });
+  server.setReading(true);
+  const Instant startedAt = readClock();
+  Followers followers(eventLoop.Loop,
+                      http::listenOnFreePort([&](const std::string &it) {
+                        return server.listen(it);
+                      }),
+                      30);
+  for (unsigned n = 0; n < changes; ++n) {
+    members += 20;
+    server.publish(StatePart::Members);
+    eventLoop.runFor(std::chrono::milliseconds{100});
+  }
+  const std::chrono::duration<double> elapsed = readClock() - startedAt;
+  constexpr std::size_t longestUpdate = 20'000;
+  BOOST_TEST(static_cast<double>(followers.ReceivedBytes) <=
+             halfBytesPerSecond * elapsed.count() + longestUpdate);
+  BOOST_TEST(eventLoop.runUntil([&] { return followers.haveAll(changes); }));
+}
+
 // A follower told of news while its poll waits in line would start it again.
 BOOST_AUTO_TEST_CASE(followerInLineForALargeResponseIsNotToldOfNews) {
   Reader it;
