fleet: a follower whose update waits for bandwidth knows that it is behind

Cause: the sequence in a reader's pong left out what a follower's poll waited for, so that the follower would not start it again. The follower counted as current meanwhile: its log said nothing for 2.8 s, the age of its state was 0, and a request for a route that it did not know yet got 404, not 503. Change: pongs tell the sequence as it is, and beside it whether the poll has arrived and waits.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -54,8 +54,8 @@
   sender @3 :Member;
   # In a pong, other members of the receiver's failure domain; else empty.
   members @4 :List(Member);
-  # In a reader's pong, the sequence of the StateUpdate of the control channel
-  # that the receiver should have by now; 0: unknown.
+  # In a reader's pong, the sequence of its last StateUpdate of the control
+  # channel; 0: unknown.
   sequence @7 :UInt64;
   # Fingerprints of requests that were suspected to crash upstreams, and have had
   # a complete response since.
@@ -65,6 +65,9 @@
   # Upstreams that named a limit on their requests, and name none any more.
   endedLimits @10 :List(Text);
   listsSequence @11 :UInt64;    # As sequence, of the channel for lists.
+  # In a reader's pong, whether the receiver's poll for lists has arrived and
+  # waits for bandwidth.
+  listsDeferred @12 :Bool;
 }
 
 struct Destination {
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -363,6 +363,7 @@
   set("instances-live", Peers.liveMembers().size());
   set("instances-known", Peers.fleetSize());
   set("reads-the-store", Peers.duty() == Duty::Read ? 1 : 0);
+  set("followers-deferred", Peers.deferredFollowers());
   set("reaches-upstreams", RequestProxy.reachesUpstreams() ? 1 : 0);
   set("caller-connections", CallerServer.connections());
   set("upstream-connections", Pool.connections());
--- a/src/fleet/Codec.cpp
+++ b/src/fleet/Codec.cpp
@@ -291,8 +291,10 @@
   for (unsigned n = 0; n < members.size(); ++n) {
     write(members[n], datagram.Members[n]);
   }
-  root.setSequence(datagram.Sequences[indexOf(StateChannel::Control)]);
-  root.setListsSequence(datagram.Sequences[indexOf(StateChannel::Lists)]);
+  const auto &[control, lists] = datagram.Channels;
+  root.setSequence(control.Sequence);
+  root.setListsSequence(lists.Sequence);
+  root.setListsDeferred(lists.IsDeferred);
   auto quarantines =
       root.initQuarantines(static_cast<unsigned>(datagram.Quarantines.size()));
   for (unsigned n = 0; n < quarantines.size(); ++n) {
@@ -336,7 +338,9 @@
     for (const auto it : root.getMembers()) {
       out.Members.push_back(read(it));
     }
-    out.Sequences = {root.getSequence(), root.getListsSequence()};
+    out.Channels = {
+        ChannelStatus{root.getSequence()},
+        ChannelStatus{root.getListsSequence(), root.getListsDeferred()}};
     for (const auto it : root.getQuarantines()) {
       out.Quarantines.push_back(
           {it.getFingerprint(), Duration{it.getRemainingUs()}});
--- a/src/fleet/Codec.h
+++ b/src/fleet/Codec.h
@@ -37,6 +37,15 @@
   return static_cast<std::size_t>(channel);
 }
 
+/// What a reader tells a follower of a channel.
+struct ChannelStatus {
+  std::uint64_t Sequence = 0; ///< Of the last change; 0: unknown.
+  /// The follower's poll has arrived and waits for bandwidth.
+  bool IsDeferred = false;
+
+  bool operator==(const ChannelStatus &) const = default;
+};
+
 /// A datagram between two instances.
 struct Datagram {
   struct Ping {};
@@ -47,9 +56,8 @@
   Member Sender;
   /// In a pong, other members of the receiver's failure domain; else empty.
   std::vector<Member> Members;
-  /// In a reader's pong, for each channel the sequence number of the update
-  /// that the receiver should have by now; 0: unknown.
-  std::array<std::uint64_t, StateChannelCount> Sequences{};
+  /// In a reader's pong, what it has of each channel.
+  std::array<ChannelStatus, StateChannelCount> Channels{};
   /// Fingerprints of requests that were suspect and are harmless.
   std::vector<std::uint64_t> ClearedFingerprints;
   /// Those that the sender knows, for instances that missed the notices.
--- a/src/fleet/FollowerLag.cpp
+++ b/src/fleet/FollowerLag.cpp
@@ -14,12 +14,15 @@
 void restart(FollowerLag &lag) {
   lag.ReaderSequence = 0;
   lag.BehindSince.reset();
+  lag.DeferredAt = Instant::min();
   lag.AbandonedPolls = 0;
 }
 
 void recordReaderSequence(FollowerLag &lag, std::uint64_t bootId,
-                          std::uint64_t sequence, Instant now) {
+                          std::uint64_t sequence, bool isDeferred,
+                          Instant now) {
   lag.ReaderSequence = sequence;
+  lag.DeferredAt = isDeferred ? now : lag.DeferredAt;
   const std::uint64_t applied =
       bootId == lag.ReaderBootId ? lag.LastSequence : 0;
   if (sequence <= applied) {
@@ -45,7 +48,8 @@
   const Duration limit =
       OverdueTime * (1U << std::min(lag.AbandonedPolls, MaxDoublings));
   return lag.BehindSince &&
-         now - std::max(*lag.BehindSince, pollStartedAt) > limit;
+         now - std::max({*lag.BehindSince, pollStartedAt, lag.DeferredAt}) >
+             limit;
 }
 
 } // namespace zinniarail::fleet
--- a/src/fleet/FollowerLag.h
+++ b/src/fleet/FollowerLag.h
@@ -23,7 +23,10 @@
   std::uint64_t LastSequence = 0;     ///< Of the last update; 0: it has none.
   std::uint64_t ReaderSequence = 0;   ///< Last told by the reader; 0: unknown.
   std::optional<Instant> BehindSince; ///< None: it is not known to be behind.
-  unsigned AbandonedPolls = 0;        ///< Since the last update.
+  /// When the reader last told that the poll waits for bandwidth there;
+  /// Instant::min(): never.
+  Instant DeferredAt = Instant::min();
+  unsigned AbandonedPolls = 0; ///< Since the last update.
 };
 
 /// Starts over with a reader, maybe the one followed before. What is known of
@@ -34,8 +37,9 @@
 /// Records a datagram of the reader that is followed.
 /// \param bootId boot id of the reader, which may have restarted.
 /// \param sequence state sequence in the datagram; 0: unknown.
+/// \param isDeferred whether the poll has arrived and waits for bandwidth.
 void recordReaderSequence(FollowerLag &lag, std::uint64_t bootId,
-                          std::uint64_t sequence, Instant now);
+                          std::uint64_t sequence, bool isDeferred, Instant now);
 
 /// Records an update that was applied.
 void recordUpdate(FollowerLag &lag, std::uint64_t bootId,
@@ -44,10 +48,10 @@
 /// Whether the state has been behind the reader's for longer than OverdueTime.
 bool isBehind(const FollowerLag &lag, Instant now);
 
-/// Whether the poll in flight should be abandoned: the reader has had news for
-/// longer than OverdueTime, which doubles with each poll abandoned since the
-/// last update, so that responses that only take long do arrive.
-/// \param pollStartedAt time when the poll in flight was sent.
+/// Whether the poll in flight should be abandoned: the reader has had news, and
+/// bandwidth to send it, for longer than OverdueTime, which doubles with each
+/// poll abandoned since the last update, so that responses that only take long
+/// do arrive. \param pollStartedAt time when the poll in flight was sent.
 bool isPollOverdue(const FollowerLag &lag, Instant pollStartedAt, Instant now);
 
 } // namespace zinniarail::fleet
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -328,8 +328,8 @@
                          datagram.Sender.Record.Id, MaxMembersInPong, now);
     pong.Quarantines = Handlers.ListQuarantines(MaxQuarantinesTold);
     for (const ChannelPoll &it : Polls) {
-      pong.Sequences[indexOf(it.Channel)] =
-          Publisher.sequenceFor(it.Channel, datagram.Sender.BootId);
+      pong.Channels[indexOf(it.Channel)] =
+          Publisher.statusFor(it.Channel, datagram.Sender.BootId);
     }
     send(from, pong);
   } else if (const auto *suspected =
@@ -350,8 +350,9 @@
       ReaderElection.CurrentDuty == Duty::Follow &&
       datagram.Sender.Record.Id == ReaderElection.Reader) {
     for (ChannelPoll &it : Polls) {
-      recordReaderSequence(it.Lag, datagram.Sender.BootId,
-                           datagram.Sequences[indexOf(it.Channel)], now);
+      const ChannelStatus &status = datagram.Channels[indexOf(it.Channel)];
+      recordReaderSequence(it.Lag, datagram.Sender.BootId, status.Sequence,
+                           status.IsDeferred, now);
     }
     abandonOverduePolls();
   }
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -121,6 +121,9 @@
   /// The number of instances in all failure domains that may be running.
   std::size_t fleetSize() const;
 
+  /// The number of followers whose polls wait for bandwidth here.
+  std::size_t deferredFollowers() const { return Publisher.deferredPolls(); }
+
   /// The number of live members with higher priority in the election.
   std::size_t electionRank() const;
 
--- a/src/fleet/UpdateServer.cpp
+++ b/src/fleet/UpdateServer.cpp
@@ -96,21 +96,24 @@
   }
 }
 
-std::uint64_t UpdateServer::sequenceFor(StateChannel channel,
-                                        std::uint64_t followerBootId) const {
+ChannelStatus UpdateServer::statusFor(StateChannel channel,
+                                      std::uint64_t followerBootId) const {
   if (!Reading) {
-    return 0;
+    return {};
   }
-  std::uint64_t sequence = lastChange(State, channel);
-  // While the timer is not active, no poll waits that could be answered.
-  if (ev_is_active(&ListsTimer)) {
-    for (const auto &[id, it] : PendingPolls) {
-      if (it.Channel == channel && it.FollowerBootId == followerBootId) {
-        sequence = std::min(sequence, it.LastSequence);
-      }
-    }
-  }
-  return sequence;
+  const bool isDeferred = std::any_of(
+      PendingPolls.begin(), PendingPolls.end(), [&](const auto &it) {
+        return it.second.Channel == channel &&
+               it.second.FollowerBootId == followerBootId &&
+               it.second.DeferredSince != Instant{};
+      });
+  return {lastChange(State, channel), isDeferred};
+}
+
+std::size_t UpdateServer::deferredPolls() const {
+  return static_cast<std::size_t>(std::count_if(
+      PendingPolls.begin(), PendingPolls.end(),
+      [](const auto &it) { return it.second.DeferredSince != Instant{}; }));
 }
 
 void UpdateServer::handleRequest(http::ExchangeId id,
@@ -207,9 +210,7 @@
 }
 
 void UpdateServer::logDeferred(Instant now) {
-  const auto waiting = std::count_if(
-      PendingPolls.begin(), PendingPolls.end(),
-      [](const auto &it) { return it.second.DeferredSince != Instant{}; });
+  const std::size_t waiting = deferredPolls();
   if (Deferred.Count == 0 ||
       (waiting > 0 && now - DeferredLoggedAt < DeferredLogInterval)) {
     return;
--- a/src/fleet/UpdateServer.h
+++ b/src/fleet/UpdateServer.h
@@ -60,11 +60,12 @@
   /// this instance reads the store.
   void publish(StatePart part);
 
-  /// The sequence number of the update of a channel that a follower should have
-  /// by now: the last one, unless its poll waits because large responses are
-  /// spaced out. 0: unknown, or this instance does not read.
-  std::uint64_t sequenceFor(StateChannel channel,
-                            std::uint64_t followerBootId) const;
+  /// What to tell a follower of a channel.
+  ChannelStatus statusFor(StateChannel channel,
+                          std::uint64_t followerBootId) const;
+
+  /// The number of polls that wait for bandwidth.
+  std::size_t deferredPolls() const;
 
 private:
   struct PendingPoll {
