proxy: a relayed request is handled only by the same configuration version

What callers could see: a request that an instance relays was routed by the instance that got it, whose version may be older, or newer; the answer, or a 404, was handed on. Seen by the caller, the instance that it talks to went back to an older version, or ahead and back. Change: a relay carries the version in force; an instance with another version refuses it with version-mismatch, and the next one is tried. The refusal doesn't keep the instance from getting the next relay, since versions differ for a moment only. A request that wasn't relayed can't name a version. Remains: an instance of an older build ignores the version.

--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -222,12 +222,27 @@
   return std::min(limit, now + Duration(std::chrono::milliseconds{ms}));
 }
 
+// Its caller may have seen the effect of the version of the instance that
+// relays it, and would go back to an older one here.
+bool Proxy::isRelayOfAnotherVersion(const http::Request &request) const {
+  if (http::findHeader(request.Fields, RelayedHeader) == nullptr) {
+    return false;
+  }
+  const std::string *version = http::findHeader(request.Fields, VersionHeader);
+  return version != nullptr &&
+         *version != std::to_string(Snapshot->Config->Version);
+}
+
 void Proxy::onRequest(http::ExchangeId id, http::Request request) {
   const Instant now = readClock();
   if (!Snapshot || !Snapshot->Config) {
     return refuseUndispatched(id, request, Unavailable, "no-configuration",
                               NoConfigurationRetryAfter);
   }
+  if (isRelayOfAnotherVersion(request)) {
+    return refuseUndispatched(id, request, Unavailable, VersionMismatch,
+                              OutdatedStateRetryAfter);
+  }
   const Route *route = routeOf(request);
   if (route == nullptr && Callbacks.IsStateOutdated()) {
     return refuseUndispatched(id, request, Unavailable, "state-outdated",
@@ -265,6 +280,7 @@
   const bool wasRelayed =
       http::findHeader(request.Fields, RelayedHeader) != nullptr;
   http::removeHeader(request.Fields, RelayedHeader);
+  http::removeHeader(request.Fields, VersionHeader);
   OpenRequests.emplace(id, OpenRequest{std::move(request), &entry,
                                        route->Idempotent, wasRelayed,
                                        std::move(record), std::nullopt});
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -182,6 +182,7 @@
     bool HasEnded = false;
   };
 
+  bool isRelayOfAnotherVersion(const http::Request &request) const;
   const Route *routeOf(const http::Request &request) const;
   ServiceEntry &getOrCreateEntry(const std::string &service);
   balance::ServicePlan makePlan(const std::string &service) const;
--- a/src/proxy/Refusal.h
+++ b/src/proxy/Refusal.h
@@ -15,6 +15,14 @@
 /// Marks a request that another instance relayed.
 constexpr const char *RelayedHeader = "X-Zinniarail-Relayed";
 
+/// The configuration version in force on the instance that relays a request.
+/// Another instance takes it only with the same version in force.
+constexpr const char *VersionHeader = "X-Zinniarail-Version";
+
+/// Reason for which a relayed request is refused by an instance with another
+/// version in force.
+constexpr const char *VersionMismatch = "version-mismatch";
+
 http::Response makeRefusal(const RequestEnd &end);
 
 /// The HTTP status of a refusal.
--- a/src/proxy/Relay.cpp
+++ b/src/proxy/Relay.cpp
@@ -43,6 +43,7 @@
 bool isPassedOver(const http::Response &response) {
   return hasValue(response, OutcomeHeader, "did-not-run") &&
          (hasValue(response, ReasonHeader, "unreachable") ||
+          hasValue(response, ReasonHeader, VersionMismatch) ||
           hasValue(response, ReasonHeader, "no-configuration"));
 }
 
@@ -126,8 +127,10 @@
   call.Id = relay.Call;
   call.Address = target.CallerAddress;
   call.Bytes = http::serializeRequest(
-      request.Content, {{dialect.Deadline, std::to_string(leftMs.count())},
-                        {RelayedHeader, "1"}});
+      request.Content,
+      {{dialect.Deadline, std::to_string(leftMs.count())},
+       {RelayedHeader, "1"},
+       {VersionHeader, std::to_string(Snapshot->Config->Version)}});
   call.IsHead = request.Content.Method == "HEAD";
   if (const std::string *echo =
           http::findHeader(request.Content.Fields, dialect.RequestId)) {
@@ -176,7 +179,8 @@
   relay.MayHaveRun = relay.MayHaveRun || broken;
   const bool passedOver =
       end.End == balance::AttemptEnd::NotSent || isPassedOver(response);
-  if (passedOver && !relay.TimedOut) {
+  const bool willMatchSoon = hasValue(response, ReasonHeader, VersionMismatch);
+  if (passedOver && !relay.TimedOut && !willMatchSoon) {
     request.Entry->NoRelaysUntil[relay.Target] = readClock() + PassOverTime;
   }
   const bool mayRepeat = broken ? request.Idempotent : passedOver;
--- a/tests/proxy/FakeNetwork.h
+++ b/tests/proxy/FakeNetwork.h
@@ -42,9 +42,10 @@
 
 /// One route for requests that may be repeated, one for others; the upstreams
 /// report their load.
-inline std::shared_ptr<const RoutingSnapshot> makeSnapshot() {
+inline std::shared_ptr<const RoutingSnapshot>
+makeSnapshot(std::uint64_t version = 1) {
   auto config = std::make_shared<Configuration>();
-  config->Version = 1;
+  config->Version = version;
   for (const bool idempotent : {true, false}) {
     Route route;
     route.Name = idempotent ? "read" : "write";
--- a/tests/proxy/RelayTest.cpp
+++ b/tests/proxy/RelayTest.cpp
@@ -34,6 +34,7 @@
   Broken,
   Unsigned,
   Unreachable,
+  OtherVersion,
   Overloaded,
   Unknown,
 };
@@ -64,6 +65,9 @@
   case End::Unreachable:
     out.Response = refusal(503, "did-not-run", "unreachable");
     break;
+  case End::OtherVersion:
+    out.Response = refusal(503, "did-not-run", "version-mismatch");
+    break;
   case End::Overloaded:
     out.Response = refusal(503, "did-not-run", "overloaded");
     break;
@@ -104,6 +108,16 @@
      {End::Unreachable, End::Unreachable, End::Unreachable},
      503,
      "did-not-run"},
+    {"one has another configuration",
+     "/write/",
+     {End::OtherVersion, End::Answered},
+     200,
+     ""},
+    {"all have another configuration",
+     "/write/",
+     {End::OtherVersion, End::OtherVersion, End::OtherVersion},
+     503,
+     "did-not-run"},
     {"refused", "/write/", {End::Overloaded}, 503, "did-not-run"},
     {"failed there", "/write/", {End::Unknown}, 502, "unknown"},
     {"broken", "/write/", {End::Broken}, 502, "unknown"},
@@ -155,6 +169,7 @@
   BOOST_TEST(bytes.find("Host: orders.example\r\n") != std::string::npos);
   BOOST_TEST(bytes.find("X-Request-Id: r") != std::string::npos);
   BOOST_TEST(bytes.find("X-Zinniarail-Relayed: ") != std::string::npos);
+  BOOST_TEST(bytes.find("X-Zinniarail-Version: 1\r\n") != std::string::npos);
   constexpr std::string_view key = "X-Deadline-Milliseconds: ";
   const std::size_t at = bytes.find(key);
   BOOST_REQUIRE(at != std::string::npos);
@@ -179,6 +194,54 @@
   }
 }
 
+// Its configuration, or this instance's, will be up to date in a moment.
+BOOST_AUTO_TEST_CASE(instanceWithAnotherConfigurationGetsTheNextRelay) {
+  CutOffInstance instance;
+  instance.Targets.resize(1);
+  instance.send("/write/");
+  instance.EndedCalls.emplace_back(instance.OtherCalls.front().Id,
+                                   resultOf(End::OtherVersion));
+  instance.run();
+  instance.send("/write/");
+  BOOST_TEST(instance.OtherCalls.size() == 2U);
+}
+
+// A caller would see the effect of one version, and then that of an older one.
+BOOST_DATA_TEST_CASE(relayIsNotHandledByAnotherVersion,
+                     (std::vector<std::string>{"6", "7", "8", ""}), version) {
+  TestInstance instance;
+  instance.Proxy.onRoutingSnapshot(makeSnapshot(7));
+  http::Headers fields{{"X-Zinniarail-Relayed", "1"}};
+  if (!version.empty()) { // Builds before this one send none.
+    fields.push_back({"X-Zinniarail-Version", version});
+  }
+  const http::ExchangeId id = instance.send("/read/", 1s, fields);
+  while (!instance.hasResponse(id)) {
+    instance.run();
+  }
+  const http::Response &response = instance.Responses[id];
+  const bool isServed = version.empty() || version == "7";
+  BOOST_TEST(response.Status == (isServed ? 200U : 503U));
+  if (!isServed) {
+    BOOST_TEST(*http::findHeader(response.Fields, "X-Zinniarail-Reason") ==
+               "version-mismatch");
+  }
+  BOOST_TEST(instance.LastUpstreamBytes.find("Zinniarail-Version") ==
+             std::string::npos);
+}
+
+// A caller can't make an instance refuse its own requests.
+BOOST_AUTO_TEST_CASE(versionOfARequestThatWasNotRelayedIsIgnored) {
+  TestInstance instance;
+  instance.warmUp();
+  const http::ExchangeId id =
+      instance.send("/read/", 1s, {{"X-Zinniarail-Version", "99"}});
+  while (!instance.hasResponse(id)) {
+    instance.run();
+  }
+  BOOST_TEST(instance.Responses[id].Status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(otherFailureDomainsGetARelayOnlyIfThereIsNoOtherTarget) {
   CutOffInstance instance;
   instance.Targets = {{"i2", "192.0.2.102:80", false},
