--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -384,7 +384,7 @@
     SnapshotOutdated = true;
   }
   RequestProxy.logOmittedCount();
-  Peers.logUnreadableMessages();
+  Peers.logMessageCounts();
   flushLog();
 }
 
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -97,7 +97,7 @@
     {EventId::UpdatesDeferred, "updates-deferred", EventLevel::Info,
      "This instance reads the store for others and made some of them wait for "
      "updates, so that updates leave bandwidth on its link for other messages. "
-     "Logged when none waits any more, and each second until then. The fields "
+     "Logged at most once a second. The fields "
      "give the number of followers that wait, the updates that were sent "
      "late, their size, and the longest wait."},
     {EventId::RequestServed, "request-served", EventLevel::Info,
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -171,7 +171,8 @@
   ev_timer_start(Loop, &Timer);
 }
 
-void PeerTask::logUnreadableMessages() {
+void PeerTask::logMessageCounts() {
+  Publisher.logDeferred();
   if (UnreadableCount > 0) {
     logEvent(EventId::MessagesUnreadable,
              {{"count", std::exchange(UnreadableCount, 0)}});
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -134,9 +134,9 @@
 
   Duty duty() const { return ReaderElection.CurrentDuty; }
 
-  /// Logs how many messages could not be decoded since the last call. To be
-  /// called about once a second.
-  void logUnreadableMessages();
+  /// Logs how many messages could not be decoded, and how many updates were
+  /// sent late, since the last call. To be called about once a second.
+  void logMessageCounts();
 
   boost::json::object describe(Instant now) const;
 
--- a/src/fleet/UpdateServer.cpp
+++ b/src/fleet/UpdateServer.cpp
@@ -23,9 +23,6 @@
 // The encoded snapshot is reused for this long.
 constexpr Duration SnapshotCacheTime = std::chrono::milliseconds{500};
 
-// Time between two log lines while responses are deferred.
-constexpr Duration DeferredLogInterval = std::chrono::seconds{1};
-
 constexpr unsigned Ok = 200;
 constexpr unsigned NotFound = 404;
 
@@ -209,14 +206,11 @@
       std::max(Deferred.LongestWait, now - poll.DeferredSince);
 }
 
-void UpdateServer::logDeferred(Instant now) {
-  const std::size_t waiting = deferredPolls();
-  if (Deferred.Count == 0 ||
-      (waiting > 0 && now - DeferredLoggedAt < DeferredLogInterval)) {
+void UpdateServer::logDeferred() {
+  if (Deferred.Count == 0) {
     return;
   }
-  DeferredLoggedAt = now;
-  logEvent(EventId::UpdatesDeferred, {{"waiting", waiting},
+  logEvent(EventId::UpdatesDeferred, {{"waiting", deferredPolls()},
                                       {"sent", Deferred.Count},
                                       {"bytes", Deferred.Bytes},
                                       {"longest_ms", Deferred.LongestWait}});
@@ -239,7 +233,6 @@
   for (PendingPoll &it : polls) {
     answerOrDefer(std::move(it));
   }
-  logDeferred(readClock());
 }
 
 const std::string &UpdateServer::encodedSnapshot() {
--- a/src/fleet/UpdateServer.h
+++ b/src/fleet/UpdateServer.h
@@ -64,6 +64,9 @@
   ChannelStatus statusFor(StateChannel channel,
                           std::uint64_t followerBootId) const;
 
+  /// Logs the updates that were sent late since the last call, if any.
+  void logDeferred();
+
   /// The number of polls that wait for bandwidth.
   std::size_t deferredPolls() const;
 
@@ -95,7 +98,6 @@
   void answerOrDefer(PendingPoll poll);
   void startListsTimer(Instant now);
   void recordDeferred(const PendingPoll &poll, std::size_t bytes, Instant now);
-  void logDeferred(Instant now);
   void answerPending();
   const std::string &encodedSnapshot();
 
@@ -109,7 +111,6 @@
   LinkBudget ListsBudget;
   ev_timer ListsTimer{};
   DeferredUpdates Deferred;
-  Instant DeferredLoggedAt{};
   std::string Snapshot; ///< Encoded state; empty until first requested.
   Instant SnapshotEncodedAt{};
 };
