--- a/tests/fleet/ReaderChangeTest.cpp
+++ b/tests/fleet/ReaderChangeTest.cpp
@@ -35,7 +35,7 @@
 
 json::object registration(unsigned n, const std::string &state = "ready") {
   return {{"address", "10.1.64." + std::to_string(n) + ":8544"},
-          {"born", 1700000000000 + n * 977},
+          {"born", 1700000000000 + std::uint64_t{n} * 977},
           {"information",
            {{"service", "credencial"},
             {"version", "v1"},
