fleet: an instance that reaches no other reads the store within 3 s

What callers could see: an instance that is cut off from the other instances, and not from the store, acts on an old configuration for many seconds. Cause: in the election it waits 0.25 s for each member of higher priority on the reader's live list, up to 20 s for the last of 90, unless a ping to the member stayed unanswered. Pings to the whole failure domain weren't recorded, so that it found three silent members in 0.7 s at a time. Change: those pings count as pings.

--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -249,6 +249,7 @@
     PingedDomainAt = now;
     for (const auto &[id, it] : Membership.Others) {
       if (it.LastStatus.Record.Domain == Membership.LocalMember.Record.Domain) {
+        recordPingTo(Membership, id, now);
         targets.push_back(it.LastStatus.Record.PeerAddress);
       }
     }
--- a/tests/fleet/PeerTaskTest.cpp
+++ b/tests/fleet/PeerTaskTest.cpp
@@ -61,6 +61,9 @@
               } else if (part == StatePart::Members) {
                 update.Members = {{true, Task->liveMembers(), {}},
                                   Task->fleetSize()};
+                auto &items = update.Members->List.Items;
+                items.insert(items.end(), ListedMembers.begin(),
+                             ListedMembers.end());
               }
             },
             {},
@@ -90,6 +93,8 @@
   std::uint64_t ClearedFingerprint = 0;
   std::string EndedLimit;
   std::uint64_t OwnQuarantine = 0; ///< Told with pings and pongs.
+  /// Told to followers as live besides the instances of the test.
+  std::vector<Member> ListedMembers;
   std::unique_ptr<PeerTask> Task;
 };
 
@@ -182,6 +187,9 @@
 // The users' bound on how late a change is in force.
 constexpr Duration ConfigPropagation = 2s;
 
+// The same bound of the users' largest deployment.
+constexpr Duration LargestConfigPropagation = 3s;
+
 } // namespace peer_test
 using namespace peer_test;
 
@@ -432,6 +440,28 @@
   BOOST_TEST(it.Follower.Task->liveMembers().size() == 2);
 }
 
+// It would wait for all that the reader listed to read the store before it.
+BOOST_AUTO_TEST_CASE(instanceThatReachesNoOtherReadsTheStoreItself) {
+  constexpr unsigned listedCount = 80;
+  RelayedPair it;
+  for (unsigned n = 3; n < 3 + listedCount; ++n) {
+    Member listed = it.Reader.describe(n);
+    listed.Record.Id = "i" + std::to_string(n);
+    listed.ElectionWeight = 200;
+    listed.UpdateFormat = CurrentUpdateFormat;
+    it.Reader.ListedMembers.push_back(listed);
+  }
+  it.start();
+  BOOST_REQUIRE(it.Follower.Task->liveMembers().size() == 2 + listedCount);
+  it.Reader.Task.reset();
+  const Instant cutAt = readClock();
+  it.EventLoop.runUntil([&] {
+    return it.Follower.Task->duty() == Duty::Read ||
+           readClock() - cutAt > LargestConfigPropagation;
+  });
+  BOOST_TEST((it.Follower.Task->duty() == Duty::Read));
+}
+
 // As during a rolling upgrade from a version that tells no sequence.
 BOOST_AUTO_TEST_CASE(followerOfAReaderWithoutSequenceGetsChanges) {
   RelayedPair it;
