fleet: the number of buckets in messages is bounded

An update or a poll could name any number of buckets, for which memory was taken. More than any list has is treated as if the sender knew nothing.

--- a/src/fleet/FollowerLag.h
+++ b/src/fleet/FollowerLag.h
@@ -51,7 +51,8 @@
 /// Whether the poll in flight should be abandoned: the reader has had news, and
 /// bandwidth to send it, for longer than OverdueTime, which doubles with each
 /// poll abandoned since the last update, so that responses that only take long
-/// do arrive. \param pollStartedAt time when the poll in flight was sent.
+/// do arrive.
+/// \param pollStartedAt time when the poll in flight was sent.
 bool isPollOverdue(const FollowerLag &lag, Instant pollStartedAt, Instant now);
 
 } // namespace zinniarail::fleet
--- a/src/fleet/ListDigest.cpp
+++ b/src/fleet/ListDigest.cpp
@@ -13,8 +13,6 @@
 // with fewer, one change would send many items.
 constexpr std::size_t ItemsPerBucket = 4;
 
-constexpr std::size_t MaxBuckets = 1024;
-
 // Keeps the buckets independent of other uses of the hash.
 constexpr std::uint64_t BucketSeed = 17;
 
--- a/src/fleet/ListDigest.h
+++ b/src/fleet/ListDigest.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,8 +15,11 @@
 
 namespace zinniarail::fleet {
 
-/// The number of buckets for a list of so many items: few items in each, and a
-/// bounded number.
+/// The largest number of buckets of a list.
+constexpr std::size_t MaxBuckets = 1024;
+
+/// The number of buckets for a list of so many items: few items in each, and at
+/// most MaxBuckets.
 std::size_t bucketCountFor(std::size_t items);
 
 /// The bucket of the item with this id, less than \p bucketCount.
@@ -62,7 +66,8 @@
 template <typename Item, typename Known>
 void resolveBuckets(ListUpdate<Item> &update,
                     const std::map<std::string, Known> &known) {
-  if (update.Buckets.empty() || update.BucketCount == 0) {
+  if (update.Buckets.empty() || update.BucketCount == 0 ||
+      update.BucketCount > MaxBuckets) {
     return;
   }
   std::vector<bool> isContained(update.BucketCount);
@@ -71,9 +76,9 @@
       isContained[bucket] = true;
     }
   }
-  std::map<std::string, bool> listed;
+  std::set<std::string> listed;
   for (const Item &it : update.Items) {
-    listed[idOf(it)] = true;
+    listed.insert(idOf(it));
   }
   for (const auto &[id, it] : known) {
     if (isContained[bucketOf(id, update.BucketCount)] && !listed.contains(id)) {
--- a/src/fleet/VersionedState.cpp
+++ b/src/fleet/VersionedState.cpp
@@ -75,13 +75,14 @@
 }
 
 // Fills in the buckets that differ from those of a follower, or the complete
-// list if the follower does not know any.
+// list if the follower knows none or has more buckets than any list.
 template <typename Item>
 void fillDifferences(ListUpdate<Item> &out, const VersionedList<Item> &list,
                      const BucketDigests &followers) {
-  out.IsComplete = followers.empty();
-  BucketDigests own(followers.size());
+  out.IsComplete = followers.empty() || followers.size() > MaxBuckets;
+  BucketDigests own;
   if (!out.IsComplete) {
+    own.resize(followers.size());
     for (const auto &[id, it] : list.Entries) {
       addToDigests(own, it.Value);
     }
--- a/tests/fleet/ListDigestTest.cpp
+++ b/tests/fleet/ListDigestTest.cpp
@@ -160,11 +160,29 @@
   BOOST_TEST(digestsOf(follower).size() * followers < linkBytesPerSecond / 2);
 }
 
-BOOST_AUTO_TEST_CASE(malformedDigestsGetTheCompleteList) {
+BOOST_DATA_TEST_CASE(unusableDigestsGetTheCompleteList,
+                     (std::vector<std::string>{
+                         "not digests", encodeDigests({}),
+                         encodeDigests({BucketDigests(MaxBuckets + 1), {}})}),
+                     digests) {
   VersionedState state = stateOf(mirrorOf(Count));
-  const std::string *bytes = differencesFrom(state, "not digests");
+  const std::string *bytes = differencesFrom(state, digests);
   BOOST_REQUIRE(bytes != nullptr);
-  BOOST_TEST(decodeUpdate(*bytes)->Upstreams->List.Items.size() == Count);
+  const auto update = decodeUpdate(*bytes);
+  BOOST_TEST(update->Upstreams->List.IsComplete);
+  BOOST_TEST(update->Upstreams->List.Items.size() == Count);
+}
+
+// The number comes from another instance and must not decide on memory.
+BOOST_AUTO_TEST_CASE(updateWithTooManyBucketsRemovesNothing) {
+  store::Mirror follower = mirrorOf(Count);
+  StateUpdate update;
+  update.Upstreams.emplace().AsOf = {1, ReaderRevision};
+  update.Upstreams->List.IsComplete = false;
+  update.Upstreams->List.Buckets = {0, 1, 2};
+  update.Upstreams->List.BucketCount = ~0U;
+  applyToMirror(follower, update, Now);
+  BOOST_TEST(follower.Upstreams.Entries.size() == Count);
 }
 
 BOOST_AUTO_TEST_CASE(memberDigestsIgnoreWhatOnlyTheMemberItselfReports) {
