--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -86,8 +86,9 @@
     {EventId::PollAbandoned, "poll-abandoned", EventLevel::Warn,
      "The reader that this instance follows says that it has sent news which "
      "did not arrive: the connection to it may have gone silent, and the poll "
-     "starts again on a new one. The fields give the sequence that the "
-     "instance has, that of the reader, and for how long it has been behind. "
+     "starts again on a new one. The fields give the channel, the sequence "
+     "that the instance has, that of the reader, and for how long it has been "
+     "behind. "
      "If this repeats, look at the network between the two."},
     {EventId::UpdateReceived, "update-received", EventLevel::Info,
      "The first update arrived from a reader that this instance has begun to "
@@ -97,9 +98,9 @@
     {EventId::UpdatesDeferred, "updates-deferred", EventLevel::Info,
      "This instance reads the store for others and made some of them wait for "
      "updates, so that updates leave bandwidth on its link for other messages. "
-     "Logged at most once a second. The fields "
-     "give the number of followers that wait, the updates that were sent "
-     "late, their size, and the longest wait."},
+     "Logged at most once a second. The fields give the number of followers "
+     "that wait, the updates that were sent late, their size, and the longest "
+     "wait."},
     {EventId::RequestServed, "request-served", EventLevel::Info,
      "A request was answered in time. Under load only some of these are "
      "listed; see requests-not-listed."},
