soak: instances of two builds in one run

--other-program names zinniaraild of another build. Half of the instances of a failure domain start with it, and each changes to the other build with each restart, so that upgrades and ways back overlap with all other incidents.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -37,6 +37,7 @@
   unsigned Upstreams = 9;
   unsigned Net = 50;
   std::string Program;
+  std::string OtherProgram;
   std::string Logs;
   std::string MisbehaviourName;
 };
@@ -58,6 +59,8 @@
   require(it.Net >= 1 && it.Net <= MaxNet, "--net must be from 1 to 254");
   require(std::filesystem::exists(it.Program),
           "--program: no such file: " + it.Program);
+  require(it.OtherProgram.empty() || std::filesystem::exists(it.OtherProgram),
+          "--other-program: no such file: " + it.OtherProgram);
   require(it.Logs.empty() || std::filesystem::is_directory(it.Logs),
           "--logs: no such folder: " + it.Logs);
   require(it.MisbehaviourName.empty() ||
@@ -85,6 +88,7 @@
   soak::RunPlan plan;
   standins::DeploymentPlan &deployment = plan.Deployment;
   deployment.Program = it.Program;
+  deployment.OtherProgram = it.OtherProgram;
   deployment.LogFolder = it.Logs;
   deployment.Net = it.Net;
   deployment.InstanceCount = it.Instances;
@@ -182,8 +186,11 @@
       "net", options::value(&it.Net)->default_value(50),
       "addresses are 127.NET.x.y; concurrent runs need different values")(
       "program", options::value(&it.Program)->default_value(program.string()),
-      "path of zinniaraild")("logs", options::value(&it.Logs),
-                             "folder for the instances' logs")(
+      "path of zinniaraild")(
+      "other-program", options::value(&it.OtherProgram),
+      "path of zinniaraild of another build; each instance runs the two by "
+      "turns, from one start to the next")("logs", options::value(&it.Logs),
+                                           "folder for the instances' logs")(
       "misdeed", options::value(&it.MisbehaviourName),
       "violates a guarantee on purpose: run-twice, refuse-falsely, "
       "cut-answers, "
--- a/standins/deployment/Deployment.cpp
+++ b/standins/deployment/Deployment.cpp
@@ -142,6 +142,15 @@
   return "";
 }
 
+// Both builds run in each failure domain.
+const std::string &Deployment::programOf(const RunningInstance &it,
+                                         std::size_t n) const {
+  const std::size_t group = n / Plan.Domains.size();
+  const bool isOther =
+      !Plan.OtherProgram.empty() && (group + it.StartCount) % 2 == 0;
+  return isOther ? Plan.OtherProgram : Plan.Program;
+}
+
 std::vector<std::string> Deployment::makeCommand(const RunningInstance &it,
                                                  std::size_t n,
                                                  bool isFirstStart) const {
@@ -153,7 +162,7 @@
        ++k) {
     seeds += (k == 0 ? "" : ",") + address(InstanceGroup, k, PeerPort);
   }
-  return {Plan.Program,
+  return {programOf(it, n),
           "--instance-id=" + it.Id,
           "--failure-domain=" + it.Domain,
           "--caller-address=" + it.CallerAddress,
--- a/standins/deployment/Deployment.h
+++ b/standins/deployment/Deployment.h
@@ -53,7 +53,11 @@
 
 /// Size and settings of a deployment.
 struct DeploymentPlan {
-  std::string Program;   ///< The path of zinniaraild.
+  std::string Program; ///< The path of zinniaraild.
+  /// The path of zinniaraild of another build; empty: none. Half of the
+  /// instances of a failure domain start with it, and each changes to the other
+  /// build with each restart.
+  std::string OtherProgram;
   std::string LogFolder; ///< For the instances' logs; empty: no logs are kept.
   unsigned Net = 40;     ///< Second octet of all addresses, 127.Net.x.y.
   std::vector<std::string> Domains{"a", "b", "c"};
@@ -133,6 +137,7 @@
   std::string address(unsigned group, std::size_t n, unsigned port) const;
   std::string startUpstreams();
   std::string prepareInstances();
+  const std::string &programOf(const RunningInstance &it, std::size_t n) const;
   std::vector<std::string> makeCommand(const RunningInstance &it, std::size_t n,
                                        bool isFirstStart) const;
 
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -97,10 +97,10 @@
   return out << it.Flags.front();
 }
 const std::vector<BadFlags> AllBadFlags{
-    {{"--seconds", "1"}},      {{"--instances", "0"}},
-    {{"--upstreams", "1000"}}, {{"--misdeed", "theft"}},
-    {{"--program", "/none"}},  {{"--logs", "/none"}},
-    {{"--seeds", "many"}}};
+    {{"--seconds", "1"}},           {{"--instances", "0"}},
+    {{"--upstreams", "1000"}},      {{"--misdeed", "theft"}},
+    {{"--program", "/none"}},       {{"--logs", "/none"}},
+    {{"--other-program", "/none"}}, {{"--seeds", "many"}}};
 
 BOOST_DATA_TEST_CASE(invalidFlagsAreRejected, AllBadFlags, it) {
   BOOST_TEST(runSoak(it.Flags).Code == 2);
