Review: run.sh of each case reads TROUBLE, and the rig is a file

The cases' programs read TROUBLE in the shared rig, where a case did not show it. The rig leaves its folder, since the folders of review/ are the cases.

--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -30,6 +30,9 @@
 int main(int argc, char **argv) {
   std::signal(SIGPIPE, SIG_IGN);
   Record record(argc > 1 ? argv[1] : "record.txt");
+  // run.sh passes TROUBLE on; 0 leaves the disruption out.
+  const bool hasTrouble = argc <= 2 || std::string(argv[2]) != "0";
+  record.line("TROUBLE=%d", hasTrouble ? 1 : 0);
   const TemporaryFolder folder;
   Loop loop;
   Store store(loop);
@@ -118,7 +121,7 @@
   loop.runFor(Ms(3000));
   for (int n = 0; n < Troubles; ++n) {
     const Time next = Clock::now() + TroubleInterval;
-    isTroubled = hasTrouble();
+    isTroubled = hasTrouble;
     record.line("%s", isTroubled ? "the backend sheds and doubles answers"
                                  : "no disruption");
     loop.runFor(TroubleTime);
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -18,6 +18,9 @@
 int main(int argc, char **argv) {
   std::signal(SIGPIPE, SIG_IGN);
   Record record(argc > 1 ? argv[1] : "record.txt");
+  // run.sh passes TROUBLE on; 0 leaves the disruption out.
+  const bool hasTrouble = argc <= 2 || std::string(argv[2]) != "0";
+  record.line("TROUBLE=%d", hasTrouble ? 1 : 0);
   const TemporaryFolder folder;
   Loop loop;
   Store store(loop);
@@ -66,7 +69,7 @@
   }
   loop.runFor(Ms(300));
   const Time terminatedAt = Clock::now();
-  if (hasTrouble()) {
+  if (hasTrouble) {
     one.signal(SIGTERM);
   }
   if (!loop.runUntilTrue([&] { return open == 0; }, Ms(DeadlineMs + 2000))) {
--- a/review/standins/Rig.hh
+++ b/review/Rig.hh
@@ -1110,12 +1110,6 @@
   std::string path;
 };
 
-// The disruption is left out with TROUBLE=0.
-inline bool hasTrouble() {
-  const char *it = std::getenv("TROUBLE");
-  return it == nullptr || std::string(it) != "0";
-}
-
 // Prints the result, writes it into the record, and returns the exit code.
 inline int finish(Record &record, bool isBroken, const std::string &summary) {
   record.line("%s: %s", isBroken ? "BROKEN" : "HELD", summary.c_str());
--- a/review/build.sh
+++ b/review/build.sh
@@ -7,6 +7,6 @@
 for source in review/[1-5]/case.cc; do
   [[ -e $source ]] || continue
   n=$(basename "$(dirname "$source")")
-  "${CXX:-g++}" -std=c++20 -O2 -Wall -Wextra -Ireview/standins "$source" \
+  "${CXX:-g++}" -std=c++20 -O2 -Wall -Wextra -Ireview "$source" \
     -o "target/review/case-$n"
 done
