Request log: tries say whether their connection was kept and what they skipped

Cause: a try that ended after a fraction of a millisecond with a refusal may have got the upstream's response to it, or a late copy of the response to the try before on the same connection. The tries of the log said neither which connection was used nor how many responses were skipped.

Change: a try ends with "on a kept connection" if earlier calls used it, and with "after N stray responses" if any were skipped.

Before and after: no behaviour changes.

--- a/src/http/ClientPool.cpp
+++ b/src/http/ClientPool.cpp
@@ -407,6 +407,7 @@
   result.ReusedConnection = connection.Reused;
   result.OpenedConnection = !connection.Reused;
   result.ResponseStarted = true;
+  result.StrayResponses = connection.StrayResponses;
   const CallId id = call.Id;
   // If the request was not sent completely, or if more bytes followed the
   // response, the peer's state is unknown and the connection is not reused.
@@ -461,6 +462,7 @@
   result.ReusedConnection = connection.Reused;
   result.OpenedConnection = !connection.Reused;
   result.ResponseStarted = connection.ResponseStarted;
+  result.StrayResponses = connection.StrayResponses;
   result.RoundTrip = connection.RoundTrip;
   if (connection.BytesSent > 0) {
     result.SinceSent = readClock() - connection.SentAt;
@@ -487,6 +489,7 @@
   result.ReusedConnection = connection.Reused;
   result.OpenedConnection = !connection.Reused;
   result.ResponseStarted = connection.ResponseStarted;
+  result.StrayResponses = connection.StrayResponses;
   closeConnection(connection);
   postResult(id, std::move(result));
 }
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -665,6 +665,8 @@
       it.Status = event.Status;
       it.Elapsed = readClock() - it.StartedAt;
       it.Error = call.Result.Error;
+      it.ReusedConnection = call.Result.ReusedConnection;
+      it.StrayResponses = call.Result.StrayResponses;
     }
   }
 }
--- a/src/proxy/Relay.cpp
+++ b/src/proxy/Relay.cpp
@@ -158,6 +158,8 @@
   record.Status = end.Status;
   record.Elapsed = readClock() - record.StartedAt;
   record.Error = result.Error;
+  record.ReusedConnection = result.ReusedConnection;
+  record.StrayResponses = result.StrayResponses;
   RequestMetrics.recordRelay(request.Entry->Name, end.End);
   if (relayAgain(exchange, request, end, result.Response)) {
     return;
--- a/src/proxy/RequestLog.cpp
+++ b/src/proxy/RequestLog.cpp
@@ -56,6 +56,10 @@
     out += " " + std::to_string(it.Status);
   }
   out += " in " + formatMilliseconds(it.Elapsed);
+  out += it.ReusedConnection ? " on a kept connection" : "";
+  if (it.StrayResponses > 0) {
+    out += " after " + std::to_string(it.StrayResponses) + " stray responses";
+  }
   return it.Error.empty() ? out : out + " (" + it.Error + ")";
 }
 
--- a/src/proxy/RequestLog.h
+++ b/src/proxy/RequestLog.h
@@ -24,6 +24,8 @@
   unsigned Status = 0; ///< HTTP status; 0 without a response.
   Duration Elapsed{0};
   std::string Error; ///< Why there was no response; empty if there was one.
+  bool ReusedConnection = false; ///< Once it has ended.
+  unsigned StrayResponses = 0;   ///< As http::CallResult::StrayResponses.
 };
 
 /// What the log line of a request says about it.
