Retries: a second attempt at an upstream gets a new connection

What callers saw: a request that must not run twice was answered 503 did-not-run while the upstream ran it (REFUSED), or ran twice (TWICE).

Cause: a refused request may go to the same upstream again, if there is no other, and went on the connection of the first attempt. All attempts of a request have the same id, by which the client pool tells a call's response from late responses to earlier calls. A late second copy of the refusal so passed for the response to the second attempt, which the upstream was running. With a third attempt allowed, the request then ran twice.

Without that connection the copy has nowhere to arrive.

Ruled out: a copy taken for the response to another request (its id differs; "after 1 stray responses" shows that such copies are skipped), a refusal that the upstream sent itself for the second attempt (it ran it).

Change: an attempt at an upstream that the request was sent to before reuses no connection. No earlier call of the request was on it, so that no response with its id but its own can arrive there. Connections of other attempts that get unexpected bytes while idle are closed already.

Before and after: lateCopyOfARefusalDoesNotEndTheNextAttempt on real sockets, 4 of 4 cases failed (2 runs instead of 1, or 503 instead of 200), now pass.

--- a/include/zinniarail/balance/Messages.h
+++ b/include/zinniarail/balance/Messages.h
@@ -181,7 +181,9 @@
   std::string Upstream;
   Instant Deadline{};
   PlacementReason Reason;
-  /// Do not reuse a connection: if this one ends, the upstream had the request.
+  /// Do not reuse a connection: if this one ends, the upstream had the request;
+  /// and a late copy of the response to an earlier attempt of the request, which
+  /// has the same id, can only arrive on that attempt's connection.
   bool NewConnection = false;
 };
 /// Cancel an attempt; its AttemptEnded still follows.
--- a/src/balance/Attempts.cpp
+++ b/src/balance/Attempts.cpp
@@ -218,6 +218,7 @@
   Engine &engine = step.State;
   UpstreamState &upstream = *found.Upstream;
   const AttemptId id{engine.NextAttempt++};
+  const bool wasTriedBefore = wasTried(request, upstream);
   AttemptState attempt;
   attempt.Request = request.Id;
   attempt.Upstream = upstream.Plan.Id;
@@ -255,7 +256,8 @@
   engine.Attempts.emplace(numberOf(id), std::move(attempt));
   StartAttempt action{id, request.Id, upstream.Plan.Id, request.Deadline,
                       found.Reason};
-  action.NewConnection = isSuspect(engine, request.Fingerprint, step.Now);
+  action.NewConnection =
+      wasTriedBefore || isSuspect(engine, request.Fingerprint, step.Now);
   action.Reason.IsHedge = isHedge;
   action.Reason.IsRetry = !isHedge && request.TriedUpstreams.size() > 1;
   step.Output.emplace_back(std::move(action));
@@ -296,8 +298,7 @@
     found = placeRequest(engine, request, true, step.Now);
   }
   if (found.Decision != Placement::Kind::Send ||
-      std::find(request.TriedUpstreams.begin(), request.TriedUpstreams.end(),
-                found.Upstream->Plan.Id) != request.TriedUpstreams.end()) {
+      wasTried(request, *found.Upstream)) {
     for (UpstreamState *it : found.Probes) {
       sendProbe(step, *it);
     }
--- a/src/balance/Placing.cpp
+++ b/src/balance/Placing.cpp
@@ -56,11 +56,6 @@
 // raises the upstream's expected time in proportion.
 constexpr double OverdueThreshold = 2;
 
-bool wasTried(const RequestState &request, const UpstreamState &upstream) {
-  return std::find(request.TriedUpstreams.begin(), request.TriedUpstreams.end(),
-                   upstream.Plan.Id) != request.TriedUpstreams.end();
-}
-
 // Two requests that may have crashed an upstream must not run side by side on
 // one: after a crash it would not be known which of them caused it.
 bool hasSuspectInFlight(const Engine &engine, const UpstreamState &upstream,
@@ -273,6 +268,11 @@
 
 } // namespace
 
+bool wasTried(const RequestState &request, const UpstreamState &upstream) {
+  return std::find(request.TriedUpstreams.begin(), request.TriedUpstreams.end(),
+                   upstream.Plan.Id) != request.TriedUpstreams.end();
+}
+
 Duration usualServiceTime(const Engine &engine, const RequestState &request) {
   const auto found = engine.ServiceTimes.find(request.Policy.Route);
   return serviceTimeOrDefault(found == engine.ServiceTimes.end()
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -247,6 +247,8 @@
 /// reports show a full or slow upstream, once no attempt was sent for a time.
 Placement placeRequest(Engine &engine, const RequestState &request,
                        bool lastResort, Instant now);
+/// Whether an attempt of the request was started at the upstream.
+bool wasTried(const RequestState &request, const UpstreamState &upstream);
 /// Counts the upstreams by state, as seen by this request.
 UpstreamSummary summarizeUpstreams(Engine &engine, const RequestState &request,
                                    Instant now);
