Requests without an id get new connections

The client pool tells late responses to earlier calls by the id; a call without one accepted any response, also on a connection that had carried other requests.

Change: a request without an id reuses no connection, and a response that has an id does not answer a call without one.

Before and after: lateCopyDoesNotAnswerARequestWithoutAnId, on real sockets: the second and third of three callers got the response to the request before, now their own.

--- a/src/http/ClientPool.cpp
+++ b/src/http/ClientPool.cpp
@@ -76,6 +76,14 @@
                            : Duration::max();
 }
 
+bool isResponseTo(const Call &call, const Response &response) {
+  if (call.EchoHeader.empty()) {
+    return true;
+  }
+  const std::string *echo = findHeader(response.Fields, call.EchoHeader);
+  return echo == nullptr ? call.EchoValue.empty() : *echo == call.EchoValue;
+}
+
 } // namespace
 
 bool mayBeStale(const CallResult &result) {
@@ -388,13 +396,8 @@
   connection.HeadBytes = 0;
   recordHeldBytes(connection);
   const Call &call = *connection.CurrentCall;
-  const std::string *echo =
-      call.EchoHeader.empty()
-          ? nullptr
-          : findHeader(result.Response.Fields, call.EchoHeader);
-  const bool isOwnResponse =
-      call.EchoHeader.empty() || (echo != nullptr && *echo == call.EchoValue);
-  if (result.Response.Status < FirstFinalStatus || !isOwnResponse) {
+  if (result.Response.Status < FirstFinalStatus ||
+      !isResponseTo(call, result.Response)) {
     if (++connection.StrayResponses > MaxStrayResponses || !keepAlive) {
       return fail(connection, "received only responses to other requests");
     }
--- a/src/http/ClientPool.h
+++ b/src/http/ClientPool.h
@@ -28,11 +28,10 @@
   std::string Address; ///< "ip:port"
   std::string Bytes;   ///< The whole request.
   bool IsHead = false; ///< A HEAD request: the response has no body.
-  /// Name of the header in which the response must return EchoValue; responses
-  /// without it belong to earlier calls and are ignored. Empty: any response is
-  /// accepted.
+  /// Name of the header in which the response must return EchoValue; others
+  /// belong to earlier calls and are ignored. Empty: any response is accepted.
   std::string EchoHeader;
-  std::string EchoValue;
+  std::string EchoValue; ///< Empty: the response must not have the header.
   /// Connections that were idle for longer are not reused: the peer may have
   /// dropped its end without notice.
   Duration MaxIdleTime = std::chrono::seconds{60};
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -506,19 +506,27 @@
         std::to_string(std::max<std::int64_t>(remainingMs, 1))},
        {dialect.ExpectedInstance, action.Upstream}});
   call.IsHead = request.Content.Method == "HEAD";
-  if (const std::string *echo =
-          http::findHeader(request.Content.Fields, dialect.RequestId)) {
-    call.EchoHeader = dialect.RequestId;
-    call.EchoValue = *echo;
-  }
   call.MaxIdleTime =
       request.Idempotent ? MaxIdleTimeIdempotent : MaxIdleTimeNonIdempotent;
   call.NewConnection = action.NewConnection;
+  identifyCall(call, request.Content);
   call.ConnectTimeout = ConnectTimeout;
   recordCallStart(entry, balance::CallPurpose::Request);
   Callbacks.StartCall(std::move(call));
 }
 
+// Sets how the response to a request's call is told from late responses to
+// earlier calls on its connection. Those to requests without an id look alike.
+void Proxy::identifyCall(http::Call &call, const http::Request &request) const {
+  call.EchoHeader = Context.PlatformDialect->RequestId;
+  const std::string *id = http::findHeader(request.Fields, call.EchoHeader);
+  if (id == nullptr || id->empty()) {
+    call.NewConnection = true;
+  } else {
+    call.EchoValue = *id;
+  }
+}
+
 void Proxy::startProbe(ServiceEntry &entry, const balance::SendProbe &action) {
   const auto target = entry.Targets.find(action.Upstream);
   if (target == entry.Targets.end()) {
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -199,6 +199,7 @@
   void performAction(ServiceEntry &entry, balance::Action &action);
   void startAttempt(ServiceEntry &entry, const balance::StartAttempt &action);
   void startProbe(ServiceEntry &entry, const balance::SendProbe &action);
+  void identifyCall(http::Call &call, const http::Request &request) const;
   http::Call makeHealthCheck(http::CallId id, const std::string &address,
                              const std::string &path) const;
   void recordCallStart(ServiceEntry &entry, balance::CallPurpose purpose);
--- a/src/proxy/Relay.cpp
+++ b/src/proxy/Relay.cpp
@@ -132,11 +132,7 @@
        {RelayedHeader, "1"},
        {VersionHeader, std::to_string(Snapshot->Config->Version)}});
   call.IsHead = request.Content.Method == "HEAD";
-  if (const std::string *echo =
-          http::findHeader(request.Content.Fields, dialect.RequestId)) {
-    call.EchoHeader = dialect.RequestId;
-    call.EchoValue = *echo;
-  }
+  identifyCall(call, request.Content);
   call.MaxIdleTime =
       request.Idempotent ? MaxIdleTimeIdempotent : MaxIdleTimeNonIdempotent;
   call.ConnectTimeout = RelayConnectTimeout;
--- a/tests/proxy/LateResponseTest.cpp
+++ b/tests/proxy/LateResponseTest.cpp
@@ -74,8 +74,10 @@
       return;
     }
     ++Runs;
-    it.Connection->send("HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n" +
-                        common + id + "\r\n");
+    it.LastResponse =
+        "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Target: " +
+        head.substr(0, head.find(" HTTP/")) + "\r\n" + common + id + "\r\n";
+    it.Connection->send(it.LastResponse);
   }
 
   std::string Instance;
@@ -111,12 +113,13 @@
     Tested.onRoutingSnapshot(std::move(snapshot));
   }
 
-  /// \returns the status that the caller gets.
-  unsigned send(const std::string &path, const std::string &requestId) {
+  /// \param requestId empty: the caller sends none.
+  /// \returns the response that the caller gets.
+  http::Response send(const std::string &path, const std::string &requestId) {
     const http::ExchangeId exchange = ++LastExchange;
     http::Request request{
         "POST",
-        path + std::to_string(exchange),
+        path,
         {{"Host", "orders.example"}, {"X-Deadline-Milliseconds", "2000"}},
         ""};
     if (!requestId.empty()) {
@@ -130,7 +133,7 @@
       }
       return Responses.contains(exchange);
     });
-    return Responses[exchange].Status;
+    return Responses[exchange];
   }
 
   http::TestLoop EventLoop;
@@ -183,6 +186,18 @@
 BOOST_DATA_TEST_CASE(lateCopyOfARefusalDoesNotEndTheNextAttempt, RepeatCases,
                      row) {
   ConnectedProxy it(row.Refusals);
-  BOOST_TEST(it.send(row.Path, "r1") == 200U);
+  BOOST_TEST(it.send(row.Path, "r1").Status == 200U);
   BOOST_TEST(it.Upstream.Runs == 1U);
 }
+
+// Guards against a late copy of a response that passes for the response to the
+// next request on its connection, if neither has an id to tell them apart.
+BOOST_AUTO_TEST_CASE(lateCopyDoesNotAnswerARequestWithoutAnId) {
+  ConnectedProxy it(0);
+  for (const std::string target : {"/write/a", "/write/b", "/write/c"}) {
+    const http::Response response = it.send(target, "");
+    const std::string *answered = http::findHeader(response.Fields, "X-Target");
+    BOOST_REQUIRE(answered != nullptr);
+    BOOST_TEST(*answered == "POST " + target);
+  }
+}
