Health checks skip responses to requests

What callers saw: an upstream that warms up could get requests at the full rate (FAILBACK), or an ejected one be used again, after it had sent the response to a request once more, late.

A health check on a kept connection accepted any response. A late copy of a 200 names no remaining warm-up, so that the upstream counted as warm; the health check's own response was then dropped.

Change: health checks send no id, and upstreams return only ids that they got: a response with one does not answer a health check.

Before and after: lateCopyDoesNotAnswerAHealthCheck, on real sockets, failed after the second and third request, now passes.

--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -551,6 +551,7 @@
   call.Id = id;
   call.Address = address;
   call.Bytes = "GET " + path + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n";
+  call.EchoHeader = Context.PlatformDialect->RequestId; // It sends no id.
   return call;
 }
 
--- a/tests/proxy/LateResponseTest.cpp
+++ b/tests/proxy/LateResponseTest.cpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include <boost/json.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <prometheus/registry.h>
@@ -57,7 +58,8 @@
     const std::string common = "Content-Length: 0\r\nX-Server-Load: 0,0,4\r\n";
     if (head.starts_with("GET /health")) {
       it.Connection->send("HTTP/1.1 200 OK\r\n" + common +
-                          "X-Instance-Id: " + Instance + "\r\n\r\n");
+                          "X-Warmup-Milliseconds: 60000\r\nX-Instance-Id: " +
+                          Instance + "\r\n\r\n");
       return;
     }
     const std::size_t from = head.find("X-Request-Id: ");
@@ -136,6 +138,12 @@
     return Responses[exchange];
   }
 
+  bool isCold() const {
+    const auto state = Tested.describe(readClock());
+    const auto &service = state.at("services").at(0);
+    return service.at("upstreams").at(0).at("cold").as_bool();
+  }
+
   http::TestLoop EventLoop;
   RepeatingUpstream Upstream;
 
@@ -201,3 +209,14 @@
     BOOST_TEST(*answered == "POST " + target);
   }
 }
+
+// Guards against a late copy of a response that passes for the response to a
+// health check: an upstream that warms up would get requests at the full rate.
+BOOST_AUTO_TEST_CASE(lateCopyDoesNotAnswerAHealthCheck) {
+  ConnectedProxy it(0);
+  for (const std::string id : {"r1", "r2", "r3"}) {
+    BOOST_TEST(it.send("/read/", id).Status == 200U);
+    BOOST_TEST(it.isCold());
+    it.EventLoop.runFor(50ms); // The load report gets old.
+  }
+}
