Stop: requests that wait get an answer before the process ends

What callers saw: their connection ended without an answer, up to 5.5 s after they had sent a request that no upstream ever got (LOST).

Nothing told the engines that the instance stops, so that they kept requests queued for slots that would come too late, although each of them could have been refused truthfully.

On real processes, stopAnswersTheRequestsThatStillWait: 6 of 14 requests without an answer beside an upstream without a free slot, 2 beside one that never responds.

Change: the plan of an engine says when the instance stops. A queued request that can't be served by then, by the usual time of its route, its place in the queue and the slots in service, is refused at once with reason stopping and a short Retry-After. At that time all that is left is answered: queued requests 503 did-not-run, those at upstreams 502 unknown. The process then has 0.2 s to write the answers. Relays end at the same time.

--- a/include/zinniarail/balance/Engine.h
+++ b/include/zinniarail/balance/Engine.h
@@ -54,6 +54,10 @@
   /// Health checks that this instance may send to an upstream, averaged over
   /// all upstreams.
   double ProbesPerSecond = 10;
+  /// When this instance stops; Instant::max() if it is not stopping. All
+  /// requests have their final answer by then: those that can't be served in
+  /// time are refused as soon as that is known.
+  Instant StopsAt = Instant::max();
 
   bool operator==(const ServicePlan &) const = default;
 };
--- a/include/zinniarail/balance/Messages.h
+++ b/include/zinniarail/balance/Messages.h
@@ -56,6 +56,7 @@
   DeadlinePassed, ///< The deadline passed before a response came.
   Quarantined,    ///< Requests with the same fingerprint crashed upstreams.
   UpstreamFailed, ///< Every permitted attempt failed.
+  Stopping,       ///< This instance stops before it could be served.
 };
 
 /// Stable names, used in responses to callers, logs and metrics.
@@ -182,8 +183,8 @@
   Instant Deadline{};
   PlacementReason Reason;
   /// Do not reuse a connection: if this one ends, the upstream had the request;
-  /// and a late copy of the response to an earlier attempt of the request, which
-  /// has the same id, can only arrive on that attempt's connection.
+  /// and a late copy of the response to an earlier attempt of the request,
+  /// which has the same id, can only arrive on that attempt's connection.
   bool NewConnection = false;
 };
 /// Cancel an attempt; its AttemptEnded still follows.
--- a/src/balance/Engine.cpp
+++ b/src/balance/Engine.cpp
@@ -77,6 +77,7 @@
   // deadline that expires at the same moment.
   std::visit([&](const auto &it) { dispatch(step, it); }, event);
   runTimers(step);
+  refuseAllIfStopped(step);
   cancelExpiredAttempts(step);
   dispatchQueue(step);
   probeEjectedUpstreams(step);
@@ -93,6 +94,9 @@
   if (!engine.Queue.empty()) {
     next = std::min(next, engine.QueueRecheckAt);
   }
+  if (!engine.Requests.empty()) {
+    next = std::min(next, engine.Plan.StopsAt);
+  }
   return next;
 }
 
@@ -159,6 +163,8 @@
     return "quarantined";
   case RefusalReason::UpstreamFailed:
     return "upstream-failed";
+  case RefusalReason::Stopping:
+    return "stopping";
   }
   return "";
 }
--- a/src/balance/Requests.cpp
+++ b/src/balance/Requests.cpp
@@ -20,6 +20,9 @@
 // long.
 constexpr Duration NoUpstreamRetryAfter = std::chrono::milliseconds{300};
 
+// Retry-After while this instance stops: another one can take the request.
+constexpr Duration StoppingRetryAfter = std::chrono::milliseconds{50};
+
 // Maximum queue depth per slot in service.
 constexpr std::size_t MaxQueuedPerSlot = 4;
 
@@ -58,6 +61,8 @@
   case RefusalReason::DeadlinePassed:
   case RefusalReason::UpstreamFailed:
     return std::chrono::milliseconds{50};
+  case RefusalReason::Stopping:
+    return StoppingRetryAfter;
   case RefusalReason::Quarantined:
     break;
   }
@@ -75,12 +80,17 @@
 // A request is assumed to take at most this multiple of its usual service time.
 constexpr double ServiceTimeMargin = 1.3;
 
+// The longest time that a request is assumed to take.
+Duration maxServiceTime(const Engine &engine, const RequestState &request) {
+  const Duration usual = usualServiceTime(engine, request);
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(usual.count()) * ServiceTimeMargin));
+}
+
 // The latest start at which a request still meets its latency target.
 Instant latestStart(const Engine &engine, const RequestState &request) {
-  const Duration usual = usualServiceTime(engine, request);
   return request.Arrived + request.Policy.LatencyTarget -
-         Duration(static_cast<Duration::rep>(
-             static_cast<double>(usual.count()) * ServiceTimeMargin));
+         maxServiceTime(engine, request);
 }
 
 // Requests that can still meet their latency target go before late ones; then
@@ -125,6 +135,27 @@
   return true;
 }
 
+// Refuses a request at once if it can't be served before this instance stops.
+// \param waitingBefore as for refuseIfTooLate.
+bool refuseIfStopping(Step step, RequestState &request,
+                      std::size_t waitingBefore) {
+  const Engine &engine = step.State;
+  if (engine.Plan.StopsAt == Instant::max()) {
+    return false;
+  }
+  const Duration time =
+      std::max(maxServiceTime(engine, request), Duration{1000});
+  const Duration left = engine.Plan.StopsAt - step.Now;
+  if (left >= time) {
+    const auto startsPerSlot = static_cast<std::size_t>(left / time);
+    if (waitingBefore < startsPerSlot * slotsInService(engine, step.Now)) {
+      return false;
+    }
+  }
+  refuse(step, request, RefusalReason::Stopping);
+  return true;
+}
+
 } // namespace
 
 void onArrival(Step step, const RequestArrived &event) {
@@ -235,6 +266,16 @@
   }
 }
 
+void refuseAllIfStopped(Step step) {
+  Engine &engine = step.State;
+  if (step.Now < engine.Plan.StopsAt) {
+    return;
+  }
+  while (!engine.Requests.empty()) {
+    refuse(step, engine.Requests.begin()->second, RefusalReason::Stopping);
+  }
+}
+
 void dispatchQueue(Step step) {
   Engine &engine = step.State;
   engine.QueueRecheckAt = Instant::max();
@@ -243,7 +284,8 @@
   std::size_t waiting = 0;
   for (const RequestId id : queue) {
     RequestState &request = engine.Requests.at(numberOf(id));
-    if (refuseIfTooLate(step, request, waiting)) {
+    if (refuseIfTooLate(step, request, waiting) ||
+        refuseIfStopping(step, request, waiting)) {
       continue;
     }
     if (isRefused(engine, request.Fingerprint, step.Now)) {
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -168,6 +168,8 @@
 void onCallerGone(Step step, const CallerGone &event);
 void onReachChanged(Step step, const ReachChanged &event);
 void runTimers(Step step);
+/// Refuses all requests once the instance's stop is over.
+void refuseAllIfStopped(Step step);
 void cancelExpiredAttempts(Step step);
 void refuse(Step step, RequestState &request, RefusalReason reason);
 void deliver(Step step, RequestState &request, AttemptId attempt);
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -29,10 +29,14 @@
 constexpr double StopCheckSeconds = 0.05; // between calls of checkStop
 constexpr double TickSeconds = 1;         // between calls of tick
 
-// An unfinished stop is cut short this long before StopTimeout, so that the
-// process has ended when StopTimeout is over.
+// The requests that are open in an unfinished stop get their final answers this
+// long before StopTimeout.
 constexpr Duration StopMargin = std::chrono::milliseconds{500};
 
+// How long an unfinished stop waits for these answers to be written. It ends
+// before StopTimeout is over.
+constexpr Duration FinalAnswersTime = std::chrono::milliseconds{200};
+
 // Delay after the start before an instance may become the reader of the store.
 constexpr Duration DiscoveryTime = std::chrono::milliseconds{25};
 
@@ -107,6 +111,8 @@
   /// timers and schedules its next one. Called before each wait of the loop.
   void processPendingWork();
   void beginStop();
+  /// When a stop that is not complete answers all open requests.
+  Instant finalAnswersAt() const;
   /// Ends the loop when the stop is complete or takes too long.
   void checkStop();
   bool isReady() const;
@@ -598,15 +604,20 @@
   StoppingSince = readClock();
   Peers.announceLeaving();
   CallerServer.closeAfterResponses();
+  RequestProxy.stopAt(finalAnswersAt());
   ev_timer_start(Loop, &StopTimer);
 }
 
+Instant Daemon::finalAnswersAt() const {
+  return StoppingSince + Options.StopTimeout - StopMargin;
+}
+
 void Daemon::checkStop() {
   const Instant now = readClock();
   // Until serveUntil, callers may use an address that they resolved before the
   // stop.
   const Instant serveUntil = StoppingSince + Options.ResolveLifetime;
-  const Instant giveUpAt = StoppingSince + Options.StopTimeout - StopMargin;
+  const Instant giveUpAt = finalAnswersAt() + FinalAnswersTime;
   if (now >= serveUntil) {
     CallerServer.stopListening();
     CallerServer.closeIdle();
--- a/src/http/ClientPool.h
+++ b/src/http/ClientPool.h
@@ -57,7 +57,7 @@
   bool ReusedConnection = false; ///< An earlier call used the connection.
   bool ResponseStarted = false;  ///< At least one response byte arrived.
   bool OpenedConnection = false; ///< The call got a new connection.
-  unsigned StrayResponses = 0; ///< Responses that were not the call's own.
+  unsigned StrayResponses = 0;   ///< Responses that were not the call's own.
   Duration RoundTrip{0};         ///< Time that the connection took to open.
   /// From when the first byte of the call was sent to its end.
   Duration SinceSent{0};
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -88,8 +88,6 @@
 
 void Proxy::onRoutingSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
   Snapshot = std::move(snapshot);
-  const Instant now = readClock();
-  balance::Actions actions;
   for (auto &[name, entry] : Services) {
     if (const ServiceConfig *it =
             Snapshot->Config ? findService(*Snapshot->Config, name) : nullptr) {
@@ -103,12 +101,32 @@
       }
     }
     entry->Targets = std::move(targets);
-    actions.clear();
-    balance::updatePlan(*entry->Engine, makePlan(name), now, actions);
-    for (balance::Action &it : actions) {
-      performAction(*entry, it);
+    applyPlan(*entry);
+  }
+  processEvents();
+}
+
+void Proxy::applyPlan(ServiceEntry &entry) {
+  balance::Actions actions;
+  balance::updatePlan(*entry.Engine, makePlan(entry.Name), readClock(),
+                      actions);
+  for (balance::Action &it : actions) {
+    performAction(entry, it);
+  }
+  updateTimer(entry);
+}
+
+void Proxy::stopAt(Instant when) {
+  StopsAt = when;
+  for (auto &[name, entry] : Services) {
+    applyPlan(*entry);
+  }
+  for (auto &[id, it] : OpenRequests) {
+    if (it.RelayState && it.RelayState->EndsAt > when) {
+      RelayDeadlines.erase({it.RelayState->EndsAt, id});
+      it.RelayState->EndsAt = when;
+      RelayDeadlines.emplace(when, id);
     }
-    updateTimer(*entry);
   }
   processEvents();
 }
@@ -148,6 +166,7 @@
   }
   plan.ProbesPerSecond = limits.ProbesPerSecond * UsedProbeFraction /
                          static_cast<double>(Snapshot->FleetSize);
+  plan.StopsAt = StopsAt;
   return plan;
 }
 
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -114,6 +114,10 @@
   void onLimitEnded(const std::string &upstream);
   void onTimer();
 
+  /// This instance stops: requests that can't be served in time are refused,
+  /// and each has its answer by \p when at the latest, if the timers run.
+  void stopAt(Instant when);
+
   /// The quarantines to tell to instances that may have missed them.
   std::vector<balance::PeerQuarantined>
   latestQuarantines(std::size_t most) const;
@@ -195,6 +199,7 @@
                                     const Route &route, Instant now) const;
   void postEvent(ServiceEntry &entry, balance::Event event);
   void processEvents();
+  void applyPlan(ServiceEntry &entry);
   void updateTimer(ServiceEntry &entry);
   void performAction(ServiceEntry &entry, balance::Action &action);
   void startAttempt(ServiceEntry &entry, const balance::StartAttempt &action);
@@ -244,6 +249,7 @@
   Metrics RequestMetrics;
   RequestLog Log;
   Random Rng;
+  Instant StopsAt = Instant::max(); ///< As balance::ServicePlan::StopsAt.
   std::shared_ptr<const RoutingSnapshot> Snapshot;
   /// Shared by the engines; it outlives them, and knows what was told before
   /// the first request of a service.
--- a/src/proxy/Relay.cpp
+++ b/src/proxy/Relay.cpp
@@ -65,7 +65,8 @@
   }
   Relay &relay = request.RelayState.emplace();
   relay.MayHaveRun = mayHaveRun;
-  relay.EndsAt = request.Record.ArrivedAt + request.Record.TimeAllowed;
+  relay.EndsAt =
+      std::min(request.Record.ArrivedAt + request.Record.TimeAllowed, StopsAt);
   if (!relayToNext(id, request)) {
     request.RelayState.reset();
     return false;
@@ -198,8 +199,11 @@
 }
 
 void Proxy::refuseRelayed(http::ExchangeId id, const Relay &relay) {
-  const auto reason = relay.TimedOut ? balance::RefusalReason::DeadlinePassed
-                                     : balance::RefusalReason::Unreachable;
+  auto reason = balance::RefusalReason::Unreachable;
+  if (relay.TimedOut) {
+    reason = relay.EndsAt < StopsAt ? balance::RefusalReason::DeadlinePassed
+                                    : balance::RefusalReason::Stopping;
+  }
   RequestEnd end;
   end.Kind = RequestEnd::EndKind::Refused;
   end.Reason = balance::nameOf(reason);
