Store: an entry that can't be read affects only itself

What callers saw: requests at upstreams that had long left (DRAIN); after a restart of all instances 503 for every request.

Cause: one strict parse of a whole page of a list or watch. Bytes that are no UTF-8, half a surrogate pair, more than 32 levels, a number beyond all bounds or any other syntax error in one entry made the page malformed, the call failed, and the same page was asked for again: nothing was learnt of any upstream. The reader called in a tight loop, 1965 watches in about 4 s. Besides, an entry whose address has no valid port counted as an upstream, and one whose name holds a line end or a null byte could end up in a header field or stand for another entry.

Ruled out: ends of the process. The parser's limit of 32 levels holds, numbers out of range are errors, and a port out of range was no address.

The metric entries-unreadable counts such entries; registration-unreadable is logged once a second at most.

Related path: a record of instances that can't be read was created again each second, with a conflict each time; it is replaced by its revision now.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -374,6 +374,7 @@
   set("caller-connections", CallerServer.connections());
   set("upstream-connections", Pool.connections());
   set("log-lines-dropped", droppedLineCount());
+  set("entries-unreadable", Store.unreadableEntries());
   for (const auto &[key, count] : Store.callCounts()) {
     StoreCalls
         .Add({{"call", key.first}, {"result", platform::nameOf(key.second)}})
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -41,22 +41,16 @@
 // groups.
 constexpr Duration RecordWriteInterval = std::chrono::milliseconds{1000};
 
+// Minimum time between two log lines on unreadable entries, and the most
+// characters of a name in one: other writers decide on both.
+constexpr Duration UnreadableLogInterval = std::chrono::seconds{1};
+constexpr std::size_t MaxLoggedName = 100;
+
 std::size_t indexOf(Kind kind) { return static_cast<std::size_t>(kind); }
 
 constexpr std::array<Kind, 4> AllKinds{Kind::Configuration, Kind::Upstreams,
                                        Kind::Evacuations, Kind::Instances};
 
-// Logs an entry that could not be decoded. Such an entry is treated as missing.
-void logIfUnreadable(Kind kind, const platform::Object &object,
-                     bool isDecoded) {
-  if (!isDecoded && !object.Removed) {
-    logEvent(EventId::RegistrationUnreadable,
-             {{"kind", nameOf(kind)},
-              {"entry", object.Name},
-              {"revision", object.Revision.Number}});
-  }
-}
-
 void logRead(Kind kind, const char *call, const platform::Reply &reply,
              Duration took) {
   logEvent(EventId::StoreRead, {{"kind", nameOf(kind)},
@@ -229,7 +223,7 @@
                   }
                   logRead(kind, "list", reply, readClock() - startedAt);
                   if (acceptEra(reply)) {
-                    handleListReply(kind, reply);
+                    handleListReply(kind, std::move(reply));
                   }
                   advance();
                 });
@@ -343,22 +337,46 @@
   }
 }
 
-void StoreTask::handleListReply(Kind kind, const platform::Reply &reply) {
+void StoreTask::noteIfUnreadable(Kind kind, const platform::Object &object,
+                                 bool isDecoded) {
+  if (!isDecoded && !object.Removed) {
+    noteUnreadable(kind, object.Name, 1);
+  }
+}
+
+void StoreTask::noteUnreadable(Kind kind, const std::string &name,
+                               unsigned count) {
+  UnreadableEntries += count;
+  const Instant now = readClock();
+  if (count > 0 && now >= UnreadableLoggedAt + UnreadableLogInterval) {
+    UnreadableLoggedAt = now;
+    logEvent(EventId::RegistrationUnreadable,
+             {{"kind", nameOf(kind)},
+              {"entry", name.substr(0, MaxLoggedName)},
+              {"in_all", UnreadableEntries}});
+  }
+}
+
+void StoreTask::handleListReply(Kind kind, platform::Reply reply) {
+  ListWatch &state = ListWatches[indexOf(kind)];
+  if (reply.HasMore && reply.LastName == state.PageCursor) {
+    reply.Result = Outcome::Malformed;
+    reply.Error = "no name on a page can be read";
+  }
   if (handleFailure(kind, reply)) {
     return;
   }
-  ListWatch &state = ListWatches[indexOf(kind)];
+  noteUnreadable(kind, "", reply.Unreadable);
   for (const platform::Object &it : reply.Objects) {
     if (!it.Removed) {
       PartialLists[kind][it.Name] = it;
     }
   }
-  const bool more = reply.HasMore && !reply.Objects.empty();
-  const std::string lastName = more ? reply.Objects.back().Name : "";
+  const std::string lastName = reply.HasMore ? reply.LastName : "";
   if (!noteListPage(state, reply.AsOf.Number, lastName, readClock())) {
     return;
   }
-  if (!more) {
+  if (lastName.empty()) {
     finishList(kind, {LocalMirror.Era, state.AsOf});
   }
 }
@@ -367,11 +385,13 @@
   if (handleFailure(kind, reply)) {
     return;
   }
+  noteUnreadable(kind, "", reply.Unreadable);
   for (const platform::Object &it : reply.Objects) {
     applyObject(kind, it);
   }
-  noteWatchReply(ListWatches[indexOf(kind)], reply.AsOf.Number,
-                 !reply.Objects.empty(), readClock());
+  const bool hasEvents = !reply.Objects.empty() || reply.Unreadable > 0;
+  noteWatchReply(ListWatches[indexOf(kind)], reply.AsOf.Number, hasEvents,
+                 readClock());
   noteAsOf(kind, reply.AsOf);
   if (!reply.Objects.empty()) {
     Handlers.Changed(kind);
@@ -398,7 +418,7 @@
   case Kind::Upstreams: {
     auto record =
         object.Removed ? std::nullopt : platform::decodeUpstream(object);
-    logIfUnreadable(kind, object, record.has_value());
+    noteIfUnreadable(kind, object, record.has_value());
     if (record) {
       put(LocalMirror.Upstreams, std::move(*record), object.Revision, now);
     } else {
@@ -445,7 +465,7 @@
     std::vector<ListedUpstream> all;
     for (const auto &[name, it] : listed) {
       auto record = platform::decodeUpstream(it);
-      logIfUnreadable(kind, it, record.has_value());
+      noteIfUnreadable(kind, it, record.has_value());
       if (record) {
         all.push_back({std::move(*record), it.Revision});
       }
@@ -482,9 +502,11 @@
   }
   auto instances =
       object.Removed ? std::nullopt : platform::decodeInstances(object);
-  logIfUnreadable(Kind::Instances, object, instances.has_value());
-  if (instances) {
-    Records[object.Name] = {std::move(*instances), object.Revision};
+  noteIfUnreadable(Kind::Instances, object, instances.has_value());
+  if (!object.Removed) {
+    // One that can't be read is replaced by its revision.
+    Records[object.Name] = {instances.value_or(std::vector<Instance>{}),
+                            object.Revision};
   } else {
     Records.erase(object.Name);
   }
--- a/src/store/StoreTask.h
+++ b/src/store/StoreTask.h
@@ -79,6 +79,9 @@
 
   const platform::CallCounts &callCounts() const { return Client.counts(); }
 
+  /// Entries that could not be read, each counted whenever the store sent it.
+  std::uint64_t unreadableEntries() const { return UnreadableEntries; }
+
   /// The state as JSON with stable keys, for a dump.
   boost::json::object describe(Instant now) const;
 
@@ -91,11 +94,17 @@
   void writeRecordIfDue(Instant now);
   Instant nextDueAt() const;
   void startCall(platform::Kind kind, ListWatchCall call);
-  void handleListReply(platform::Kind kind, const platform::Reply &reply);
+  void handleListReply(platform::Kind kind, platform::Reply reply);
   void handleWatchReply(platform::Kind kind, const platform::Reply &reply);
   bool handleFailure(platform::Kind kind, const platform::Reply &reply);
   void noteUnavailable(const std::string &call, const platform::Reply &reply);
   void noteAvailable();
+  /// Counts and logs an entry that could not be decoded. Such an entry is
+  /// treated as missing.
+  void noteIfUnreadable(platform::Kind kind, const platform::Object &object,
+                        bool isDecoded);
+  void noteUnreadable(platform::Kind kind, const std::string &name,
+                      unsigned count);
   void noteAsOf(platform::Kind kind, StoreRevision asOf);
   bool acceptEra(platform::Reply &reply);
   void restartReads();
@@ -118,6 +127,8 @@
   bool Reading = false;
   bool ReportedHealthy = false; ///< Last value passed to HealthChanged.
   std::size_t ElectionRank = 0;
+  std::uint64_t UnreadableEntries = 0;
+  Instant UnreadableLoggedAt{};
   std::array<ListWatch, KindCount> ListWatches;
   /// Objects of the list pages received so far, by name.
   std::map<platform::Kind, std::map<std::string, platform::Object>>
--- a/standins/store/Store.cpp
+++ b/standins/store/Store.cpp
@@ -99,6 +99,25 @@
   recordChange(kind, toJson(name, it), false);
 }
 
+void Store::putBytes(const std::string &kind, const std::string &name,
+                     const std::string &bytes) {
+  const std::string key = "verbatim-" + std::to_string(Verbatim.size() + 1);
+  Verbatim.emplace(json::serialize(json::value(key)), bytes);
+  put(kind, name, json::value(key));
+}
+
+std::string Store::serialize(const json::value &body) const {
+  std::string out = json::serialize(body);
+  for (const auto &[key, bytes] : Verbatim) {
+    std::size_t at = 0;
+    while ((at = out.find(key, at)) != std::string::npos) {
+      out.replace(at, key.size(), bytes);
+      at += bytes.size();
+    }
+  }
+  return out;
+}
+
 void Store::remove(const std::string &kind, const std::string &name) {
   auto &objects = Objects[kind];
   const auto it = objects.find(name);
@@ -330,7 +349,7 @@
 void Store::respond(http::ExchangeId id, unsigned status,
                     const json::value &body) {
   http::Response response{status, eraHeader(),
-                          body.is_null() ? "" : json::serialize(body)};
+                          body.is_null() ? "" : serialize(body)};
   response.Fields.push_back({"Content-Type", "application/json"});
   if (Faults.Delay == Duration{0}) {
     return Server.sendResponse(id, response);
--- a/standins/store/Store.h
+++ b/standins/store/Store.h
@@ -60,6 +60,10 @@
            boost::json::value content);
   void remove(const std::string &kind, const std::string &name);
 
+  /// As put, with the bytes of a JSON value, which need not be valid.
+  void putBytes(const std::string &kind, const std::string &name,
+                const std::string &bytes);
+
   /// Discards the history of changes. Watches from an earlier revision get 410
   /// once their kind has changed again.
   void dropHistory();
@@ -127,6 +131,7 @@
     http::Response Response;
   };
 
+  std::string serialize(const boost::json::value &body) const;
   void handleRequest(http::ExchangeId id, const http::Request &request);
   void handleRead(http::ExchangeId id, const std::string &kind,
                   const std::string &name, const http::Request &request);
@@ -155,6 +160,8 @@
       std::map<std::string, std::map<std::string, StoredObject>>;
   ObjectsByKind Objects;
   std::unique_ptr<const Copy> StaleCopy; ///< What stale reads see, if set.
+  /// The bytes of putBytes, by the string that stands for them in the objects.
+  std::map<std::string, std::string> Verbatim;
   std::deque<Change> History;
   std::list<Watch> Watches;
   std::list<DelayedResponse> DelayedResponses;
