--- a/tests/balance/StopTest.cpp
+++ b/tests/balance/StopTest.cpp
@@ -95,8 +95,11 @@
   return out << it.TimeLeft.count() << " us left";
 }
 
-const std::vector<StopCase> StopCases{
-    {0ms, 0}, {380ms, 0}, {400ms, Slots}, {800ms, 2 * Slots}, {60s, 1000}};
+const std::vector<StopCase> StopCases{{0ms, 0},
+                                      {380ms, 0},
+                                      {400ms, Slots},
+                                      {800ms, std::size_t{2} * Slots},
+                                      {60s, 1000}};
 
 } // namespace
 
--- a/tests/drill/StopTest.cpp
+++ b/tests/drill/StopTest.cpp
@@ -57,10 +57,12 @@
     http::Call call;
     call.Id = ++drill.LastCall;
     call.Address = drill.Deployed.Instances[0].CallerAddress;
-    call.Bytes = std::string(isOrder ? "POST /order/" : "GET /moving/") + id +
-                 " HTTP/1.1\r\nHost: orders.example\r\nX-Request-Id: " + id +
-                 "\r\nX-Deadline-Milliseconds: 10000\r\n"
-                 "Content-Length: 0\r\n\r\n";
+    call.Bytes = isOrder ? "POST /order/" : "GET /moving/";
+    call.Bytes.append(id)
+        .append(" HTTP/1.1\r\nHost: orders.example\r\nX-Request-Id: ")
+        .append(id)
+        .append("\r\nX-Deadline-Milliseconds: 10000\r\n"
+                "Content-Length: 0\r\n\r\n");
     drill.Pool.start(std::move(call));
     drill.EventLoop.runFor(5ms);
   }
--- a/tests/proxy/LateResponseTest.cpp
+++ b/tests/proxy/LateResponseTest.cpp
@@ -2,6 +2,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/json.hpp>
@@ -28,18 +29,19 @@
       : Instance(instance), RefusalsLeft(refusals) {}
 
   void serve() {
-    while (auto accepted = Socket.accept()) {
-      Connections.push_back({std::move(accepted), 0, {}});
+    Connections.push_back(Socket.accept());
+    if (!Connections.back()) {
+      Connections.pop_back();
     }
-    for (Served &it : Connections) {
-      const std::string &all = it.Connection->read();
-      const std::size_t end = all.find("\r\n\r\n", it.Parsed);
+    for (const auto &it : Connections) {
+      State &state = States[it.get()];
+      const std::string &all = it->read();
+      const std::size_t end = all.find("\r\n\r\n", state.Parsed);
       if (end != std::string::npos) {
-        const std::string head = all.substr(it.Parsed, end - it.Parsed);
-        it.Parsed = end + 4;
-        it.Connection->send(it.LastResponse);
-        it.LastResponse.clear();
-        respond(it, head);
+        const std::string head = all.substr(state.Parsed, end - state.Parsed);
+        state.Parsed = end + 4;
+        it->send(std::exchange(state.LastResponse, {}));
+        respond(*it, state, head);
       }
     }
   }
@@ -48,18 +50,18 @@
   http::RawServer Socket;
 
 private:
-  struct Served {
-    std::unique_ptr<http::RawConnection> Connection;
+  struct State {
     std::size_t Parsed = 0;
     std::string LastResponse; ///< Empty once it was sent again.
   };
 
-  void respond(Served &it, const std::string &head) {
+  void respond(const http::RawConnection &to, State &state,
+               const std::string &head) {
     const std::string common = "Content-Length: 0\r\nX-Server-Load: 0,0,4\r\n";
     if (head.starts_with("GET /health")) {
-      it.Connection->send("HTTP/1.1 200 OK\r\n" + common +
-                          "X-Warmup-Milliseconds: 60000\r\nX-Instance-Id: " +
-                          Instance + "\r\n\r\n");
+      to.send("HTTP/1.1 200 OK\r\n" + common +
+              "X-Warmup-Milliseconds: 60000\r\nX-Instance-Id: " + Instance +
+              "\r\n\r\n");
       return;
     }
     const std::size_t from = head.find("X-Request-Id: ");
@@ -69,22 +71,23 @@
             : head.substr(from, head.find("\r\n", from) - from) + "\r\n";
     if (RefusalsLeft > 0) {
       --RefusalsLeft;
-      it.LastResponse = "HTTP/1.1 503 Service Unavailable\r\n"
-                        "X-Not-Executed: 1\r\n" +
-                        common + id + "\r\n";
-      it.Connection->send(it.LastResponse);
+      state.LastResponse = "HTTP/1.1 503 Service Unavailable\r\n"
+                           "X-Not-Executed: 1\r\n" +
+                           common + id + "\r\n";
+      to.send(state.LastResponse);
       return;
     }
     ++Runs;
-    it.LastResponse =
+    state.LastResponse =
         "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Target: " +
         head.substr(0, head.find(" HTTP/")) + "\r\n" + common + id + "\r\n";
-    it.Connection->send(it.LastResponse);
+    to.send(state.LastResponse);
   }
 
   std::string Instance;
   unsigned RefusalsLeft;
-  std::vector<Served> Connections;
+  std::vector<std::unique_ptr<http::RawConnection>> Connections;
+  std::map<const http::RawConnection *, State> States;
 };
 
 /// A proxy whose calls go over sockets to one upstream.
