Store client: a head that ends with the connection is no answer

What would be seen: a store that breaks off within the head of a response to a write seemed to have confirmed it; a read counted as malformed instead of unreachable. Callers' requests never went this way.

Cause: looked for after operators' reports of upstreams that stop in the middle of a head. For callers this can't happen here: the client pool's parser tells a cut head from a whole one.

Change: a response needs the empty line after its head.

In chunks, libcurl does not wait for the last line feed, after which nothing can follow: that cut is left out.

--- a/src/core/HttpClient.cpp
+++ b/src/core/HttpClient.cpp
@@ -33,6 +33,7 @@
   HttpClient::Callback OnDone;
   bool Sent = false; ///< Bytes may have been sent.
   std::size_t HeadBytes = 0;
+  bool IsHeadComplete = false; ///< Of the last response, not an interim one.
   std::unique_ptr<CURL, EasyDeleter> Easy;
   std::unique_ptr<curl_slist, HeadersDeleter> Headers;
 };
@@ -47,6 +48,15 @@
   return size;
 }
 
+// libcurl takes a head for complete that ends with the connection.
+void noteHeadLine(Transfer &it, std::string_view line) {
+  if (line.starts_with("HTTP/")) { // An interim response may precede it.
+    it.IsHeadComplete = false;
+  } else if (line == "\r\n" || line == "\n") {
+    it.IsHeadComplete = true;
+  }
+}
+
 std::size_t onHeader(char *data, std::size_t, std::size_t size, void *user) {
   constexpr std::size_t maxLine = 256;
   auto &it = *static_cast<Transfer *>(user);
@@ -56,6 +66,7 @@
   }
   const std::string &name = it.Request.RequestedHeader;
   const std::string_view line(data, size);
+  noteHeadLine(it, line);
   const auto equalIgnoringCase = [](char a, char b) {
     return a == std::tolower(static_cast<unsigned char>(b));
   };
@@ -123,7 +134,7 @@
   if (it.Reply.Result == HttpReply::Outcome::TooLarge) {
     return;
   }
-  if (code != CURLE_OK) {
+  if (code != CURLE_OK || !it.IsHeadComplete) {
     it.Reply.TimedOut = code == CURLE_OPERATION_TIMEDOUT;
     it.Reply.Result =
         it.Sent ? HttpReply::Outcome::Broken : HttpReply::Outcome::NotSent;
--- a/tests/core/HttpClientTest.cpp
+++ b/tests/core/HttpClientTest.cpp
@@ -85,3 +85,57 @@
   BOOST_TEST(reply->TimedOut == endless.EndsByTimeout);
   BOOST_TEST(reply->Body.size() <= std::size_t{1} << 20);
 }
+
+namespace {
+
+/// A whole response.
+struct WholeResponse {
+  const char *Description;
+  std::string Bytes;
+  std::size_t UnusedBytes = 0; ///< At the end: libcurl doesn't wait for them.
+};
+
+std::ostream &operator<<(std::ostream &out, const WholeResponse &it) {
+  return out << it.Description;
+}
+
+const std::vector<WholeResponse> WholeResponses{
+    {"a length", "HTTP/1.1 200 OK\r\nStore-Era: 1\r\n"
+                 "Content-Length: 12\r\n\r\n{\"items\":[]}"},
+    {"no body", "HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Length: 0\r\n\r\n"},
+    {"chunks",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "c\r\n{\"items\":[]}\r\n0\r\n\r\n",
+     1},
+    {"an interim response before",
+     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+     "\r\n{}"},
+    {"no content", "HTTP/1.1 204 No Content\r\nStore-Era: 1\r\n\r\n"}};
+
+} // namespace
+
+// Guards against a response that was cut off and passes for a whole one.
+BOOST_DATA_TEST_CASE(responseThatIsCutOffIsNoAnswer, WholeResponses, row) {
+  http::TestLoop loop;
+  const http::RawServer server;
+  HttpClient client(loop.Loop);
+  for (std::size_t n = 0; n < row.Bytes.size() - row.UnusedBytes; ++n) {
+    std::optional<HttpReply> reply;
+    HttpRequest request;
+    request.Url = "http://" + server.Address + "/objects/servers";
+    request.Timeout = 10s;
+    client.send(std::move(request),
+                [&](HttpReply it) { reply = std::move(it); });
+    std::unique_ptr<http::RawConnection> peer;
+    BOOST_REQUIRE(loop.runUntil([&] {
+      if (!peer) {
+        peer = server.accept();
+      }
+      return peer && peer->has("\r\n\r\n");
+    }));
+    peer->send(row.Bytes.substr(0, n));
+    peer->close();
+    BOOST_REQUIRE(loop.runUntil([&] { return reply.has_value(); }));
+    BOOST_TEST((reply->Result == HttpReply::Outcome::Broken), n);
+  }
+}
