Server: handlers run after a connection has ended

What callers saw: the process ended by signal 11 when callers that pipeline left at their deadline; orders of others, in work at sound upstreams, lost their connection without an answer (LOST).

Cause: closeConnection stopped the watchers of a connection and then called OnAbandoned for each of its exchanges in turn. The handler for the first runs the engine, which may answer another exchange of the same connection, since its deadline has just passed too. That response was written on the connection that was being closed, and started its timer or fed its read watcher, which then used the freed connection.

Evidence: responsesDuringTheEndOfAConnectionAreIgnored answers the other exchanges from the handler: memory access violation in the case of 2 requests and a part of a third, without a sanitizer.

Change: all exchanges of a connection end before any handler is called, and on closeConnection the connection is gone by then. Responses are looked up by id and find nothing. A response that closes its connection does the same.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -364,20 +364,34 @@
     connection.Closing = connection.Exchanges.front().ClosesConnection;
     connection.Exchanges.pop_front();
   }
+  std::vector<ExchangeId> abandoned;
   if (connection.Closing) {
     // Requests after a closing response count as not received, and their caller
     // may repeat them.
-    for (const Exchange &it : connection.Exchanges) {
-      if (Unanswered.erase(it.Id) != 0) {
-        Handlers.OnAbandoned(it.Id);
-      }
-    }
-    connection.Exchanges.clear();
+    abandoned = endExchanges(connection);
     connection.Input.clear();
     connection.RequestParser.reset();
     ev_io_start(Loop, &connection.ReadWatcher);
   }
   writeTo(connection);
+  reportAbandoned(abandoned);
+}
+
+std::vector<ExchangeId> Server::endExchanges(Connection &connection) {
+  std::vector<ExchangeId> abandoned;
+  for (const Exchange &it : connection.Exchanges) {
+    if (Unanswered.erase(it.Id) != 0) {
+      abandoned.push_back(it.Id);
+    }
+  }
+  connection.Exchanges.clear();
+  return abandoned;
+}
+
+void Server::reportAbandoned(const std::vector<ExchangeId> &abandoned) {
+  for (const ExchangeId id : abandoned) {
+    Handlers.OnAbandoned(id);
+  }
 }
 
 void Server::writeTo(Connection &connection) {
@@ -455,12 +469,9 @@
   ev_io_stop(Loop, &connection.WriteWatcher);
   ev_timer_stop(Loop, &connection.Timer);
   close(connection.Fd);
-  const auto owned = std::move(Connections.extract(&connection).mapped());
-  for (const Exchange &it : owned->Exchanges) {
-    if (Unanswered.erase(it.Id) != 0) {
-      Handlers.OnAbandoned(it.Id);
-    }
-  }
+  const std::vector<ExchangeId> abandoned = endExchanges(connection);
+  Connections.erase(&connection);
+  reportAbandoned(abandoned);
 }
 
 void Server::closeIdle() {
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include <ev.h>
 
@@ -94,6 +95,11 @@
   void setTimer(Connection &connection);
   void onTimer(Connection &connection);
   void closeConnection(Connection &connection);
+  /// Ends the exchanges of a connection; later responses to them are ignored.
+  /// \returns those that were dispatched and have no response.
+  std::vector<ExchangeId> endExchanges(Connection &connection);
+  /// Called last: a handler may respond to any other exchange of the server.
+  void reportAbandoned(const std::vector<ExchangeId> &abandoned);
 
   struct ev_loop *Loop;
   ServerHandlers Handlers;
--- a/tests/http/ServerTest.cpp
+++ b/tests/http/ServerTest.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -353,3 +354,68 @@
   }
   BOOST_TEST(caller->has("HTTP/1.1 431"));
 }
+
+namespace server_test {
+
+/// Requests of a caller that leaves before it has a response.
+struct LeavingCase {
+  unsigned Requests;
+  bool LastIsWhole;
+  bool Resets; ///< Instead of closing.
+};
+
+std::ostream &operator<<(std::ostream &out, const LeavingCase &it) {
+  return out << it.Requests << " requests"
+             << (it.LastIsWhole ? "" : " and a part")
+             << (it.Resets ? ", reset" : ", closed");
+}
+
+const std::vector<LeavingCase> LeavingCases{
+    {1, true, false},  {1, false, false},  {2, true, false},  {2, false, false},
+    {2, false, true},  {31, true, false},  {31, false, true}, {32, true, false},
+    {33, true, false}, {33, false, false}, {40, true, true},  {64, true, false},
+    {64, false, true}};
+
+} // namespace server_test
+
+// Guards against a connection that is used after its end: the handler for its
+// first abandoned request answered the others.
+BOOST_DATA_TEST_CASE(responsesDuringTheEndOfAConnectionAreIgnored, LeavingCases,
+                     row) {
+  constexpr std::size_t mostDispatched = 32;
+  TestLoop loop;
+  std::vector<ExchangeId> dispatched;
+  std::vector<ExchangeId> abandoned;
+  Server *tested = nullptr;
+  Server server(loop.Loop, {[](const Request &) { return true; },
+                            [&](ExchangeId id, const Request &) {
+                              dispatched.push_back(id);
+                            },
+                            [&](ExchangeId id) {
+                              abandoned.push_back(id);
+                              for (const ExchangeId it : dispatched) {
+                                tested->sendResponse(it, {503, {}, {}});
+                              }
+                            }});
+  tested = &server;
+  const auto caller = RawConnection::connect(listenOnFreePort(
+      [&](const std::string &it) { return server.listen(it); }));
+  std::string bytes;
+  for (unsigned n = 0; n < row.Requests; ++n) {
+    bytes += get("/" + std::to_string(n));
+  }
+  bytes += row.LastIsWhole ? "" : "GET /part HTTP/1.1\r\nHo";
+  caller->send(bytes);
+  const std::size_t expected =
+      std::min<std::size_t>(row.Requests, mostDispatched);
+  BOOST_REQUIRE(loop.runUntil([&] { return dispatched.size() == expected; }));
+  if (row.Resets) {
+    caller->reset();
+  } else {
+    caller->close();
+  }
+  BOOST_REQUIRE(loop.runUntil([&] { return server.connections() == 0; }));
+  loop.runFor(20ms);
+  BOOST_TEST((abandoned == dispatched));
+  BOOST_TEST(server.openExchanges() == 0U);
+}
