Client pool: a call without an id skips only a copy of the response before

A health check skipped any response that has an id. An upstream that gives each response an id of its own, as many servers do, would never have answered one, and would have been ejected.

Change: a call without an id skips a response only if it has the id of the last call on its connection that had one: a late copy arrives where the next response is expected.

--- a/src/http/ClientPool.cpp
+++ b/src/http/ClientPool.cpp
@@ -76,12 +76,17 @@
                            : Duration::max();
 }
 
-bool isResponseTo(const Call &call, const Response &response) {
+// \param earlierValue EchoValue of an earlier call; empty if there was none.
+bool isResponseTo(const Call &call, const std::string &earlierValue,
+                  const Response &response) {
   if (call.EchoHeader.empty()) {
     return true;
   }
   const std::string *echo = findHeader(response.Fields, call.EchoHeader);
-  return echo == nullptr ? call.EchoValue.empty() : *echo == call.EchoValue;
+  if (call.EchoValue.empty()) {
+    return echo == nullptr || earlierValue.empty() || *echo != earlierValue;
+  }
+  return echo != nullptr && *echo == call.EchoValue;
 }
 
 } // namespace
@@ -103,6 +108,8 @@
   bool Connecting = true;
   bool Reused = false; ///< An earlier call used this connection.
   std::optional<Call> CurrentCall;
+  /// EchoValue of the last call before CurrentCall that had one.
+  std::string EarlierEchoValue;
   std::size_t BytesSent = 0; ///< Request bytes of CurrentCall.
   Instant OpenedAt{};        ///< When the connection attempt started.
   Duration RoundTrip{0};
@@ -397,7 +404,7 @@
   recordHeldBytes(connection);
   const Call &call = *connection.CurrentCall;
   if (result.Response.Status < FirstFinalStatus ||
-      !isResponseTo(call, result.Response)) {
+      !isResponseTo(call, connection.EarlierEchoValue, result.Response)) {
     if (++connection.StrayResponses > MaxStrayResponses || !keepAlive) {
       return fail(connection, "received only responses to other requests");
     }
@@ -420,6 +427,9 @@
       std::min(connection.PeerIdleTimeout, keepAliveTimeout(result.Response));
   InFlight.erase(id);
   ev_timer_stop(Loop, &connection.CallTimer);
+  if (!call.EchoValue.empty()) {
+    connection.EarlierEchoValue = call.EchoValue;
+  }
   connection.CurrentCall.reset();
   if (keepAlive && isReusable) {
     returnToIdle(connection);
--- a/src/http/ClientPool.h
+++ b/src/http/ClientPool.h
@@ -31,7 +31,9 @@
   /// Name of the header in which the response must return EchoValue; others
   /// belong to earlier calls and are ignored. Empty: any response is accepted.
   std::string EchoHeader;
-  std::string EchoValue; ///< Empty: the response must not have the header.
+  /// Empty: any response is accepted but one with the EchoValue of the last
+  /// call on the connection that had one.
+  std::string EchoValue;
   /// Connections that were idle for longer are not reused: the peer may have
   /// dropped its end without notice.
   Duration MaxIdleTime = std::chrono::seconds{60};
--- a/tests/http/ClientPoolTest.cpp
+++ b/tests/http/ClientPoolTest.cpp
@@ -45,6 +45,26 @@
   BOOST_TEST(it.Results[2].Response.Body == "b");
 }
 
+// A peer may add an id of its own to the response to a call that has none.
+BOOST_AUTO_TEST_CASE(callWithoutAnIdSkipsOnlyTheResponseToTheCallBefore) {
+  PoolFixture it;
+  it.Pool.start(it.call(1, "a"));
+  const auto upstream = it.acceptRequest();
+  upstream->send(response("a", "a"));
+  BOOST_REQUIRE(it.waitForResult(1));
+  for (const CallId id : {2, 3}) {
+    Call call = it.call(id);
+    call.EchoHeader = "X-Request-Id";
+    it.Pool.start(std::move(call));
+    BOOST_REQUIRE(it.EventLoop.runUntil(
+        [&] { return upstream->has("GET /" + std::to_string(id) + " "); }));
+    upstream->send(response("again", "a") + response("own", "z"));
+    BOOST_REQUIRE(it.waitForResult(id));
+    BOOST_TEST(it.Results[id].Response.Body == "own");
+    BOOST_TEST(it.Results[id].StrayResponses == 1U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(unexpectedResponseClosesAnIdleConnection) {
   PoolFixture it;
   it.Pool.start(it.call(1, "a"));
