Stand-in callers: a stall beyond the deadlines of retries ends no soak

Cause: the kernel's log has the address, which is in Callers::tick: it iterates over the requests, and sendRequest erases a retry whose deadline has passed before its turn. The iterator is invalid then. The machine had stalled in that minute.

Change: the retries that are due are collected first.

The program under test is not concerned.

--- a/standins/caller/Callers.cpp
+++ b/standins/caller/Callers.cpp
@@ -71,14 +71,18 @@
       issueRequest(it);
     }
   }
+  std::vector<std::string> due; // sendRequest may erase from Requests.
   std::vector<http::CallId> timedOut;
-  for (auto &[id, it] : Requests) {
+  for (const auto &[id, it] : Requests) {
     if (it.ActiveCall == 0 && it.SendAt <= now) {
-      sendRequest(it);
+      due.push_back(id);
     } else if (now >= it.Deadline && it.ActiveCall != 0) {
       timedOut.push_back(it.ActiveCall);
     }
   }
+  for (const std::string &id : due) {
+    sendRequest(Requests.at(id));
+  }
   for (const http::CallId it : timedOut) {
     Pool.cancel(it); // The caller gives up and closes its connection.
   }
