Events: a complete stop may have broken off requests at upstreams

Found by reading the diff: since a stop whose requests were all answered at its end counts as complete, also if some were broken off at upstreams with 502, and its event said that no request was cut off. It now says where these are.

--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -33,7 +33,9 @@
     {EventId::StopBegan, "stop-began", EventLevel::Info,
      "A graceful stop began: SIGTERM, SIGINT or POST /drain."},
     {EventId::Stopped, "stopped", EventLevel::Info,
-     "The graceful stop is complete; no request was cut off."},
+     "The graceful stop is complete; every request has its answer. Those "
+     "that it broke off at upstreams are in `request-failed`, with reason "
+     "`stopping`."},
     {EventId::StopCutShort, "stop-cut-short", EventLevel::Error,
      "Callers had not read all their responses when --stop-timeout was "
      "nearly over; the process exits with code 1. Look for callers that "
