--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds the programs of the cases of the second review, with all stand-ins,
+# into target/review-2. Run it after the build of the deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+for source in review/rig-2/case-*.cpp; do
+  g++ -std=c++20 -O2 -Wall -Wextra -pthread "$source" \
+    -o "target/review-2/$(basename "$source" .cpp)"
+done
