--- a/review/rig-2/case-6.cpp
+++ b/review/rig-2/case-6.cc
@@ -2,7 +2,7 @@
 // reads it for its zone is silent for less than a second.
 #include <atomic>
 
-#include "Rig.h"
+#include "Rig.hh"
 
 using namespace rig;
 
@@ -55,6 +55,7 @@
 
   // The reader is the instance that has called the store last.
   std::vector<int> before;
+  before.reserve(links.size());
   for (Link *it : links) {
     before.push_back(it->count("GET"));
   }
@@ -77,6 +78,7 @@
   std::map<std::string, double> sentAt;
   std::atomic<int> answered = 0;
   std::vector<std::thread> clients;
+  clients.reserve(6);
   for (int n = 0; n < 3; ++n) {
     if (n == reader) {
       continue;
--- a/review/rig-2/case-7.cpp
+++ b/review/rig-2/case-7.cc
@@ -1,6 +1,6 @@
 // A client sends a body in pieces, with a second transfer coding named beside
 // "chunked"; the body contains the text of another request.
-#include "Rig.h"
+#include "Rig.hh"
 
 using namespace rig;
 
@@ -53,12 +53,11 @@
     const std::string coding = trouble ? it.Coding : "chunked";
     const std::string body = trouble && isBare ? inner : chunked(inner);
     Connection connection = connectTo(instance.Callers);
-    connection.send("POST /write/order HTTP/1.1\r\nHost: shop.example\r\n"
-                    "X-Request-Id: " +
-                    std::string(it.Id) +
-                    "\r\nX-Deadline-Milliseconds: 3000\r\n"
-                    "Transfer-Encoding: " +
-                    coding + "\r\n\r\n" + body);
+    std::string bytes = "POST /write/order HTTP/1.1\r\nHost: shop.example\r\n";
+    bytes.append("X-Request-Id: ").append(it.Id);
+    bytes.append("\r\nX-Deadline-Milliseconds: 3000\r\nTransfer-Encoding: ");
+    bytes.append(coding).append("\r\n\r\n").append(body);
+    connection.send(bytes);
     Log.line("sent %s with Transfer-Encoding: %s and a body of %zu bytes",
              it.Id, coding.c_str(), inner.size());
     while (const auto reply = connection.read(now() + 2)) {
--- a/review/rig-2/case-8.cpp
+++ b/review/rig-2/case-8.cc
@@ -1,6 +1,6 @@
 // Backends fail a part of the unsafe requests that they have run with 503 and
 // without X-Not-Executed. The client sends a request again after a promise.
-#include "Rig.h"
+#include "Rig.hh"
 
 using namespace rig;
 
@@ -65,6 +65,7 @@
     twice += ran > 1 ? 1 : 0;
   };
   std::vector<std::thread> clients;
+  clients.reserve(clientCount);
   for (int client = 0; client < clientCount; ++client) {
     clients.emplace_back([&, client] {
       for (int n = 0; n < ordersEach; ++n) {
