--- a/review/rig-2/case-6.cc
+++ b/review/6/case.cc
@@ -2,7 +2,7 @@
 // reads it for its zone is silent for less than a second.
 #include <atomic>
 
-#include "Rig.hh"
+#include "Rig-2.hh"
 
 using namespace rig;
 
--- a/review/rig-2/case-8.cc
+++ b/review/8/case.cc
@@ -1,6 +1,6 @@
 // Backends fail a part of the unsafe requests that they have run with 503 and
 // without X-Not-Executed. The client sends a request again after a promise.
-#include "Rig.hh"
+#include "Rig-2.hh"
 
 using namespace rig;
 
--- a/review/rig-2/case-9.cc
+++ b/review/9/case.cc
@@ -1,6 +1,6 @@
 // The operator writes two valid configurations that the store accepts: one has
 // weights that are fractions, the other a tenant whose name has a space.
-#include "Rig.hh"
+#include "Rig-2.hh"
 
 using namespace rig;
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/rig-2/case-*.cc; do
-  g++ -std=c++20 -O2 -Wall -Wextra -pthread "$source" \
-    -o "target/review-2/$(basename "$source" .cc)"
+for n in 6 7 8 9; do
+  g++ -std=c++20 -O2 -Wall -Wextra -pthread -Ireview "review/$n/case.cc" \
+    -o "target/review-2/case-$n"
 done
