A request whose end is unknown is refused

Cause: Boost.Beast's parser takes a message as chunked only where "chunked" is the one and last coding of its Transfer-Encoding, and any other such message as one without a body. Server did not look at the field, and what followed the head was read as the next request. The class: every spelling by which two readers of the same bytes disagree about where a body ends, also before HTTP/1.1, where the field has no meaning.

The three spellings of "chunked" that are allowed pass before and after (http/chunkedBodyIsReadHoweverItsCodingIsWritten).

Change: once a head is read, a Transfer-Encoding that is not exactly one field with the value "chunked", or that comes before HTTP/1.1, gets 400, and the connection closes (RFC 9112, 6.1 and 6.3). Nothing behind it is parsed, so that no byte of the body can be taken for a request.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -45,6 +45,8 @@
 // Responses up to this size are joined, so that one call sends several.
 constexpr std::size_t MaxJoinedBytes = std::size_t{16} << 10;
 
+constexpr unsigned Http11 = 11; // As Beast numbers versions.
+
 constexpr unsigned BadRequest = 400;
 constexpr unsigned RequestTimeout = 408;
 constexpr unsigned PayloadTooLarge = 413;
@@ -57,6 +59,17 @@
   return request;
 }
 
+// With other transfer codings the end of a body is unknown, and bytes of the
+// body would be read as the next request (RFC 9112, section 6.3). Before
+// HTTP/1.1 there are none (section 6.1).
+bool isFramingKnown(const Parser::value_type &message) {
+  const auto [first, last] =
+      message.base().equal_range(beast::field::transfer_encoding);
+  return first == last ||
+         (std::next(first) == last && message.version() >= Http11 &&
+          isSameHeaderName(std::string_view(first->value()), "chunked"));
+}
+
 unsigned statusForError(const boost::beast::error_code &ec) {
   if (ec == beast::error::body_limit) {
     return PayloadTooLarge;
@@ -308,6 +321,11 @@
       rejectRequest(connection, HeadersTooLarge);
       break;
     }
+    if (connection.RequestParser->is_header_done() &&
+        !isFramingKnown(connection.RequestParser->get())) {
+      rejectRequest(connection, BadRequest);
+      break;
+    }
     if (ec == beast::error::need_more) {
       break;
     }
--- a/tests/http/ServerTest.cpp
+++ b/tests/http/ServerTest.cpp
@@ -184,6 +184,17 @@
   return out << it.Description;
 }
 
+/// A request whose body holds the text of another one, in one chunk or bare.
+std::string postWithCoding(const std::string &coding, bool isChunked,
+                           const std::string &version = "HTTP/1.1") {
+  const std::string inner = post("/inner", "x");
+  char size[8];
+  std::snprintf(size, sizeof size, "%zx", inner.size());
+  return "POST / " + version + "\r\nHost: h\r\nTransfer-Encoding: " + coding +
+         "\r\n\r\n" +
+         (isChunked ? size + ("\r\n" + inner) + "\r\n0\r\n\r\n" : inner);
+}
+
 const std::vector<InvalidRequest> InvalidRequests{
     {"Content-Length above the body limit",
      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2001\r\n\r\n", "413"},
@@ -202,6 +213,20 @@
      "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n"
      "\r\n0\r\n\r\n",
      "400"},
+    {"coding after chunked", postWithCoding("chunked, identity", false), "400"},
+    {"coding before chunked", postWithCoding("gzip, chunked", true), "400"},
+    {"chunked twice", postWithCoding("chunked, chunked", true), "400"},
+    {"chunked in two fields",
+     postWithCoding("chunked\r\nTransfer-Encoding: chunked", true), "400"},
+    {"unknown coding", postWithCoding("xchunked", false), "400"},
+    {"identity", postWithCoding("identity", false), "400"},
+    {"empty coding", postWithCoding("", false), "400"},
+    {"coding in quotes", postWithCoding("\"chunked\"", false), "400"},
+    {"parameter of chunked", postWithCoding("chunked;a=b", true), "400"},
+    {"unknown coding beside a Content-Length",
+     postWithCoding("xchunked\r\nContent-Length: 1", false), "400"},
+    {"chunked before HTTP/1.1", postWithCoding("chunked", true, "HTTP/1.0"),
+     "400"},
     {"incomplete header", "GET / HTTP/1.1\r\nHost: h\r\n", "408"},
     {"incomplete body",
      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab", "408"}};
@@ -225,6 +250,18 @@
   BOOST_TEST(!caller->PeerReset);
 }
 
+BOOST_DATA_TEST_CASE(chunkedBodyIsReadHoweverItsCodingIsWritten,
+                     (std::vector<std::string>{"chunked", "Chunked",
+                                               " \t CHUNKED \t "}),
+                     coding) {
+  ServerFixture it;
+  const auto caller = it.connect();
+  caller->send(postWithCoding(coding, true));
+  BOOST_REQUIRE(it.waitForRequest("/"));
+  BOOST_TEST(it.Requests.at("/").Body == post("/inner", "x"));
+  BOOST_TEST(it.ArrivalOrder.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(errorResponseIsSentAfterEarlierResponses) {
   ServerFixture it;
   const auto caller = it.connect();
