An upstream's 503 is no promise unless it says so

What callers saw: an upstream runs a request that must not run twice, fails, and responds 503 without saying that it did not run it.

Cause: any response without X-Not-Executed was delivered as it came. The class: each status that tells callers to repeat (408, 429, 503; 421 always says that the request did not run) on a response that doesn't say it itself. 408 and 429 even counted as good answers.

Evidence: on the rows 408, 429 and 503 of balance/onlyARequestThatDidNotRunIsSaidNotToHaveRun fail; the other eight pass.

Change: for a request that must not run twice, such a response is not delivered; the caller gets 502 with the outcome "ran", without the upstream's signature. Other statuses, idempotent requests, and responses that say that the request did not run are as before.

--- a/src/balance/Attempts.cpp
+++ b/src/balance/Attempts.cpp
@@ -64,6 +64,19 @@
   return event.End == AttemptEnd::Answered && event.Status >= FirstServerError;
 }
 
+constexpr unsigned RequestTimeout = 408;
+constexpr unsigned TooManyRequests = 429;
+constexpr unsigned Unavailable = 503;
+
+// These statuses tell a caller that its request did not run and may be sent
+// again. An upstream's response with one that doesn't say so itself ended a
+// request that may have run.
+bool wouldBeRepeated(const RequestState &request, const AttemptEnded &event) {
+  return event.End == AttemptEnd::Answered && !request.Policy.Idempotent &&
+         (event.Status == RequestTimeout || event.Status == TooManyRequests ||
+          event.Status == Unavailable);
+}
+
 // Whether the request's own limits allow another attempt. An attempt that sent
 // nothing doesn't count against them.
 bool mayRetry(const RequestState &request, const AttemptEnded &event) {
@@ -108,8 +121,9 @@
     request.CrashCheckUpstream = upstream;
     request.CrashCheckDeadline = step.Now + CrashCheckTimeout;
   }
-  const bool good = event.End == AttemptEnd::Answered && !isServerError(event);
-  if (good) {
+  const bool mayDeliver =
+      event.End == AttemptEnd::Answered && !wouldBeRepeated(request, event);
+  if (mayDeliver && !isServerError(event)) {
     return deliver(step, request, event.Attempt);
   }
   if (event.End == AttemptEnd::NotSent && request.AttemptsSent > 0) {
@@ -125,7 +139,7 @@
         combine(request.PriorExecution, executionOf(event.End));
     return;
   }
-  if (event.End == AttemptEnd::Answered) {
+  if (mayDeliver) {
     return deliver(step, request, event.Attempt);
   }
   request.PriorExecution =
