A removal in a short outage of the store is in force at once

Cause: one failed health check counted as an outage, after which each removal waits for 2.3 s, the time that upstreams whose registrations expired get to register again. But a registration expires only after three heartbeats without a renewal, so that none can in so short a time: what was removed has left.

A reader that has just begun, and doesn't know since when the store is silent, gives the grace as before.

store/registrationsThatExpireInAnOutageGetTimeToBeRenewed let a registration expire half a second after the store went silent, which the platform's pages rule out. It now waits for two heartbeats, and the rest is as it was; registrationsThatExpireInManyShortOutagesGetTimeToo is new.

Measured: both rows of removalInAShortOutageIsInForceInTime, and the two tests of expiry, pass in two runs of two.

--- a/include/zinniarail/settings/Settings.h
+++ b/include/zinniarail/settings/Settings.h
@@ -34,8 +34,9 @@
   std::string LogLevel;
   /// Time within which a change in the store must be in force everywhere.
   Duration PropagationLimit{};
-  Duration StopTimeout{};     ///< Maximum duration of a graceful stop.
-  Duration ResolveLifetime{}; ///< How long callers may cache addresses.
+  Duration HeartbeatInterval{}; ///< Between an upstream's registrations.
+  Duration StopTimeout{};       ///< Maximum duration of a graceful stop.
+  Duration ResolveLifetime{};   ///< How long callers may cache addresses.
   /// Retries and hedges per request, over all instances.
   double RetryRatio = 0;
   /// Retries and hedges beyond the ratio in any period, over all instances: the
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -279,6 +279,7 @@
                rolloutHandlers()),
       Operators(Loop, operatorHandlers()) {
   CallerServer.setMaxConnections(maxCallerConnections(Budget));
+  Store.setHeartbeatInterval(Options.HeartbeatInterval);
   if (Options.ExposureShare > 0) {
     Store.readRollouts();
   }
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -186,6 +186,11 @@
       durationSetting("propagation-limit", &S::PropagationLimit, "2s", 1s, 60s,
                       "time within which a change in the store must be in "
                       "force everywhere"),
+      durationSetting("heartbeat-interval", &S::HeartbeatInterval, "1500ms",
+                      100ms, 600s,
+                      "how often upstreams renew their registrations; in an "
+                      "outage of the store that lasts for less than 1.5 of it "
+                      "none can expire"),
       durationSetting("stop-timeout", &S::StopTimeout, "30s", 100ms, 600s,
                       "maximum duration of a graceful stop"),
       durationSetting(
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -33,6 +33,14 @@
 // not show that the store has become unreachable.
 constexpr Duration PingInterval = std::chrono::milliseconds{500};
 
+// A registration expires after three heartbeats without a renewal, so that an
+// outage in which it can begins at least two before. Less half of one, since
+// heartbeats come early or late.
+constexpr double MinExpiringHeartbeats = 1.5;
+
+// Heartbeats without an outage after which the renewals of before have arrived.
+constexpr int OutageGap = 2;
+
 // Fraction of the propagation limit between two reads of the store's revision.
 // The rest is for the list that follows and for telling the followers.
 constexpr double RevisionReadFraction = 0.75;
@@ -92,6 +100,7 @@
   Reading = true;
   HasAnswered = false;
   Unavailable = false;
+  AnsweredAt = LostSince = AvailableAt = Instant{};
   Ping = {};
   RevisionReadAt = readClock(); // The lists that follow show the revision.
   for (ListWatch &it : ListWatches) {
@@ -171,6 +180,7 @@
                 if (reply.Result == Outcome::Done) {
                   HasAnswered = true;
                   noteAvailable();
+                  AnsweredAt = repliedAt;
                   if (readsRevision) {
                     for (ListWatch &it : ListWatches) {
                       noteStoreRevision(it, reply.AsOf.Number, now, repliedAt);
@@ -305,14 +315,27 @@
     return;
   }
   Unavailable = true;
+  // Outages that follow one another closely count as one.
+  if (readClock() - AvailableAt > HeartbeatInterval * OutageGap) {
+    LostSince = AnsweredAt;
+  }
   // A health check is due at once: it shows whether only this call failed.
   Ping.NextAt = Instant{};
   logEvent(EventId::PlatformLost,
            call + ": " + nameOf(reply.Result) + ", " + reply.Error);
 }
 
+// Whether a registration can have expired since the outage began although its
+// upstream lives.
+bool StoreTask::mayHaveExpired(Instant now) const {
+  const double heartbeats = std::chrono::duration<double>(now - LostSince) /
+                            std::chrono::duration<double>(HeartbeatInterval);
+  return heartbeats >= MinExpiringHeartbeats;
+}
+
 // Registrations that expired during an outage get a grace period to be renewed.
-// A call that was cut off while health checks succeed was no outage. All reads
+// A call that was cut off while health checks succeed was no outage, and in a
+// short one nothing expires: what was removed meanwhile has left. All reads
 // start over, because the store may have dropped pending calls.
 void StoreTask::noteAvailable() {
   if (!Unavailable) {
@@ -321,8 +344,10 @@
   Unavailable = false;
   logEvent(EventId::PlatformBack,
            "after " + std::to_string(Ping.Failures) + " failed health checks");
-  if (Ping.Failures > 0) {
-    recordStoreRecovery(LocalMirror.Upstreams, readClock());
+  const Instant now = readClock();
+  AvailableAt = now;
+  if (Ping.Failures > 0 && mayHaveExpired(now)) {
+    recordStoreRecovery(LocalMirror.Upstreams, now);
   }
   restartReads();
 }
--- a/src/store/StoreTask.h
+++ b/src/store/StoreTask.h
@@ -47,6 +47,10 @@
   StoreTask(const StoreTask &) = delete;
   StoreTask &operator=(const StoreTask &) = delete;
 
+  /// Sets how often upstreams renew their registrations, which tells how long
+  /// an outage must be for one of these to expire in it.
+  void setHeartbeatInterval(Duration interval) { HeartbeatInterval = interval; }
+
   /// Avoids possibly stale reads for LatestReadPeriod. Used when it is unknown
   /// whether the store has had an outage recently.
   void avoidStaleReads();
@@ -110,6 +114,7 @@
   void handleWatchReply(platform::Kind kind, const platform::Reply &reply);
   bool handleFailure(platform::Kind kind, const platform::Reply &reply);
   void noteUnavailable(const std::string &call, const platform::Reply &reply);
+  bool mayHaveExpired(Instant now) const;
   void noteAvailable();
   /// Counts and logs an entry that could not be decoded. Such an entry is
   /// treated as missing.
@@ -165,6 +170,10 @@
   bool HasAnswered = false;
   /// A call has failed, and no health check has succeeded since.
   bool Unavailable = false;
+  Duration HeartbeatInterval = std::chrono::milliseconds{1500};
+  Instant AnsweredAt{};  ///< Of the last health check that succeeded.
+  Instant LostSince{};   ///< AnsweredAt at the start of the last outages.
+  Instant AvailableAt{}; ///< When the last outage ended.
   RetryState Ping;
   unsigned PingGeneration = 0;
   RetryState RecordWrite;
--- a/tests/store/StoreTaskTest.cpp
+++ b/tests/store/StoreTaskTest.cpp
@@ -16,6 +16,9 @@
 // The users' bound on how soon an acknowledged change is in force.
 constexpr Duration PropagationLimit = 2s;
 
+// How often upstreams renew their registrations on the users' platform.
+constexpr Duration HeartbeatInterval = 1500ms;
+
 // How long after a disruption the users' bounds do not hold.
 constexpr Duration StableWindow = 3s;
 
@@ -340,7 +343,7 @@
   it.Store.Faults.ActiveOutage = static_cast<standins::OutageMode>(outage);
   it.Store.disconnectWatches();
   BOOST_REQUIRE(it.runUntil([&] { return !it.Healthy; }));
-  it.EventLoop.runFor(500ms);
+  it.EventLoop.runFor(HeartbeatInterval * 2); // Two renewals are missed.
   it.Store.remove("servers", "u1");
   it.Store.Faults.ActiveOutage = standins::OutageMode::None;
   BOOST_REQUIRE(it.untilHealthy());
@@ -351,6 +354,52 @@
   BOOST_TEST(it.hasUpstream("u1"));
 }
 
+// Each outage may be when a renewal is due.
+BOOST_AUTO_TEST_CASE(registrationsThatExpireInManyShortOutagesGetTimeToo) {
+  Fixture it;
+  it.Store.put("config", "main", configuration(1));
+  it.Store.put("servers", "u1", registration("s"));
+  it.Task.startReading();
+  BOOST_REQUIRE(it.untilHealthy());
+  const Instant begin = readClock();
+  for (bool isLast = false; it.hasUpstream("u1") && !isLast;) {
+    isLast = readClock() - begin >= HeartbeatInterval * 2;
+    it.Store.Faults.ActiveOutage = standins::OutageMode::Unavailable;
+    BOOST_REQUIRE(it.runUntil([&] { return !it.Healthy; }));
+    it.EventLoop.runFor(100ms); // A health check fails.
+    if (isLast) {
+      it.Store.remove("servers", "u1");
+    }
+    it.Store.Faults.ActiveOutage = standins::OutageMode::None;
+    BOOST_REQUIRE(it.untilHealthy());
+  }
+  it.EventLoop.runFor(1s);
+  BOOST_TEST(it.hasUpstream("u1"));
+}
+
+// No registration expires in an outage of under a heartbeat: its upstream has
+// left.
+BOOST_DATA_TEST_CASE(removalInAShortOutageIsInForceInTime,
+                     (std::vector<int>{
+                         static_cast<int>(standins::OutageMode::Unavailable),
+                         static_cast<int>(standins::OutageMode::NoResponse)}),
+                     outage) {
+  Fixture it;
+  it.Store.put("config", "main", configuration(1));
+  it.Store.put("servers", "u1", registration("s"));
+  it.Task.startReading();
+  BOOST_REQUIRE(it.untilHealthy());
+  it.Store.Faults.ActiveOutage = static_cast<standins::OutageMode>(outage);
+  it.Store.disconnectWatches();
+  BOOST_REQUIRE(it.runUntil([&] { return !it.Healthy; }));
+  it.Store.remove("servers", "u1");
+  const Instant madeAt = readClock();
+  it.EventLoop.runFor(300ms);
+  it.Store.Faults.ActiveOutage = standins::OutageMode::None;
+  BOOST_TEST(it.runUntil([&] { return !it.hasUpstream("u1"); }));
+  BOOST_TEST((readClock() - madeAt <= PropagationLimit));
+}
+
 BOOST_AUTO_TEST_CASE(removalRightAfterDroppedWatchesIsInForceInTime) {
   Fixture it;
   it.LocalMirror.Era = it.Store.era();
