The work of an event doesn't grow with the queue

Cause: each event, an arrival too, tried to place every queued request at every upstream. What a request costs grew with what others had sent, so that the instance fell ever further behind and came to deadlines late. And a full queue refused newcomers, whoever's requests filled it.

Change: - Up to 16 queued requests: as before, all are tried at each event. More: the first 16 in order and the newcomers are; all are once the events since the last pass are as many as a sixteenth of the queue, and every 10 ms, or 10 us for each that waits. After 16 searches of a pass, requests that have the same upstreams to choose from share the result that there is no room, which upstreams that get fuller don't change. - The queue is a set, so that a request leaves it without a search. - A full queue refuses the last request of the connection that has most in it, if that has two more than the newcomer's, did not run and is no more urgent.

--- a/include/zinniarail/balance/Engine.h
+++ b/include/zinniarail/balance/Engine.h
@@ -130,6 +130,7 @@
   std::uint64_t Refused = 0;
   /// Of Refused: while there was too little room, since others went first.
   std::uint64_t Yielded = 0;
+  std::uint64_t Placements = 0; ///< Searches for an upstream.
 };
 const EngineCounters &countersOf(const Engine &engine);
 
--- a/include/zinniarail/balance/Messages.h
+++ b/include/zinniarail/balance/Messages.h
@@ -85,6 +85,8 @@
   RoutePolicy Policy;
   std::uint64_t Fingerprint = 0; ///< Equal for requests with equal content.
   Instant Deadline{};            ///< The earlier of the caller's and route's.
+  /// Equal for requests of one connection; 0 if that is unknown.
+  std::uint64_t Connection = 0;
 };
 /// An attempt ended.
 struct AttemptEnded {
--- a/src/balance/Placing.cpp
+++ b/src/balance/Placing.cpp
@@ -317,36 +317,43 @@
   return worthUsing || retryDue ? slots : slots - 1;
 }
 
+double acceptableTime(const Engine &engine, const RequestState &request,
+                      Instant now) {
+  const auto usual =
+      static_cast<double>(usualServiceTime(engine, request).count());
+  const auto left = static_cast<double>(
+      (request.Arrived + request.Policy.LatencyTarget - now).count());
+  return std::max(usual * AcceptableTimeFactor, left);
+}
+
 Placement placeRequest(Engine &engine, const RequestState &request,
                        bool lastResort, Instant now) {
+  ++engine.Counters.Placements;
   const std::vector<Candidate> candidates =
       findCandidates(engine, request, now);
   if (candidates.empty()) {
     const bool anyPlanned =
         std::any_of(engine.Upstreams.begin(), engine.Upstreams.end(),
                     [](const auto &it) { return it.second.Planned; });
-    Placement none;
-    none.Decision =
+    Placement empty;
+    empty.Decision =
         anyPlanned ? Placement::Kind::Wait : Placement::Kind::NoUpstream;
-    return none;
+    return empty;
   }
-  const auto usual =
-      static_cast<double>(usualServiceTime(engine, request).count());
-  const auto left = static_cast<double>(
-      (request.Arrived + request.Policy.LatencyTarget - now).count());
-  const double acceptableTime = std::max(usual * AcceptableTimeFactor, left);
+  const double acceptable = acceptableTime(engine, request, now);
+  Placement none;
   const Candidate *bestFresh = nullptr;
   for (const Candidate &it : candidates) {
-    if (it.Fresh && !it.Full && it.ExpectedTime <= acceptableTime &&
-        (bestFresh == nullptr || it.ExpectedTime < bestFresh->ExpectedTime)) {
-      bestFresh = &it;
+    if (it.Fresh && !it.Full && it.ExpectedTime < none.LeastFreshTime) {
+      none.LeastFreshTime = it.ExpectedTime;
+      bestFresh = it.ExpectedTime <= acceptable ? &it : nullptr;
     }
   }
   if (engine.ReportsLoad) {
     const double limit = bestFresh == nullptr
                              ? std::numeric_limits<double>::max()
                              : bestFresh->ExpectedTime * ProbeGainFactor;
-    Placement probeFirst;
+    Placement probeFirst = none;
     probeFirst.Decision = Placement::Kind::Probe;
     probeFirst.Probes = selectProbes(engine, candidates, limit,
                                      usualServiceTime(engine, request), now);
@@ -372,7 +379,7 @@
   const Candidate *best = pickCheapest(
       engine, candidates, [](const Candidate &it) { return it.ExpectedTime; });
   if (best == nullptr || !mayGuess) {
-    return {};
+    return none;
   }
   return send(*best,
               engine.ReportsLoad ? PlacementReason::LoadKnowledge::Guessed
--- a/src/balance/Queue.cpp
+++ b/src/balance/Queue.cpp
@@ -3,6 +3,9 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
+#include <tuple>
+#include <utility>
 
 namespace zinniarail::balance {
 
@@ -23,6 +26,14 @@
 // request.
 constexpr Duration QueueRecheckInterval = std::chrono::milliseconds{10};
 
+// What a queued request adds to that interval, so that checking a long queue
+// again and again leaves time for other work.
+constexpr Duration RecheckTimePerRequest = std::chrono::microseconds{10};
+
+// Queued requests that each event may try to place. More are tried once the
+// events since the last pass over the queue are enough for all of it.
+constexpr std::size_t TriesPerEvent = 16;
+
 // Maximum queue depth per slot in service.
 constexpr std::size_t MaxQueuedPerSlot = 4;
 
@@ -100,6 +111,54 @@
   }
 }
 
+// What requests have in common that have the same upstreams to choose from, and
+// wait for the same: route, latency target, whether they are for a roll-out's
+// target, and whether they are late.
+using PlacementKind = std::tuple<std::string, Duration, bool, bool>;
+
+/// One pass over the queue, or over its first requests.
+struct QueuePass {
+  std::size_t Tried = 0; ///< Searches for an upstream.
+  /// The LeastFreshTime of kinds that found no room in this pass. It stays
+  /// true: during a pass upstreams only get fuller.
+  std::map<PlacementKind, double> NoRoom;
+};
+
+// Requests that were tried before, or may crash upstreams, choose for
+// themselves.
+bool isOfAKind(const Engine &engine, const RequestState &request, Instant now) {
+  return request.TriedUpstreams.empty() &&
+         !isSuspect(engine, request.Fingerprint, now);
+}
+
+// Chooses an upstream for a request of a pass. Once a pass has tried many, it
+// searches no more for requests of a kind that found no room.
+Placement placeInPass(Engine &engine, QueuePass &pass,
+                      const RequestState &request, bool isLate, Instant now) {
+  const auto &share = engine.Plan.TargetShare;
+  const bool isForTarget = share && request.TargetDraw < *share;
+  const bool sharesResult =
+      pass.Tried >= TriesPerEvent && isOfAKind(engine, request, now);
+  const PlacementKind kind{request.Policy.Route, request.Policy.LatencyTarget,
+                           isForTarget, isLate};
+  if (sharesResult) {
+    const auto known = pass.NoRoom.find(kind);
+    if (known != pass.NoRoom.end() &&
+        acceptableTime(engine, request, now) < known->second) {
+      return {};
+    }
+  }
+  ++pass.Tried;
+  Placement found = placeRequest(engine, request, isLate, now);
+  const bool hasNoRoom =
+      found.Decision == Placement::Kind::Wait ||
+      (found.Decision == Placement::Kind::Probe && found.Probes.empty());
+  if (hasNoRoom && isOfAKind(engine, request, now)) {
+    pass.NoRoom[kind] = found.LeastFreshTime;
+  }
+  return found;
+}
+
 // Refuses a request that found no room, if it will find none in time.
 // \param waitingBefore as for refuseIfTooLate.
 bool refuseIfHopeless(Step step, RequestState &request,
@@ -173,7 +232,7 @@
 
 // Tries to place a queued request.
 // \returns whether it still waits.
-bool dispatchRequest(Step step, RequestState &request,
+bool dispatchRequest(Step step, QueuePass &pass, RequestState &request,
                      const QueuedRequest &queued, std::size_t waitingBefore) {
   Engine &engine = step.State;
   if (refuseIfBarred(step, request, waitingBefore)) {
@@ -186,14 +245,13 @@
   }
   const Instant latest = latestStart(engine, request);
   const Placement found =
-      placeRequest(engine, request, step.Now >= latest, step.Now);
+      placeInPass(engine, pass, request, step.Now >= latest, step.Now);
   if (found.Decision == Placement::Kind::NoUpstream) {
     refuse(step, request, RefusalReason::NoUpstream);
     return false;
   }
   if (found.Decision == Placement::Kind::Send) {
-    std::erase(engine.Queue, request.Id);
-    request.Queued = false;
+    dequeue(engine, request);
     startAttempt(step, request, found, false);
     return false;
   }
@@ -219,6 +277,67 @@
   return true;
 }
 
+// Tries all queued requests.
+void dispatchAll(Step step) {
+  Engine &engine = step.State;
+  engine.QueueRecheckAt = Instant::max();
+  engine.Room.AnyWaiting = false;
+  engine.Front.clear();
+  engine.Untried.clear();
+  engine.PassCredit = 0;
+  std::vector<QueuedRequest> queue = sortedQueue(engine, step.Now);
+  trimQueue(step, queue);
+  QueuePass pass;
+  std::size_t waiting = 0;
+  for (const QueuedRequest &it : queue) {
+    RequestState &request = engine.Requests.at(it.Number);
+    if (dispatchRequest(step, pass, request, it, waiting)) {
+      ++waiting;
+      if (engine.Front.size() < TriesPerEvent) {
+        engine.Front.push_back(request.Id);
+      }
+    }
+  }
+  if (waiting > TriesPerEvent) {
+    engine.QueueRecheckAt = std::max(
+        engine.QueueRecheckAt,
+        step.Now + std::max<Duration>(QueueRecheckInterval,
+                                      RecheckTimePerRequest * waiting));
+  }
+}
+
+// Tries the first of the queue and those that were queued since.
+void dispatchFront(Step step) {
+  Engine &engine = step.State;
+  std::vector<RequestId> next = std::exchange(engine.Front, {});
+  next.insert(next.end(), engine.Untried.begin(), engine.Untried.end());
+  engine.Untried.clear();
+  // The last pass over the queue has set when the next one is due.
+  const Instant recheckAt = engine.QueueRecheckAt;
+  QueuePass pass;
+  pass.Tried = TriesPerEvent;
+  for (const RequestId id : next) {
+    const auto found = engine.Requests.find(numberOf(id));
+    if (found == engine.Requests.end() || !found->second.Queued) {
+      continue;
+    }
+    RequestState &request = found->second;
+    if (dispatchRequest(step, pass, request, queuedRequest(engine, request),
+                        engine.Front.size()) &&
+        engine.Front.size() < TriesPerEvent) {
+      engine.Front.push_back(id);
+    }
+  }
+  engine.QueueRecheckAt = recheckAt;
+}
+
+bool isPassDue(const Engine &engine, Instant now) {
+  return engine.Queue.size() <= TriesPerEvent ||
+         engine.PassCredit >= engine.Queue.size() ||
+         now >= engine.QueueRecheckAt ||
+         (engine.Front.empty() && engine.Untried.empty());
+}
+
 } // namespace
 
 Duration usualServiceTime(const Engine &engine, const RequestState &request) {
@@ -252,17 +371,36 @@
   return out;
 }
 
+bool yieldToOtherConnection(Step step, const RequestState &newcomer) {
+  Engine &engine = step.State;
+  const QueueShares &shares = engine.SharesOfQueue;
+  const auto own = shares.ByConnection.find(newcomer.Connection);
+  const std::size_t ownSize =
+      own == shares.ByConnection.end() ? 0 : own->second.size();
+  if (shares.Sizes.empty() || shares.Sizes.rbegin()->first < ownSize + 2) {
+    return false;
+  }
+  const std::set<RequestId> &most =
+      shares.ByConnection.at(shares.Sizes.rbegin()->second);
+  for (auto it = most.rbegin(); it != most.rend(); ++it) {
+    RequestState &request = engine.Requests.at(numberOf(*it));
+    if (request.PriorExecution == Execution::DidNotRun &&
+        request.Policy.Priority >= newcomer.Policy.Priority) {
+      refuse(step, request, RefusalReason::Overloaded);
+      return true;
+    }
+  }
+  return false;
+}
+
 void dispatchQueue(Step step) {
   Engine &engine = step.State;
-  engine.QueueRecheckAt = Instant::max();
   advance(engine.Room, step.Now);
-  engine.Room.AnyWaiting = false;
-  std::vector<QueuedRequest> queue = sortedQueue(engine, step.Now);
-  trimQueue(step, queue);
-  std::size_t waiting = 0;
-  for (const QueuedRequest &it : queue) {
-    RequestState &request = engine.Requests.at(it.Number);
-    waiting += dispatchRequest(step, request, it, waiting) ? 1 : 0;
+  engine.PassCredit += TriesPerEvent;
+  if (isPassDue(engine, step.Now)) {
+    dispatchAll(step);
+  } else {
+    dispatchFront(step);
   }
 }
 
--- a/src/balance/Requests.cpp
+++ b/src/balance/Requests.cpp
@@ -2,6 +2,7 @@
 #include "balance/State.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace zinniarail::balance {
 
@@ -21,14 +22,36 @@
 
 void removeRequest(Engine &engine, RequestState &request) {
   const std::uint64_t id = numberOf(request.Id);
-  if (request.Queued) {
-    std::erase(engine.Queue, request.Id);
-  }
+  dequeue(engine, request);
   engine.Timers.erase({request.Deadline, id});
   engine.Timers.erase({request.HedgeAt, id});
   engine.Requests.erase(id);
 }
 
+void setSize(QueueShares &shares, std::uint64_t connection, std::size_t before,
+             std::size_t after) {
+  shares.Sizes.erase({before, connection});
+  if (after > 0) {
+    shares.Sizes.emplace(after, connection);
+  } else {
+    shares.ByConnection.erase(connection);
+  }
+}
+
+void addToShares(QueueShares &shares, const RequestState &request) {
+  std::set<RequestId> &own = shares.ByConnection[request.Connection];
+  const std::size_t before = own.size();
+  own.insert(request.Id);
+  setSize(shares, request.Connection, before, own.size());
+}
+
+void removeFromShares(QueueShares &shares, const RequestState &request) {
+  std::set<RequestId> &own = shares.ByConnection.at(request.Connection);
+  const std::size_t before = own.size();
+  own.erase(request.Id);
+  setSize(shares, request.Connection, before, own.size());
+}
+
 Execution executionOf(const RequestState &request) {
   return request.RunningAttempts.empty() ? request.PriorExecution
                                          : Execution::Unknown;
@@ -72,6 +95,7 @@
   earnTokens(engine.Budget, engine.Plan.Budget);
   RequestState fresh;
   fresh.Id = event.Request;
+  fresh.Connection = event.Connection;
   fresh.Policy = event.Policy;
   fresh.Fingerprint = event.Fingerprint;
   fresh.Arrived = step.Now;
@@ -95,16 +119,27 @@
   if (isRefused(engine, request.Fingerprint, step.Now)) {
     return refuse(step, request, RefusalReason::Quarantined);
   }
-  if (!engine.Plan.OrdersByCost && isQueueFull(engine, step.Now)) {
+  if (isQueueFull(engine, step.Now) && !yieldToOtherConnection(step, request) &&
+      !engine.Plan.OrdersByCost) {
     return refuse(step, request, RefusalReason::Overloaded);
   }
   enqueue(step, request);
 }
 
 void enqueue(Step step, RequestState &request) {
+  Engine &engine = step.State;
   request.Queued = true;
   request.QueuedAt = step.Now;
-  step.State.Queue.push_back(request.Id);
+  engine.Queue.insert(request.Id);
+  engine.Untried.push_back(request.Id);
+  addToShares(engine.SharesOfQueue, request);
+}
+
+void dequeue(Engine &engine, RequestState &request) {
+  if (std::exchange(request.Queued, false)) {
+    engine.Queue.erase(request.Id);
+    removeFromShares(engine.SharesOfQueue, request);
+  }
 }
 
 void onCallerGone(Step step, const CallerGone &event) {
--- a/src/balance/State.h
+++ b/src/balance/State.h
@@ -3,6 +3,7 @@
 /// without a final answer and the running attempts.
 #pragma once
 
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -69,9 +70,17 @@
   Instant JoinedAt{};
 };
 
+/// The queued requests of each connection.
+struct QueueShares {
+  std::map<std::uint64_t, std::set<RequestId>> ByConnection;
+  /// Number of queued requests and connection, of all in ByConnection.
+  std::set<std::pair<std::size_t, std::uint64_t>> Sizes;
+};
+
 /// One request without a final answer.
 struct RequestState {
   RequestId Id{};
+  std::uint64_t Connection = 0; ///< As RequestArrived::Connection.
   RoutePolicy Policy;
   std::uint64_t Fingerprint = 0;
   Instant Arrived{};
@@ -121,7 +130,15 @@
   std::size_t DomainCount = 1;
   std::unordered_map<std::uint64_t, RequestState> Requests;
   std::unordered_map<std::uint64_t, AttemptState> Attempts;
-  std::vector<RequestId> Queue;
+  std::set<RequestId> Queue;
+  QueueShares SharesOfQueue; ///< Of the requests in Queue.
+  /// The first of the queue, in order, as of the last pass over all of it.
+  std::vector<RequestId> Front;
+  /// Queued since that pass, and not tried yet.
+  std::vector<RequestId> Untried;
+  /// Requests that the events since that pass have paid for: a pass over a long
+  /// queue is due once they are as many as the queue.
+  std::size_t PassCredit = 0;
   std::map<std::string, AllowedTime> AllowedTimes; ///< By route.
   RoomEstimate Room;
   FairShares Shares;
@@ -169,6 +186,9 @@
   UpstreamState *Upstream = nullptr;
   std::vector<UpstreamState *> Probes;
   PlacementReason Reason;
+  /// Least expected time, in microseconds, at an upstream with a fresh report
+  /// and a free slot.
+  double LeastFreshTime = std::numeric_limits<double>::max();
 };
 
 // Requests.cpp
@@ -182,6 +202,7 @@
 void refuse(Step step, RequestState &request, RefusalReason reason);
 void deliver(Step step, RequestState &request, AttemptId attempt);
 void enqueue(Step step, RequestState &request);
+void dequeue(Engine &engine, RequestState &request);
 void scheduleHedge(Engine &engine, RequestState &request, Instant at);
 
 // Queue.cpp
@@ -193,7 +214,14 @@
 bool isQueueFull(const Engine &engine, Instant now);
 /// What a request's precedence depends on.
 QueuedRequest queuedRequest(const Engine &engine, const RequestState &request);
-/// Tries to place every queued request, in order of precedence.
+/// Refuses a queued request of the connection that has most of them, if it has
+/// at least two more than that of a newcomer, which then takes the place. One
+/// that is more urgent, or that may have run, keeps its place.
+/// \returns whether a place is free now.
+bool yieldToOtherConnection(Step step, const RequestState &newcomer);
+/// Tries to place queued requests, in order of precedence: all of them if they
+/// are few or none was tried for a while, else the first ones and those that
+/// were queued since. The work of an event doesn't grow with the queue.
 void dispatchQueue(Step step);
 
 // Attempts.cpp
@@ -267,6 +295,10 @@
 /// reports show a full or slow upstream, once no attempt was sent for a time.
 Placement placeRequest(Engine &engine, const RequestState &request,
                        bool lastResort, Instant now);
+/// The longest expected time, in microseconds, for which a request is sent to
+/// an upstream that is known to have room.
+double acceptableTime(const Engine &engine, const RequestState &request,
+                      Instant now);
 /// Whether an attempt of the request was started at the upstream.
 bool wasTried(const RequestState &request, const UpstreamState &upstream);
 /// Counts the upstreams by state, as seen by this request.
--- a/src/http/Message.h
+++ b/src/http/Message.h
@@ -2,6 +2,7 @@
 /// HTTP requests and responses that are held in memory whole.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,6 +29,8 @@
   Headers Fields;
   std::string Body;
   Charge Held = {}; ///< For its bytes, if its server has a budget.
+  /// Equal for the requests of one connection of the server; never 0 there.
+  std::uint64_t Connection = 0;
 };
 
 /// A response without its framing.
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -167,6 +167,7 @@
     Connection &it = *owned;
     Connections.emplace(&it, std::move(owned));
     it.Owner = this;
+    it.Id = ++LastConnection;
     it.Fd = fd;
     it.LastActiveAt = it.InputProgressAt = readClock();
     it.SmallRoom = it.LargeRoom = Charge(Budget);
@@ -290,6 +291,7 @@
   exchange.Id = ++LastId;
   exchange.ClosesConnection = !connection.RequestParser->keep_alive();
   exchange.PendingRequest = takeRequest(*connection.RequestParser);
+  exchange.PendingRequest->Connection = connection.Id;
   exchange.IsHead = exchange.PendingRequest->Method == "HEAD";
   Charge &held = exchange.PendingRequest->Held;
   const bool isLarge = connection.LargeRoom.bytes() > 0;
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -164,6 +164,7 @@
   ev_io AcceptWatcher{};
   bool CloseAfterResponses = false;
   ExchangeId LastId = 0;
+  std::uint64_t LastConnection = 0;
   std::unordered_map<Connection *, std::unique_ptr<Connection>> Connections;
   /// The connections of the dispatched requests without a response.
   std::unordered_map<ExchangeId, Connection *> Unanswered;
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -55,6 +55,7 @@
 struct Server::Connection {
 
   Server *Owner = nullptr;
+  std::uint64_t Id = 0; ///< As Request::Connection.
   int Fd = -1;
   ev_io ReadWatcher{};
   ev_io WriteWatcher{};
--- a/src/proxy/Arrival.cpp
+++ b/src/proxy/Arrival.cpp
@@ -167,6 +167,7 @@
   }
   event.Fingerprint = fingerprintOf(request);
   event.Deadline = deadline;
+  event.Connection = request.Connection;
   const std::string *callerId =
       http::findHeader(request.Fields, Context.PlatformDialect->RequestId);
   RequestRecord record{callerId == nullptr ? "" : *callerId,
