An incomplete head counts as what it becomes

What callers saw: 300 callers whose heads are full of fields of four bytes, and whose bodies stop one byte short, make a process that may take 64 MB take 77 MB.

Cause: an incomplete head counted as its bytes on the wire. Parsed, each field is an element with pointers and strings of its own, over twenty times those four bytes. A dispatched request counted its head once, though the head that goes to an upstream is a second copy.

Change: a field counts with the 96 bytes that the parser needs for it, and a dispatched head twice. What is short of room then gives way in the order that stands. One head with as many fields as fit is served: memory/headOfTheMostFieldsIsServedInCalm.

--- a/src/http/Message.cpp
+++ b/src/http/Message.cpp
@@ -154,12 +154,15 @@
 }
 
 std::size_t memoryOf(const Request &request) {
-  // Per request: its records here and in the proxy; per field: the strings.
+  // Per request: its records here and in the proxy; per field: the strings,
+  // and the field once more in the head that is sent to an upstream.
   constexpr std::size_t requestBytes = 2048;
   constexpr std::size_t fieldBytes = 64;
-  std::size_t out = requestBytes + request.Target.size() + request.Body.size();
+  constexpr std::size_t copies = 2;
+  std::size_t out =
+      requestBytes + request.Target.size() * copies + request.Body.size();
   for (const Header &it : request.Fields) {
-    out += fieldBytes + it.Name.size() + it.Value.size();
+    out += fieldBytes + (it.Name.size() + it.Value.size()) * copies;
   }
   return out;
 }
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -276,7 +276,7 @@
         static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
     connection.RequestParser->body_limit(Limits.MaxBodyBytes);
     connection.RequestStartedAt = readClock();
-    connection.HeadBytes = 0;
+    connection.HeadBytes = connection.HeadFields = 0;
     connection.InputProgressAt = connection.RequestStartedAt;
   }
   std::string &body = connection.RequestParser->get().body();
@@ -303,6 +303,30 @@
   connection.InputProgressAt = readClock();
 }
 
+// Parses more of the request that is being read.
+// \returns the number of bytes that were parsed.
+std::size_t Server::parseSome(Connection &connection,
+                              boost::beast::error_code &ec) {
+  Parser &parser = *connection.RequestParser;
+  const bool wasHead = !parser.is_header_done();
+  const std::size_t used = parser.put(
+      boost::asio::buffer(connection.Input.data(), connection.Input.size()),
+      ec);
+  if (wasHead && parser.is_header_done()) {
+    connection.HeadFields = countFields(parser.get());
+  } else if (wasHead) {
+    const auto parsed =
+        connection.Input.begin() + static_cast<std::ptrdiff_t>(used);
+    connection.HeadFields += static_cast<std::size_t>(
+        std::count(connection.Input.begin(), parsed, '\n'));
+  }
+  connection.Input.erase(0, used);
+  // The parser does not limit the total of a head that it parses field by
+  // field.
+  connection.HeadBytes += used;
+  return used;
+}
+
 void Server::parse(Connection &connection) {
   while (mayParse(connection)) {
     if (!takeRoom(connection)) {
@@ -310,13 +334,7 @@
     }
     prepareRequest(connection);
     boost::beast::error_code ec;
-    const std::size_t used = connection.RequestParser->put(
-        boost::asio::buffer(connection.Input.data(), connection.Input.size()),
-        ec);
-    connection.Input.erase(0, used);
-    // The parser does not limit the total of a head that it parses field by
-    // field.
-    connection.HeadBytes += used;
+    const std::size_t used = parseSome(connection, ec);
     if (!connection.RequestParser->is_header_done() &&
         connection.HeadBytes + connection.Input.size() >
             Limits.MaxHeaderBytes) {
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -14,6 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <boost/beast/core/error.hpp>
 #include <ev.h>
 
 #include "http/Message.h"
@@ -109,6 +110,7 @@
   std::size_t maxUnparsedBytes() const;
   bool mayParse(const Connection &connection) const;
   bool receive(Connection &connection);
+  std::size_t parseSome(Connection &connection, boost::beast::error_code &ec);
   void parse(Connection &connection);
   void dispatchRequests(Connection &connection);
   void rejectRequest(Connection &connection, unsigned status);
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <iterator>
 #include <optional>
 #include <string>
 
@@ -21,12 +22,19 @@
 /// a request's head if that is larger: a head is parsed only once it is whole.
 constexpr std::size_t MinUnparsedLimit = std::size_t{64} << 10;
 
+/// The number of header fields of a Beast message.
+template <typename Message> std::size_t countFields(const Message &message) {
+  return static_cast<std::size_t>(
+      std::distance(message.base().begin(), message.base().end()));
+}
+
 /// \param message a Beast message, incomplete or whole.
 /// \returns the request without its body.
 template <typename Message> Request headOf(const Message &message) {
   Request request;
   request.Method = std::string(message.method_string());
   request.Target = std::string(message.target());
+  request.Fields.reserve(countFields(message));
   for (const auto &it : message.base()) {
     request.Fields.push_back(
         {std::string(it.name_string()), std::string(it.value())});
@@ -63,6 +71,7 @@
   std::string Input;                   ///< Received bytes not parsed yet.
   std::optional<Parser> RequestParser; ///< Set while a request is incomplete.
   std::size_t HeadBytes = 0;           ///< Parsed so far of an incomplete head.
+  std::size_t HeadFields = 0; ///< Parsed of RequestParser's head, at least.
   Instant RequestStartedAt{}; ///< When the request's first bytes were parsed.
   std::deque<Exchange> Exchanges;
   std::deque<OutputPart> Output;
--- a/src/http/ServerRoom.cpp
+++ b/src/http/ServerRoom.cpp
@@ -16,6 +16,9 @@
 // How long accepting pauses while there are too many connections.
 constexpr Duration AcceptPause = std::chrono::milliseconds{100};
 
+// What the parser needs for a header field, besides its bytes.
+constexpr std::size_t ParsedFieldBytes = 96;
+
 // Retry-After of a plain refusal for want of memory, in seconds.
 constexpr const char *MemoryRetryAfter = "0.300";
 
@@ -51,7 +54,9 @@
   connection.SmallRoom.set(
       HeldKind::Small,
       IdleBytes + connection.Input.capacity() + unread +
-          (isOpen ? std::min(connection.HeadBytes, Limits.MaxHeaderBytes) : 0) +
+          (isOpen ? std::min(connection.HeadBytes, Limits.MaxHeaderBytes) +
+                        connection.HeadFields * ParsedFieldBytes
+                  : 0) +
           (connection.LargeRoom.bytes() > 0 ? 0 : body));
 }
 
