All ports share the descriptors and count what they hold

What callers saw: 700 connections without a request to the address where callers ask which instances to use take all descriptors of a process; an ordinary caller gets no answer in 10 s. 300 uploads of 1 MB to the operators' address make a process that may take 64 MB take 333 MB.

Cause: only the callers' port had a limit of connections, and the ports for other instances and for operators were outside the budget of bytes and took bodies of 8 MiB. The descriptors and the memory are those of the process, so that a limit at one port holds nothing.

Change: each port has a part of the descriptors (callers half, other instances and the directory an eighth each, operators and readiness checks 1 of 64 each, but 8 connections at least); three quarters for callers was too much beside the others. The ports for other instances, operators and readiness have a budget of their own from what the process itself needs, which callers can't use up, and requests there are limited to 32 KB of head and 256 KB of body.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -66,8 +66,17 @@
 // makes no system calls for memory.
 constexpr int KeptHeapBytes = 4 << 20;
 
-// Descriptors that callers may not take: for upstreams, other instances, the
-// store and files; a quarter of all, but at least this number.
+// Descriptors that connections to the ports of the process may take, in parts
+// of DescriptorParts. The rest is for upstreams, the store and files.
+constexpr std::size_t DescriptorParts = 64;
+constexpr std::size_t CallerPart = 32;
+constexpr std::size_t PeerPart = 8;
+constexpr std::size_t DirectoryPart = 8;
+constexpr std::size_t OperatorPart = 1;
+constexpr std::size_t ReadyPart = 1;
+
+// A port has at least this many, and the rest at least MinReservedDescriptors.
+constexpr std::size_t MinConnections = 8;
 constexpr std::size_t MinReservedDescriptors = 64;
 
 constexpr double BytesPerMb = 1e6;
@@ -90,17 +99,17 @@
   return (std::uint64_t{device()} << 32U) | device();
 }
 
-// Connections from callers: limited by descriptors and by half of the memory
-// for small requests.
-std::size_t maxCallerConnections(const http::ByteBudget &budget) {
+// A port's connections: limited by descriptors and by half of the memory for
+// small requests.
+http::ServerShare shareOf(http::ByteBudget &budget, std::size_t part) {
   rlimit limit{};
   getrlimit(RLIMIT_NOFILE, &limit);
   const std::size_t all = limit.rlim_cur;
-  const std::size_t reserved = std::max(all / 4, MinReservedDescriptors);
-  return std::max<std::size_t>(
-      std::min(all - std::min(all, reserved),
-               budget.limit(http::HeldKind::Small) / 2 / http::IdleBytes),
-      1);
+  const std::size_t free = all - std::min(all, MinReservedDescriptors);
+  const std::size_t most =
+      std::min({all / DescriptorParts * part, free,
+                budget.limit(http::HeldKind::Small) / 2 / http::IdleBytes});
+  return {&budget, std::max(most, MinConnections)};
 }
 
 /// Owns the tasks of the process and connects them by their callbacks.
@@ -182,7 +191,9 @@
   store::Mirror LocalMirror;
   StateChangeLog ChangeLog;
   http::ByteBudget Budget;
-  std::size_t LoggedRefused = 0; ///< Budget.Refused in the last event.
+  /// For other instances and operators, which callers must not keep out.
+  http::ByteBudget InternalBudget;
+  std::size_t LoggedRefused = 0; ///< By both budgets, in the last event.
   std::size_t LoggedClosed = 0;
   http::ClientPool Pool;
   proxy::Proxy RequestProxy;
@@ -250,6 +261,8 @@
           "that this instance holds and has lent")),
       Budget(http::makeByteBudget(
           static_cast<std::size_t>(Options.MemoryMb * BytesPerMb))),
+      InternalBudget(http::makeInternalByteBudget(
+          static_cast<std::size_t>(Options.MemoryMb * BytesPerMb))),
       Pool(
           Loop,
           [this](http::CallId id, http::CallResult result) {
@@ -259,14 +272,16 @@
                    Budget.limit(http::HeldKind::Response)),
           &Budget, [this] { return CallerServer.closeSlowReader(); }),
       RequestProxy(makeProxyContext(Options), proxyCallbacks(), Registry),
-      CallerServer(Loop, callerHandlers(), &Budget),
-      ReadyServer(Loop, readyHandlers(), &Budget),
-      DirectoryServer(Loop, directoryHandlers(), &Budget),
+      CallerServer(Loop, callerHandlers(), shareOf(Budget, CallerPart)),
+      ReadyServer(Loop, readyHandlers(), shareOf(InternalBudget, ReadyPart)),
+      DirectoryServer(Loop, directoryHandlers(),
+                      shareOf(Budget, DirectoryPart)),
       Store(Loop, Options.StoreAddress, LocalMirror, Options.PropagationLimit,
             Options.Seed, storeHandlers()),
       Peers(Loop, describeSelf(Options, drawSeed()), Options.Seeds,
             Options.FirstStart ? FirstStartDiscoveryTime : DiscoveryTime,
-            Options.LinkMbps, peerHandlers()),
+            Options.LinkMbps, peerHandlers(),
+            shareOf(InternalBudget, PeerPart)),
       Quotas(Loop,
              {Options.InstanceId, Options.FailureDomain, drawSeed(),
               Options.FirstStart},
@@ -277,8 +292,10 @@
                 drawSeed(),
                 {Options.ExposureShare, Options.ExposureSlack}},
                rolloutHandlers()),
-      Operators(Loop, operatorHandlers()) {
-  CallerServer.setMaxConnections(maxCallerConnections(Budget));
+      Operators(Loop, operatorHandlers(),
+                shareOf(InternalBudget, OperatorPart)) {
+  ReadyServer.setLimits(http::InternalLimits);
+  DirectoryServer.setLimits(http::InternalLimits);
   Store.setHeartbeatInterval(Options.HeartbeatInterval);
   if (Options.ExposureShare > 0) {
     Store.readRollouts();
@@ -491,8 +508,11 @@
   set("held-small-bytes", Budget.held(http::HeldKind::Small));
   set("held-large-bytes", Budget.held(http::HeldKind::Large));
   set("held-response-bytes", Budget.held(http::HeldKind::Response));
-  set("memory-refusals", Budget.Refused);
-  set("memory-closes", Budget.Closed);
+  set("held-internal-bytes", InternalBudget.held(http::HeldKind::Small) +
+                                 InternalBudget.held(http::HeldKind::Large) +
+                                 InternalBudget.held(http::HeldKind::Response));
+  set("memory-refusals", Budget.Refused + InternalBudget.Refused);
+  set("memory-closes", Budget.Closed + InternalBudget.Closed);
   set("log-lines-dropped", droppedLineCount());
   set("entries-unreadable", Store.unreadableEntries());
   updateQuotaGauges();
@@ -540,17 +560,19 @@
 }
 
 void Daemon::logMemory() {
-  if (Budget.Refused == LoggedRefused && Budget.Closed == LoggedClosed) {
+  const std::size_t refused = Budget.Refused + InternalBudget.Refused;
+  const std::size_t closed = Budget.Closed + InternalBudget.Closed;
+  if (refused == LoggedRefused && closed == LoggedClosed) {
     return;
   }
   logEvent(EventId::MemoryShort,
-           {{"refused", Budget.Refused - LoggedRefused},
-            {"closed", Budget.Closed - LoggedClosed},
+           {{"refused", refused - LoggedRefused},
+            {"closed", closed - LoggedClosed},
             {"small", Budget.held(http::HeldKind::Small)},
             {"large", Budget.held(http::HeldKind::Large)},
             {"responses", Budget.held(http::HeldKind::Response)}});
-  LoggedRefused = Budget.Refused;
-  LoggedClosed = Budget.Closed;
+  LoggedRefused = refused;
+  LoggedClosed = closed;
 }
 
 Instant Daemon::stateCurrentAt() const {
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -84,10 +84,11 @@
 
 PeerTask::PeerTask(struct ev_loop *loop, Member self,
                    std::vector<std::string> seeds, Duration discoveryTime,
-                   double linkMbps, PeerHandlers handlers)
+                   double linkMbps, PeerHandlers handlers,
+                   http::ServerShare share)
     : Loop(loop), Seeds(std::move(seeds)), DiscoveryTime(discoveryTime),
       Handlers(std::move(handlers)),
-      Publisher(loop, self.BootId, linkMbps, Handlers.Fill),
+      Publisher(loop, self.BootId, linkMbps, Handlers.Fill, share),
       Fetcher(loop,
               [this](const StateUpdate &update) {
                 Handlers.UpdateReceived(update);
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -58,7 +58,8 @@
   /// the reader.
   /// \param linkMbps bandwidth of this instance's link in Mbit/s; 0: unknown.
   PeerTask(struct ev_loop *loop, Member self, std::vector<std::string> seeds,
-           Duration discoveryTime, double linkMbps, PeerHandlers handlers);
+           Duration discoveryTime, double linkMbps, PeerHandlers handlers,
+           http::ServerShare share = {});
   ~PeerTask();
   PeerTask(const PeerTask &) = delete;
   PeerTask &operator=(const PeerTask &) = delete;
--- a/src/fleet/UpdateServer.cpp
+++ b/src/fleet/UpdateServer.cpp
@@ -53,13 +53,17 @@
 }
 
 UpdateServer::UpdateServer(struct ev_loop *loop, std::uint64_t bootId,
-                           double linkMbps, FillUpdate fill)
+                           double linkMbps, FillUpdate fill,
+                           http::ServerShare share)
     : Loop(loop), Fill(std::move(fill)),
-      Server(loop, {[](const http::Request &) { return true; },
-                    [this](http::ExchangeId id, const http::Request &request) {
-                      handleRequest(id, request);
-                    },
-                    [this](http::ExchangeId id) { PendingPolls.erase(id); }}) {
+      Server(loop,
+             {[](const http::Request &) { return true; },
+              [this](http::ExchangeId id, const http::Request &request) {
+                handleRequest(id, request);
+              },
+              [this](http::ExchangeId id) { PendingPolls.erase(id); }},
+             share) {
+  Server.setLimits(http::InternalLimits);
   State.BootId = bootId;
   Budgets[indexOf(StateChannel::Control)] =
       makeLinkBudget(linkMbps, ControlLinkShare);
--- a/src/fleet/UpdateServer.h
+++ b/src/fleet/UpdateServer.h
@@ -43,7 +43,7 @@
   /// \param bootId identifier that differs after each process start.
   /// \param linkMbps bandwidth of this instance's link in Mbit/s; 0: unknown.
   UpdateServer(struct ev_loop *loop, std::uint64_t bootId, double linkMbps,
-               FillUpdate fill);
+               FillUpdate fill, http::ServerShare share = {});
   ~UpdateServer();
   UpdateServer(const UpdateServer &) = delete;
   UpdateServer &operator=(const UpdateServer &) = delete;
--- a/src/http/ByteBudget.cpp
+++ b/src/http/ByteBudget.cpp
@@ -15,7 +15,18 @@
 constexpr std::size_t MinDataDivisor = 4;
 
 // Shares in percent. A body of 64 MiB fits in the large share of 160 MB.
-constexpr std::array<std::size_t, HeldKindCount> SharesPercent{15, 57, 28};
+using Shares = std::array<std::size_t, HeldKindCount>;
+constexpr Shares SharesPercent{15, 57, 28};
+constexpr Shares InternalSharesPercent{10, 5, 20}; ///< Of OwnBytes.
+
+ByteBudget divide(std::size_t bytes, const Shares &percentages) {
+  constexpr std::size_t percent = 100;
+  ByteBudget budget;
+  for (std::size_t n = 0; n < HeldKindCount; ++n) {
+    budget.Limits[n] = bytes / percent * percentages[n];
+  }
+  return budget;
+}
 
 bool hasStalled(const Holder &it, Instant now) {
   return it.IsIncomplete && !it.AwaitsRoom &&
@@ -54,14 +65,13 @@
 } // namespace
 
 ByteBudget makeByteBudget(std::size_t memory) {
-  constexpr std::size_t percent = 100;
   const std::size_t data =
       std::max(memory - std::min(memory, OwnBytes), memory / MinDataDivisor);
-  ByteBudget budget;
-  for (std::size_t n = 0; n < HeldKindCount; ++n) {
-    budget.Limits[n] = data / percent * SharesPercent[n];
-  }
-  return budget;
+  return divide(data, SharesPercent);
+}
+
+ByteBudget makeInternalByteBudget(std::size_t memory) {
+  return divide(std::min(memory, OwnBytes), InternalSharesPercent);
 }
 
 Charge::Charge(const Charge &other) : Budget(other.Budget) {
--- a/src/http/ByteBudget.h
+++ b/src/http/ByteBudget.h
@@ -72,6 +72,11 @@
 /// \param memory bytes that the process may take.
 ByteBudget makeByteBudget(std::size_t memory);
 
+/// Divides a part of what the process itself needs: for the requests of other
+/// instances and of operators, which callers can't keep out.
+/// \param memory as for makeByteBudget.
+ByteBudget makeInternalByteBudget(std::size_t memory);
+
 /// A part of a budget. It moves along with the bytes that it counts; a copy
 /// counts them once more.
 class Charge {
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -84,9 +84,9 @@
                        [&](const Exchange &it) { return it.Id == id; });
 }
 
-Server::Server(struct ev_loop *loop, ServerHandlers handlers,
-               ByteBudget *budget)
-    : Loop(loop), Handlers(std::move(handlers)), Budget(budget) {
+Server::Server(struct ev_loop *loop, ServerHandlers handlers, ServerShare share)
+    : Loop(loop), Handlers(std::move(handlers)), Budget(share.Budget),
+      MaxConnections(share.MaxConnections) {
   ev_timer_init(
       &AcceptTimer,
       [](struct ev_loop *, ev_timer *it, int) {
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -29,6 +29,22 @@
 /// About what a connection takes without any request.
 constexpr std::size_t IdleBytes = std::size_t{2} << 10;
 
+/// A server's part of what all servers of a process share.
+struct ServerShare {
+  /// Counts the bytes held for callers, which then give way when there are too
+  /// many; null: they are not counted. Must outlive the server and its
+  /// requests.
+  ByteBudget *Budget = nullptr;
+  /// Beyond it, connections without progress for the longest time are closed,
+  /// or new ones wait to be accepted.
+  std::size_t MaxConnections = std::numeric_limits<std::size_t>::max();
+};
+
+/// Limits of the requests to servers that need no large ones: those for
+/// addresses, readiness, other instances and operators.
+constexpr CallerLimits InternalLimits{.MaxHeaderBytes = std::size_t{32} << 10,
+                                      .MaxBodyBytes = std::size_t{256} << 10};
+
 /// Callbacks of a server.
 struct ServerHandlers {
   /// Whether a pipelined request may be dispatched before earlier ones on its
@@ -51,11 +67,7 @@
 class Server {
 public:
   /// \param loop event loop; must outlive the server.
-  /// \param budget counts the bytes held for callers, which then give way when
-  ///   there are too many; null: they are not counted. Must outlive the server
-  ///   and its requests.
-  Server(struct ev_loop *loop, ServerHandlers handlers,
-         ByteBudget *budget = nullptr);
+  Server(struct ev_loop *loop, ServerHandlers handlers, ServerShare share = {});
   ~Server();
   Server(const Server &) = delete;
   Server &operator=(const Server &) = delete;
@@ -70,10 +82,6 @@
   /// Sets the limits of the requests that are read from now on.
   void setLimits(const CallerLimits &limits) { Limits = limits; }
 
-  /// Sets how many connections there may be. Beyond it, those without progress
-  /// for the longest time are closed, or new ones wait to be accepted.
-  void setMaxConnections(std::size_t most) { MaxConnections = most; }
-
   /// Closes the connection with the most unread response bytes, among those
   /// whose callers have stopped reading. \returns whether there was one.
   bool closeSlowReader();
@@ -153,7 +161,7 @@
   struct ev_loop *Loop;
   ServerHandlers Handlers;
   ByteBudget *Budget;
-  std::size_t MaxConnections = std::numeric_limits<std::size_t>::max();
+  std::size_t MaxConnections;
   ev_timer AcceptTimer{};   ///< Active while accepting pauses.
   ev_prepare RoomWatcher{}; ///< Active while AwaitingRoom is not empty.
   /// Connections whose large bodies wait for room, in order of arrival.
--- a/src/operator/OperatorPort.cpp
+++ b/src/operator/OperatorPort.cpp
@@ -23,13 +23,18 @@
 
 } // namespace
 
-OperatorPort::OperatorPort(struct ev_loop *loop, OperatorHandlers handlers)
+OperatorPort::OperatorPort(struct ev_loop *loop, OperatorHandlers handlers,
+                           http::ServerShare share)
     : Handlers(std::move(handlers)),
-      Server(loop, {[](const http::Request &) { return true; },
-                    [this](http::ExchangeId id, const http::Request &request) {
-                      Server.sendResponse(id, respondTo(request));
-                    },
-                    [](http::ExchangeId) {}}) {}
+      Server(loop,
+             {[](const http::Request &) { return true; },
+              [this](http::ExchangeId id, const http::Request &request) {
+                Server.sendResponse(id, respondTo(request));
+              },
+              [](http::ExchangeId) {}},
+             share) {
+  Server.setLimits(http::InternalLimits);
+}
 
 http::Response OperatorPort::respondTo(const http::Request &request) const {
   const std::string path(http::pathOf(request.Target));
--- a/src/operator/OperatorPort.h
+++ b/src/operator/OperatorPort.h
@@ -30,7 +30,8 @@
 /// Used only on the thread of its event loop.
 class OperatorPort {
 public:
-  OperatorPort(struct ev_loop *loop, OperatorHandlers handlers);
+  OperatorPort(struct ev_loop *loop, OperatorHandlers handlers,
+               http::ServerShare share = {});
 
   /// \returns whether "ip:port" could be bound.
   bool listen(const std::string &address) { return Server.listen(address); }
--- a/standins/deployment/Deployment.cpp
+++ b/standins/deployment/Deployment.cpp
@@ -160,6 +160,9 @@
     it.Id = "instance-" + std::to_string(n + 1);
     it.Domain = Plan.Domains[n % Plan.Domains.size()];
     it.CallerAddress = address(InstanceGroup, n, CallerPort);
+    it.ReadyAddress = address(InstanceGroup, n, ReadyPort);
+    it.DirectoryAddress = address(InstanceGroup, n, DirectoryPort);
+    it.PeerAddress = address(InstanceGroup, n, PeerPort);
     it.OperatorAddress = address(InstanceGroup, n, OperatorPort);
     if (Plan.HasLinks) {
       it.CallerLink = std::make_unique<Link>(
@@ -201,9 +204,9 @@
           "--instance-id=" + it.Id,
           "--failure-domain=" + it.Domain,
           "--caller-address=" + it.CallerAddress,
-          "--ready-address=" + address(InstanceGroup, n, ReadyPort),
-          "--directory-address=" + address(InstanceGroup, n, DirectoryPort),
-          "--peer-address=" + address(InstanceGroup, n, PeerPort),
+          "--ready-address=" + it.ReadyAddress,
+          "--directory-address=" + it.DirectoryAddress,
+          "--peer-address=" + it.PeerAddress,
           "--operator-address=" + it.OperatorAddress,
           "--store-address=" + store,
           "--seeds=" + seeds,
@@ -234,7 +237,7 @@
     std::vector<std::string> far;
     for (std::size_t n = 0; n < Instances.size(); ++n) {
       (Instances[n].Domain == Plan.Domains[d] ? near : far)
-          .push_back(address(InstanceGroup, n, DirectoryPort));
+          .push_back(Instances[n].DirectoryAddress);
     }
     near.insert(near.end(), far.begin(), far.end());
     auto callers =
--- a/standins/deployment/Deployment.h
+++ b/standins/deployment/Deployment.h
@@ -91,6 +91,9 @@
   std::string Id;
   std::string Domain;
   std::string CallerAddress;
+  std::string ReadyAddress;
+  std::string DirectoryAddress;
+  std::string PeerAddress;
   std::string OperatorAddress;
   Process Child;
   unsigned StartCount = 0;
--- a/tests/http/ServerRoomTest.cpp
+++ b/tests/http/ServerRoomTest.cpp
@@ -32,7 +32,7 @@
                          Tested->sendResponse(id, {200, {}, "done"});
                        },
                        [](ExchangeId) {}},
-        &Budget);
+        ServerShare{&Budget});
     Tested->setLimits(limits);
     Address =
         listenOnFreePort([this](const auto &it) { return Tested->listen(it); });
--- a/tests/memory/MemoryTest.cpp
+++ b/tests/memory/MemoryTest.cpp
@@ -1,10 +1,5 @@
 // Crowds of callers that make an instance hold as much as they can, on real
 // processes. Each request is within the configured limits.
-#include <sys/resource.h>
-
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
 #include <memory>
 #include <ostream>
 #include <string>
@@ -13,54 +8,16 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "../drill/Drill.h"
+#include "Crowd.h"
 
 using namespace zinniarail;
-using namespace zinniarail::drill_test;
+using namespace zinniarail::memory_test;
 
 namespace {
 
-constexpr std::size_t MemoryMb = 64;           ///< The instance's setting.
-constexpr std::size_t BodyBytes = 1U << 20U;   ///< The configured maximum.
 constexpr std::size_t AnswerBytes = 1U << 18U; ///< See UpstreamFaults.
-constexpr rlim_t DescriptorLimit = 600;
-/// Bound on the descriptors in use: the rest is for upstreams and files.
-constexpr std::size_t DescriptorBound = DescriptorLimit * 7 / 8;
-
-/// Rounds in which no byte of the crowd was taken, after which it stops
-/// sending.
-constexpr unsigned QuietRounds = 300;
-
 using Bytes = std::string (*)();
 
-std::string head(const std::string &method, const std::string &target,
-                 const std::string &fields) {
-  return method + " " + target +
-         " HTTP/1.1\r\nHost: orders.example\r\nX-Request-Id: crowd\r\n"
-         "X-Deadline-Milliseconds: 10000\r\n" +
-         fields + "\r\n";
-}
-
-std::string repeat(const std::string &text, unsigned times) {
-  std::string out;
-  for (unsigned n = 0; n < times; ++n) {
-    out += text;
-  }
-  return out;
-}
-
-std::string wholeBody() {
-  return head("POST", "/order/",
-              "Content-Length: " + std::to_string(BodyBytes) + "\r\n") +
-         std::string(BodyBytes, 'x');
-}
-
-std::string bodyOneByteShort() {
-  std::string out = wholeBody();
-  out.pop_back();
-  return out;
-}
-
 std::string chunks(std::size_t bytes) {
   const std::string chunk = "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
   return head("POST", "/order/", "Transfer-Encoding: chunked\r\n") +
@@ -139,60 +96,6 @@
      "POST",
      "/order/"}};
 
-/// The limits that the instance's process starts with.
-struct ProcessLimits {
-  explicit ProcessLimits(std::size_t memoryMb) {
-    // A variable, since builds without the setting ignore it.
-    setenv("ZINNIARAIL_MEMORY", std::to_string(memoryMb).c_str(), 1);
-    getrlimit(RLIMIT_NOFILE, &Before);
-    const rlimit lowered{DescriptorLimit, Before.rlim_max};
-    setrlimit(RLIMIT_NOFILE, &lowered);
-  }
-  ~ProcessLimits() {
-    setrlimit(RLIMIT_NOFILE, &Before);
-    unsetenv("ZINNIARAIL_MEMORY");
-  }
-  ProcessLimits(const ProcessLimits &) = delete;
-  ProcessLimits &operator=(const ProcessLimits &) = delete;
-  rlimit Before{};
-};
-
-standins::DeploymentPlan makePlan() {
-  standins::DeploymentPlan plan = Drill::makePlan();
-  plan.Domains = {"a"};
-  plan.HasLinks = false;
-  plan.InstanceCount = 1;
-  plan.Services = {{"orders", 3, 5ms}, {"archive", 3, 5ms}};
-  plan.Routes = {{"/order/", "orders", false, 1, 0, 2000ms, 10000ms},
-                 {"/moving/", "archive", true, 1, 0, 2000ms, 10000ms}};
-  return plan;
-}
-
-std::unique_ptr<Drill> startDrill() {
-  const ProcessLimits limits(MemoryMb);
-  return std::make_unique<Drill>(makePlan());
-}
-
-/// One connection of the crowd. It reads nothing.
-struct Member {
-  std::unique_ptr<http::RawConnection> Connection;
-  std::shared_ptr<const std::string> ToSend;
-  std::size_t Sent = 0;
-};
-
-std::unique_ptr<http::RawConnection> connectTo(const std::string &address) {
-  const auto endpoint = http::parseIpv4Address(address);
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int bufferBytes = 4096;
-  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bufferBytes, sizeof bufferBytes);
-  auto out = std::make_unique<http::RawConnection>(fd);
-  if (connect(fd, reinterpret_cast<const sockaddr *>(&*endpoint),
-              sizeof *endpoint) != 0) {
-    return nullptr;
-  }
-  return out;
-}
-
 std::vector<Member> makeCrowd(Drill &drill, const CrowdCase &row) {
   std::vector<Member> crowd;
   for (const Bytes it : row.Kinds) {
@@ -208,35 +111,6 @@
   return crowd;
 }
 
-void sendAll(Drill &drill, std::vector<Member> &crowd, std::size_t piece) {
-  for (unsigned quiet = 0; quiet < QuietRounds; ++quiet) {
-    for (Member &it : crowd) {
-      const std::string_view rest =
-          std::string_view(*it.ToSend).substr(it.Sent, piece);
-      const std::size_t n = rest.empty() ? 0 : it.Connection->trySend(rest);
-      it.Sent += n;
-      quiet = n > 0 ? 0 : quiet;
-    }
-    drill.EventLoop.runOnce();
-  }
-}
-
-std::size_t peakBytes(pid_t pid) {
-  std::ifstream in("/proc/" + std::to_string(pid) + "/status");
-  for (std::string key; in >> key;) {
-    if (std::size_t kb = 0; key == "VmHWM:" && in >> kb) {
-      return kb * 1024;
-    }
-  }
-  return 0;
-}
-
-std::size_t descriptors(pid_t pid) {
-  const std::filesystem::directory_iterator all("/proc/" + std::to_string(pid) +
-                                                "/fd");
-  return static_cast<std::size_t>(std::distance(begin(all), end(all)));
-}
-
 } // namespace
 
 // Guards against a process that ends because callers made it hold too much.
