Connections take turns

What callers saw: a caller that sends many requests behind one another has up to 64 KB of them answered before the next connection is read; where each costs much, as a state dump does, or where many do so, the others wait.

Cause: a connection was parsed again as soon as its responses were written, in the same iteration of the loop.

Evidence: http/connectionsTakeTurns fails on: 500 requests of another connection are answered before a single one that came with them; the bound is 32.

Change: a connection takes eight requests, then waits behind all others that have more; a port takes 256 in an iteration, that of operators one. A connection that waits is not read, counts as open in a planned stop, and keeps its place when connections are short.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -25,6 +25,10 @@
 // further ones stay unparsed.
 constexpr std::size_t MaxPipelinedRequests = 32;
 
+// Maximum number of requests that a connection takes before others with more
+// requests have their turn.
+constexpr std::size_t MaxRequestsPerTurn = 8;
+
 // Memory for input that an idle connection keeps.
 constexpr std::size_t MaxKeptInput = std::size_t{4} << 10;
 
@@ -99,12 +103,19 @@
   ev_prepare_init(&RoomWatcher, [](struct ev_loop *, ev_prepare *it, int) {
     static_cast<Server *>(it->data)->admitWaiting();
   });
-  AcceptTimer.data = RoomWatcher.data = this;
+  ev_timer_init(
+      &TurnTimer,
+      [](struct ev_loop *, ev_timer *it, int) {
+        static_cast<Server *>(it->data)->takeTurns();
+      },
+      0, 0);
+  AcceptTimer.data = RoomWatcher.data = TurnTimer.data = this;
 }
 
 Server::~Server() {
   stopListening();
   ev_prepare_stop(Loop, &RoomWatcher);
+  ev_timer_stop(Loop, &TurnTimer);
   for (auto &[it, owned] : Connections) {
     ev_io_stop(Loop, &it->ReadWatcher);
     ev_io_stop(Loop, &it->WriteWatcher);
@@ -248,14 +259,66 @@
 }
 
 void Server::readFrom(Connection &connection) {
-  if (connection.AwaitsRoom || !receive(connection)) {
+  if (connection.AwaitsRoom || connection.AwaitsTurn || !receive(connection)) {
+    return;
+  }
+  if (connection.Closing) {
     return;
   }
-  if (!connection.Closing) {
-    connection.LastActiveAt = readClock();
+  connection.LastActiveAt = readClock();
+  if (AwaitingTurn.empty()) {
     parse(connection);
+  } else {
+    awaitTurn(connection);
+    setTimer(connection);
+    updateCharge(connection);
+  }
+  relieveSmall();
+}
+
+// Whether a connection that has taken some requests may take another.
+bool Server::mayTakeRequest(std::size_t taken) {
+  if (TakenInIteration != ev_iteration(Loop)) {
+    TakenInIteration = ev_iteration(Loop);
+    RequestsTaken = 0;
+  }
+  return taken < MaxRequestsPerTurn && RequestsTaken < MaxRequestsPerIteration;
+}
+
+void Server::awaitTurn(Connection &connection) {
+  ev_io_stop(Loop, &connection.ReadWatcher);
+  connection.AwaitsTurn = true;
+  AwaitingTurn.push_back(&connection);
+  startTurnTimer();
+}
+
+void Server::startTurnTimer() {
+  if (!ev_is_active(&TurnTimer)) {
+    ev_timer_set(&TurnTimer, 0, 0);
+    ev_timer_start(Loop, &TurnTimer);
+  }
+}
+
+void Server::stopAwaitingTurn(Connection &connection) {
+  if (std::exchange(connection.AwaitsTurn, false)) {
+    std::erase(AwaitingTurn, &connection);
+  }
+}
+
+// Lets each connection that waits have one turn, or as many as may have one in
+// this iteration of the loop. The others wait for the next.
+void Server::takeTurns() {
+  for (std::size_t n = AwaitingTurn.size();
+       n > 0 && !AwaitingTurn.empty() && mayTakeRequest(0); --n) {
+    Connection &next = *AwaitingTurn.front();
+    AwaitingTurn.pop_front();
+    next.AwaitsTurn = false;
+    parse(next);
     relieveSmall();
   }
+  if (!AwaitingTurn.empty()) {
+    startTurnTimer();
+  }
 }
 
 bool Server::mayParse(const Connection &connection) const {
@@ -328,7 +391,12 @@
 }
 
 void Server::parse(Connection &connection) {
+  std::size_t taken = 0;
   while (mayParse(connection)) {
+    if (!mayTakeRequest(taken)) {
+      awaitTurn(connection);
+      break;
+    }
     if (!takeRoom(connection)) {
       break;
     }
@@ -360,13 +428,16 @@
       continue;
     }
     finishRequest(connection);
+    ++taken;
+    ++RequestsTaken;
   }
   if (connection.Input.empty() && connection.Input.capacity() > MaxKeptInput) {
     std::string().swap(connection.Input);
   }
   // Reading pauses while too much input is unparsed.
   const bool hasEnough = connection.Input.size() > maxUnparsedBytes();
-  if (connection.AwaitsRoom || (hasEnough && !connection.Closing)) {
+  if (connection.AwaitsRoom || connection.AwaitsTurn ||
+      (hasEnough && !connection.Closing)) {
     ev_io_stop(Loop, &connection.ReadWatcher);
   } else {
     ev_io_start(Loop, &connection.ReadWatcher);
@@ -495,6 +566,7 @@
     std::string().swap(connection.Input);
     connection.RequestParser.reset();
     stopWaiting(connection);
+    stopAwaitingTurn(connection);
     connection.LargeRoom.set(HeldKind::Large, 0);
     updateCharge(connection);
     ev_io_start(Loop, &connection.ReadWatcher);
@@ -617,6 +689,7 @@
   ev_io_stop(Loop, &connection.WriteWatcher);
   ev_timer_stop(Loop, &connection.Timer);
   stopWaiting(connection);
+  stopAwaitingTurn(connection);
   close(connection.Fd);
   const std::vector<ExchangeId> abandoned = endExchanges(connection);
   Connections.erase(&connection);
@@ -627,7 +700,7 @@
   std::vector<Connection *> idle;
   for (const auto &[it, owned] : Connections) {
     if (it->Exchanges.empty() && it->Output.empty() && !it->RequestParser &&
-        !it->Lingering) {
+        !it->AwaitsTurn && !it->Lingering) {
       idle.push_back(it);
     }
   }
@@ -638,7 +711,7 @@
 }
 
 std::size_t Server::openExchanges() const {
-  return Unanswered.size() +
+  return Unanswered.size() + AwaitingTurn.size() +
          static_cast<std::size_t>(std::count_if(
              Connections.begin(), Connections.end(),
              [](const auto &it) { return !it.second->Output.empty(); }));
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -82,6 +82,12 @@
   /// Sets the limits of the requests that are read from now on.
   void setLimits(const CallerLimits &limits) { Limits = limits; }
 
+  /// Sets how many requests are taken in one iteration of the loop; connections
+  /// with more take turns. At least 1.
+  void setMaxRequestsPerIteration(std::size_t most) {
+    MaxRequestsPerIteration = most;
+  }
+
   /// Closes the connection with the most unread response bytes, among those
   /// whose callers have stopped reading. \returns whether there was one.
   bool closeSlowReader();
@@ -100,7 +106,7 @@
   void closeIdle();
 
   /// Dispatched requests without a response, plus connections with unwritten
-  /// response bytes.
+  /// response bytes or with requests that await their turn.
   std::size_t openExchanges() const;
 
   std::size_t connections() const { return Connections.size(); }
@@ -120,6 +126,11 @@
   bool receive(Connection &connection);
   std::size_t parseSome(Connection &connection, boost::beast::error_code &ec);
   void parse(Connection &connection);
+  bool mayTakeRequest(std::size_t taken);
+  void awaitTurn(Connection &connection);
+  void startTurnTimer();
+  void stopAwaitingTurn(Connection &connection);
+  void takeTurns();
   void dispatchRequests(Connection &connection);
   void rejectRequest(Connection &connection, unsigned status);
   void rejectWith(Connection &connection, const Response &response,
@@ -162,6 +173,12 @@
   ServerHandlers Handlers;
   ByteBudget *Budget;
   std::size_t MaxConnections;
+  std::size_t MaxRequestsPerIteration = 256;
+  std::size_t RequestsTaken = 0; ///< In the iteration TakenInIteration.
+  unsigned TakenInIteration = 0;
+  /// Connections with more requests than they could take at once, in order.
+  std::deque<Connection *> AwaitingTurn;
+  ev_timer TurnTimer{};     ///< Active while AwaitingTurn is not empty.
   ev_timer AcceptTimer{};   ///< Active while accepting pauses.
   ev_prepare RoomWatcher{}; ///< Active while AwaitingRoom is not empty.
   /// Connections whose large bodies wait for room, in order of arrival.
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -79,6 +79,7 @@
   std::size_t OutputBytes = 0; ///< Of Output, without OutputSent.
   Charge SmallRoom;            ///< For all but dispatched requests and Output.
   Charge LargeRoom;            ///< For the body of an incomplete request.
+  bool AwaitsTurn = false;     ///< Reading pauses until others had their turn.
   bool AwaitsRoom = false;     ///< Reading pauses until LargeRoom suffices.
   Instant RoomAwaitedSince{};
   Instant InputProgressAt{};     ///< See Holder::LastProgressAt.
--- a/src/http/ServerRoom.cpp
+++ b/src/http/ServerRoom.cpp
@@ -267,8 +267,9 @@
 
 bool Server::makeRoomForConnection() {
   const HolderList list = listHolders([](const Connection &it) {
-    return Holder{IdleBytes, it.Exchanges.empty() && it.Output.empty(), false,
-                  it.RequestParser ? it.InputProgressAt : it.LastActiveAt};
+    return Holder{
+        IdleBytes, it.Exchanges.empty() && it.Output.empty() && !it.AwaitsTurn,
+        false, it.RequestParser ? it.InputProgressAt : it.LastActiveAt};
   });
   const auto choice = chooseForConnection(list.Holders, readClock());
   if (choice) {
--- a/src/operator/OperatorPort.cpp
+++ b/src/operator/OperatorPort.cpp
@@ -34,6 +34,8 @@
               [](http::ExchangeId) {}},
              share) {
   Server.setLimits(http::InternalLimits);
+  // A dump of a large fleet takes as long as many requests of callers.
+  Server.setMaxRequestsPerIteration(1);
 }
 
 http::Response OperatorPort::respondTo(const http::Request &request) const {
--- a/tests/http/ServerTest.cpp
+++ b/tests/http/ServerTest.cpp
@@ -262,6 +262,40 @@
   BOOST_TEST(it.ArrivalOrder.size() == 1U);
 }
 
+// Guards against a caller whose requests keep the others waiting: two send many
+// behind one another at the same time as one sends a single one.
+BOOST_AUTO_TEST_CASE(connectionsTakeTurns) {
+  constexpr unsigned turn = 8; // See MaxRequestsPerTurn.
+  TestLoop eventLoop;
+  std::vector<std::string> order;
+  std::unique_ptr<Server> server;
+  server = std::make_unique<Server>(
+      eventLoop.Loop, ServerHandlers{[](const Request &) { return true; },
+                                     [&](ExchangeId id, const Request &it) {
+                                       order.push_back(it.Target);
+                                       server->sendResponse(id, {200, {}, ""});
+                                     },
+                                     [](ExchangeId) {}});
+  const std::string address =
+      listenOnFreePort([&](const auto &it) { return server->listen(it); });
+  std::vector<std::unique_ptr<RawConnection>> callers;
+  for (unsigned n = 0; n < 3; ++n) {
+    callers.push_back(RawConnection::connect(address));
+  }
+  BOOST_REQUIRE(eventLoop.runUntil([&] { return server->connections() == 3; }));
+  std::string many;
+  for (unsigned n = 0; n < 500; ++n) {
+    many += get("/many");
+  }
+  callers[0]->trySend(many);
+  callers[1]->trySend(get("/one"));
+  callers[2]->trySend(many);
+  BOOST_REQUIRE(eventLoop.runUntil([&] { return order.size() >= 1001; }));
+  const auto position =
+      std::find(order.begin(), order.end(), "/one") - order.begin();
+  BOOST_TEST(position <= 2 * 2 * turn);
+}
+
 BOOST_AUTO_TEST_CASE(errorResponseIsSentAfterEarlierResponses) {
   ServerFixture it;
   const auto caller = it.connect();
