Callers that are just fast enough give way

What callers saw: by reading the code: callers that send a little over 4 KB in 0.75 s never count as stalled, and keep all connections, or all room for large bodies, from others.

Cause: only who stalled gave way for a new connection or another large body.

Change: if none stalled, a new connection takes the place of the one that has had no request for longest, 0.1 s at least, else of the slowest incomplete request that has had two seconds and came with less than 32 KB a second; a large body takes the room of the slowest such body. A connection that leaves its responses unread gives way like one that stalled.

--- a/src/http/ByteBudget.cpp
+++ b/src/http/ByteBudget.cpp
@@ -53,6 +53,27 @@
   return a.LastProgressAt < b.LastProgressAt;
 }
 
+double rateOf(const Holder &it, Instant now) {
+  const std::chrono::duration<double> age = now - it.StartedAt;
+  return static_cast<double>(it.Received) / age.count();
+}
+
+bool isSlow(const Holder &it, Instant now) {
+  return it.IsIncomplete && !it.AwaitsRoom && it.StartedAt != Instant::max() &&
+         now - it.StartedAt >= MinSlowTime &&
+         rateOf(it, now) < static_cast<double>(MinBytesPerSecond);
+}
+
+std::optional<std::size_t> findSlowest(std::span<const Holder> holders,
+                                       Instant now) {
+  return findBest(
+      holders,
+      [&](const Holder &it) { return it.Bytes > 0 && isSlow(it, now); },
+      [&](const Holder &a, const Holder &b) {
+        return rateOf(a, now) < rateOf(b, now);
+      });
+}
+
 std::optional<Choice> chooseLargestStalled(std::span<const Holder> holders,
                                            Instant now, Relief way) {
   const auto found = findBest(
@@ -135,7 +156,13 @@
 
 std::optional<Choice> chooseForLarge(std::span<const Holder> holders,
                                      Instant now) {
-  return chooseLargestStalled(holders, now, Relief::TimeOut);
+  if (const auto stalled =
+          chooseLargestStalled(holders, now, Relief::TimeOut)) {
+    return stalled;
+  }
+  const auto slowest = findSlowest(holders, now);
+  return slowest ? std::optional<Choice>({*slowest, Relief::TimeOut})
+                 : std::nullopt;
 }
 
 std::optional<Choice> chooseForResponses(std::span<const Holder> holders,
@@ -145,8 +172,19 @@
 
 std::optional<Choice> chooseForConnection(std::span<const Holder> holders,
                                           Instant now) {
-  const auto found = findBest(
+  auto found = findBest(
       holders, [&](const Holder &it) { return hasStalled(it, now); }, isOlder);
+  if (!found) {
+    found = findBest(
+        holders,
+        [&](const Holder &it) {
+          return it.IsIdle && now - it.LastProgressAt >= MinIdleTime;
+        },
+        isOlder);
+  }
+  if (!found) {
+    found = findSlowest(holders, now);
+  }
   return found ? std::optional<Choice>({*found, Relief::Close}) : std::nullopt;
 }
 
--- a/src/http/ByteBudget.h
+++ b/src/http/ByteBudget.h
@@ -36,6 +36,16 @@
 constexpr Duration StallTime = std::chrono::milliseconds{750};
 constexpr std::size_t MinProgressBytes = std::size_t{4} << 10;
 
+/// An incomplete request that has received less than MinBytesPerSecond since it
+/// began is slow, once it has lasted for MinSlowTime: no route waits as long as
+/// a large body then takes.
+constexpr std::size_t MinBytesPerSecond = std::size_t{32} << 10;
+constexpr Duration MinSlowTime = std::chrono::seconds{2};
+
+/// A connection without a request may give way for a new one after this time;
+/// its caller opens another.
+constexpr Duration MinIdleTime = std::chrono::milliseconds{100};
+
 /// How long a large body waits for room before its request is refused: callers
 /// give an instance up that reads nothing for a second.
 constexpr Duration MaxRoomWait = std::chrono::seconds{1};
@@ -119,6 +129,10 @@
   bool IsIncomplete = false;
   bool AwaitsRoom = false; ///< Its large body waits for room.
   Instant LastProgressAt{};
+  bool IsIdle = false; ///< It has no request.
+  /// When its incomplete request began; Instant::max() without one.
+  Instant StartedAt = Instant::max();
+  std::size_t Received = 0; ///< Bytes of that request.
 };
 
 /// How a holder gives way.
@@ -141,8 +155,9 @@
 std::optional<Choice> chooseForSmall(std::span<const Holder> holders,
                                      Instant now);
 
-/// Chooses whose large body gives way for another: the largest that stalled.
-/// \returns none if none stalled.
+/// Chooses whose large body gives way for another: the largest that stalled,
+/// else the slowest.
+/// \returns none if none stalled or is slow.
 std::optional<Choice> chooseForLarge(std::span<const Holder> holders,
                                      Instant now);
 
@@ -152,7 +167,9 @@
                                          Instant now);
 
 /// Chooses the connection that gives way for a new one when there are too many:
-/// the one without progress for the longest time, among those that stalled.
+/// the one without progress for the longest time, among those that stalled;
+/// else the one that is idle for longest, else the one whose request is
+/// slowest.
 std::optional<Choice> chooseForConnection(std::span<const Holder> holders,
                                           Instant now);
 
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -137,6 +137,7 @@
                   bool isHead);
   Response makeMemoryRefusal(const Request &request) const;
   bool mayDispatch(const Connection &connection) const;
+  static void describeRequest(const Connection &connection, Holder &holder);
   template <typename Describe> HolderList listHolders(Describe describe) const;
   std::size_t maxBodySize(const Connection &connection) const;
   std::size_t largeRoomWanted(const Connection &connection) const;
--- a/src/http/ServerRoom.cpp
+++ b/src/http/ServerRoom.cpp
@@ -27,6 +27,13 @@
 
 } // namespace
 
+void Server::describeRequest(const Connection &connection, Holder &holder) {
+  if (connection.RequestParser) {
+    holder.StartedAt = connection.RequestStartedAt;
+    holder.Received = connection.HeadBytes + connection.Input.size();
+  }
+}
+
 /// All connections as holders of one kind of bytes, in the same order.
 struct Server::HolderList {
   std::vector<Connection *> Owners;
@@ -213,9 +220,11 @@
 /// \returns whether there is room for the connection's body now.
 bool Server::relieveLarge(const Connection &connection) {
   HolderList list = listHolders([](const Connection &it) {
-    return Holder{it.LargeRoom.bytes(),
-                  it.RequestParser.has_value() && !it.Closing, it.AwaitsRoom,
-                  it.InputProgressAt};
+    Holder out{it.LargeRoom.bytes(),
+               it.RequestParser.has_value() && !it.Closing, it.AwaitsRoom,
+               it.InputProgressAt};
+    describeRequest(it, out);
+    return out;
   });
   const Instant now = readClock();
   while (!hasLargeRoom(connection)) {
@@ -267,9 +276,16 @@
 
 bool Server::makeRoomForConnection() {
   const HolderList list = listHolders([](const Connection &it) {
-    return Holder{
-        IdleBytes, it.Exchanges.empty() && it.Output.empty() && !it.AwaitsTurn,
-        false, it.RequestParser ? it.InputProgressAt : it.LastActiveAt};
+    Holder out{IdleBytes, it.Exchanges.empty() && !it.AwaitsTurn, false,
+               it.RequestParser ? it.InputProgressAt : it.LastActiveAt};
+    if (!it.Output.empty()) {
+      out.LastProgressAt = it.OutputProgressAt;
+    } else if (it.RequestParser) {
+      describeRequest(it, out);
+    } else {
+      out.IsIdle = out.IsIncomplete;
+    }
+    return out;
   });
   const auto choice = chooseForConnection(list.Holders, readClock());
   if (choice) {
--- a/tests/http/ByteBudgetTest.cpp
+++ b/tests/http/ByteBudgetTest.cpp
@@ -22,6 +22,20 @@
   return {bytes, isIncomplete, waits, Now - idle};
 }
 
+/// A request that is being received for some time, and makes progress.
+Holder request(Duration age, std::size_t received, bool waits = false) {
+  Holder out = holder(1, 0s, waits);
+  out.StartedAt = Now - age;
+  out.Received = received;
+  return out;
+}
+
+Holder idle(Duration time) {
+  Holder out = holder(1, time);
+  out.IsIdle = true;
+  return out;
+}
+
 using Choose = std::optional<Choice> (*)(std::span<const Holder>, Instant);
 
 struct ChoiceCase {
@@ -65,6 +79,22 @@
      chooseForLarge,
      {holder(900, 0s), holder(7, 9s), holder(8, 1s), holder(0, 9s)},
      {{2, Relief::TimeOut}}},
+    {"the slowest body if none stalled",
+     chooseForLarge,
+     {request(5s, 40'000), request(5s, 20'000), request(5s, 200'000)},
+     {{1, Relief::TimeOut}}},
+    {"a body that stalled goes before a slow one",
+     chooseForLarge,
+     {request(5s, 20'000), holder(1, 1s)},
+     {{1, Relief::TimeOut}}},
+    {"a slow body that has just begun is kept",
+     chooseForLarge,
+     {request(1s, 20'000)},
+     {}},
+    {"a slow body that waits is kept",
+     chooseForLarge,
+     {request(5s, 20'000, true)},
+     {}},
     {"a caller that reads is kept",
      chooseForResponses,
      {holder(900, 700ms)},
@@ -80,6 +110,18 @@
     {"the connection that is idle for longest",
      chooseForConnection,
      {holder(1, 2s), holder(1, 3s), holder(1, 1s)},
+     {{1, Relief::Close}}},
+    {"one without a request if none stalled",
+     chooseForConnection,
+     {request(5s, 20'000), idle(200ms), idle(300ms)},
+     {{2, Relief::Close}}},
+    {"one that has just had a request is kept",
+     chooseForConnection,
+     {idle(50ms)},
+     {}},
+    {"the slowest request if all have one",
+     chooseForConnection,
+     {request(5s, 40'000), request(5s, 20'000), request(1s, 1)},
      {{1, Relief::Close}}}};
 
 struct MemoryCase {
