Responses that wait for earlier ones count as unread

What callers saw: by reading the code: refusals bear the caller's request id, up to 16 KB, and those behind a request that waits did not count as unread, so that one connection could make the instance hold 31 of them, and many connections 31 each. Responses of the instance's own had no limit in all.

Cause: the limit of unread bytes looked at what is being sent, and the share for responses was enforced only where an upstream's response arrives.

Change: what waits in a connection counts as unread; while the share is used up, each caller gets one response at a time, and beyond one and a half of it requests are refused (503, did not run). Stalled readers lose their connections, now also where no upstream's response arrives.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -553,6 +553,9 @@
   } else if (applyDueChanges(LocalMirror, readClock())) {
     SnapshotOutdated = true;
   }
+  for (http::Server *it : {&CallerServer, &DirectoryServer, &ReadyServer}) {
+    it->relieve();
+  }
   RequestProxy.logOmittedCount();
   Peers.logMessageCounts();
   logMemory();
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -273,7 +273,7 @@
     setTimer(connection);
     updateCharge(connection);
   }
-  relieveSmall();
+  relieve();
 }
 
 // Whether a connection that has taken some requests may take another.
@@ -314,7 +314,7 @@
     AwaitingTurn.pop_front();
     next.AwaitsTurn = false;
     parse(next);
-    relieveSmall();
+    relieve();
   }
   if (!AwaitingTurn.empty()) {
     startTurnTimer();
@@ -322,10 +322,18 @@
 }
 
 bool Server::mayParse(const Connection &connection) const {
-  return !connection.takesNoRequests() && !connection.Input.empty() &&
-         connection.Exchanges.size() < MaxPipelinedRequests &&
-         connection.OutputBytes < MaxUnreadBytes &&
-         (Budget == nullptr || connection.pendingBytes() < MinUnparsedLimit);
+  if (connection.takesNoRequests() || connection.Input.empty() ||
+      connection.Exchanges.size() >= MaxPipelinedRequests ||
+      connection.unreadBytes() >= MaxUnreadBytes) {
+    return false;
+  }
+  if (Budget == nullptr) {
+    return true;
+  }
+  // While responses are short of room, each caller gets one at a time.
+  const bool isFree = connection.Exchanges.empty() && connection.Output.empty();
+  return (isFree || !Budget->isOver(HeldKind::Response)) &&
+         connection.pendingBytes() < MinUnparsedLimit;
 }
 
 // Starts the parser of a request at its first bytes. A body that grows without
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -88,6 +88,10 @@
     MaxRequestsPerIteration = most;
   }
 
+  /// Makes connections give way while more bytes are held than there may be.
+  /// To be called from time to time: who stalls doesn't show by itself.
+  void relieve();
+
   /// Closes the connection with the most unread response bytes, among those
   /// whose callers have stopped reading. \returns whether there was one.
   bool closeSlowReader();
@@ -150,6 +154,7 @@
   void giveWay(Connection &connection, Relief way);
   bool relieveLarge(const Connection &connection);
   void relieveSmall();
+  void relieveResponses();
   void updateCharge(Connection &connection);
   void prepareRequest(Connection &connection);
   void finishRequest(Connection &connection);
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -97,6 +97,15 @@
   bool hasPendingRequest() const {
     return !Exchanges.empty() && Exchanges.back().PendingRequest.has_value();
   }
+  /// Response bytes that the caller has not read, also those that wait for
+  /// earlier responses.
+  std::size_t unreadBytes() const {
+    std::size_t out = OutputBytes;
+    for (const Exchange &it : Exchanges) {
+      out += it.ResponseHeld.bytes();
+    }
+    return out;
+  }
   /// Memory of whole requests that were not dispatched yet.
   std::size_t pendingBytes() const {
     std::size_t out = 0;
--- a/src/http/ServerRoom.cpp
+++ b/src/http/ServerRoom.cpp
@@ -74,7 +74,11 @@
   }
   const std::size_t limit = Budget->limit(HeldKind::Small);
   const std::size_t reserve = connection.Exchanges.size() > 1 ? limit / 4 : 0;
-  return Budget->held(HeldKind::Small) <= limit - reserve;
+  // Callers who don't read lose their connections only after a time, and get no
+  // more responses until then.
+  const std::size_t responses = Budget->held(HeldKind::Response);
+  return Budget->held(HeldKind::Small) <= limit - reserve &&
+         responses / 3 * 2 <= Budget->limit(HeldKind::Response);
 }
 
 Response Server::makeMemoryRefusal(const Request &request) const {
@@ -238,6 +242,17 @@
   return true;
 }
 
+void Server::relieve() {
+  relieveSmall();
+  relieveResponses();
+}
+
+void Server::relieveResponses() {
+  while (Budget != nullptr && Budget->isOver(HeldKind::Response) &&
+         closeSlowReader()) {
+  }
+}
+
 void Server::relieveSmall() {
   if (Budget == nullptr || !Budget->isOver(HeldKind::Small)) {
     return;
