Test of a flood of many upstreams, known to fail

A crowd of a service with 96 upstreams of 4 slots makes an instance open as many connections to upstreams as they have slots: 384 of 600 descriptors beside those of callers. Connections to upstreams have no limit of their own; the parts of the descriptors that the ports may take leave them 14 of 64.

Not mended in this change: a limit needs a result of a call that tells "no connection free here" from "not reachable", which ejects an upstream, and a queue that doesn't retry at once.

--- a/tests/memory/CrowdTest.cpp
+++ b/tests/memory/CrowdTest.cpp
@@ -185,6 +185,14 @@
     {"requests while their upstreams are silent", Callers, 40, Piece,
      flood("/order/"), Conduct::Stop, Disturbance::SilentUpstreams}};
 
+/// Requests of a service whose slots are two thirds of the descriptors.
+const std::vector<CrowdCase> ManyUpstreamsCases{
+    {"requests of 96 upstreams", Callers, 40, Piece, flood("/moving/"),
+     Conduct::Stop, Disturbance::None, "/moving/", 96, 200ms},
+    {"requests of 96 upstreams, answers read", Callers, 40, Piece,
+     flood("/moving/"), Conduct::Read, Disturbance::None, "/moving/", 96,
+     200ms}};
+
 /// Crowds beside which an instance is stopped.
 const std::vector<CrowdCase> StopCases{
     {"uploads", Callers, 300, Piece, upload},
@@ -350,9 +358,7 @@
   return status;
 }
 
-} // namespace
-
-BOOST_DATA_TEST_CASE(crowdEndsNoProcessAndKeepsOutNoCaller, CrowdCases, row) {
+void checkBesideCrowd(const CrowdCase &row) {
   const auto drill = startDrill(row.Upstreams, row.ServiceTime);
   const pid_t pid = drill->Deployed.Instances[0].Child.id();
   Crowd crowd(*drill, row);
@@ -374,6 +380,18 @@
   BOOST_TEST(open <= DescriptorBound);
 }
 
+} // namespace
+
+BOOST_DATA_TEST_CASE(crowdEndsNoProcessAndKeepsOutNoCaller, CrowdCases, row) {
+  checkBesideCrowd(row);
+}
+
+// Connections to upstreams leave descriptors free.
+BOOST_DATA_TEST_CASE(floodOfManyUpstreamsLeavesDescriptors, ManyUpstreamsCases,
+                     row) {
+  checkBesideCrowd(row);
+}
+
 // A crowd doesn't keep a process from its planned end.
 BOOST_DATA_TEST_CASE(stopEndsBesideACrowd, StopCases, row) {
   const auto drill = startDrill();
