Removals wait only if registrations can have expired

Cause: an outage that one reader sees was taken for an outage of the store, and outages within two heartbeats of each other were added up; each recovery began the wait of 2.3 s anew.

Ruled out: followers that learn late (reader and follower drop it within 0.3 ms of each other); a reader that has just begun (the reader didn't change).

Change: the question is whether a registration can have expired, that is, whether all renewals that were due can have come while the store answered nobody (store/Availability.h). A reader that can't tell from its own answers asks three instances of each failure domain when the store answered them; followers pass the question on to their reader. A new reader starts with what it knows of the one before. Followers have no wait of their own. platform-back tells whether removals wait; outage-cleared tells that others' answers ended that.

The tests of store, fleet and registry use what is new.

--- a/include/zinniarail/events/Events.h
+++ b/include/zinniarail/events/Events.h
@@ -41,6 +41,7 @@
   PollAbandoned = 219,
   UpdateReceived = 220,
   UpdatesDeferred = 221,
+  OutageCleared = 222,
   RequestServed = 310,
   RequestSlow = 311,
   RequestRefused = 312,
--- a/include/zinniarail/registry/Registry.h
+++ b/include/zinniarail/registry/Registry.h
@@ -61,8 +61,11 @@
 struct Registry {
   std::map<std::string, Registration> Entries;
   std::map<std::string, RemovedUpstream> RemovedUpstreams;
-  /// End of the grace period: removals received earlier are delayed until then.
+  /// End of the grace period after an outage: removals received earlier are
+  /// delayed until then.
   Instant RemovalGraceUntil{};
+  /// Likewise after a restore.
+  Instant RestoreGraceUntil{};
   /// Until then, restored registrations of removed upstreams are not trusted.
   Instant RestoredUntil{};
 };
@@ -70,6 +73,10 @@
 /// Records that the store is reachable again after an outage.
 void recordStoreRecovery(Registry &registry, Instant now);
 
+/// Ends the grace period after an outage: no registration can have expired in
+/// it. Removals that waited for its end are due now.
+void endRemovalGrace(Registry &registry, Instant now);
+
 /// Records that the store was restored from a copy.
 void recordStoreRestore(Registry &registry, Instant now);
 
@@ -77,8 +84,8 @@
 void put(Registry &registry, Upstream record, StoreRevision revision,
          Instant now);
 
-/// Removes a registration, after the grace period if there was an outage.
-/// Ignored if a newer revision is known.
+/// Removes a registration, after the grace period if there was an outage or a
+/// restore. Ignored if a newer revision is known.
 void remove(Registry &registry, const std::string &id, StoreRevision revision,
             Instant now);
 
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -150,6 +150,12 @@
   storeEra @2 :UInt64;          # Era of that revision.
 }
 
+# A time in which the store answered the sender, by the ages of its two ends.
+struct AnsweredSpan {
+  fromUs @0 :Int64;
+  toUs @1 :Int64;
+}
+
 struct Datagram {
   union {
     ping @0 :Void;              # The receiver replies with a pong.
@@ -159,6 +165,10 @@
     leaving @6 :LeavingUpstream;
     credit @14 :Credit;         # Of customers' limits.
     rolloutCounts @15 :RolloutCounts;
+    # When did the store answer the receiver, or the reader that it follows? The
+    # answer goes to this peer address.
+    askAnswered @16 :Text;
+    answered @17 :List(AnsweredSpan);
   }
   sender @3 :Member;
   # In a pong, other members of the receiver's failure domain; else empty.
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -432,7 +432,11 @@
       [this](const std::string &from, const quota::Message &it) {
         Quotas.receive(from, it);
       },
-      [this](const rollout::Report &it) { Rollouts.receive(it); }};
+      [this](const rollout::Report &it) { Rollouts.receive(it); },
+      [this] { return Store.answeredSpans(); },
+      [this](const std::vector<store::AnsweredSpanAge> &it) {
+        Store.noteAnsweredSpans(it);
+      }};
 }
 
 quota::QuotaHandlers Daemon::quotaHandlers() {
@@ -449,7 +453,8 @@
           [this](bool healthy) {
             HasUpstreamList = HasUpstreamList || healthy;
             Peers.setStoreHealthy(healthy);
-          }};
+          },
+          [this] { Peers.askWhenStoreAnswered(); }};
 }
 
 OperatorHandlers Daemon::operatorHandlers() {
@@ -626,7 +631,7 @@
   if (!Options.FirstStart) {
     Store.avoidStaleReads();
   }
-  Store.startReading();
+  Store.startReading(Peers.storeAnsweredUntil());
   onLiveMembersChanged();
 }
 
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -61,7 +61,9 @@
      "store is retried until it answers; see \"When the store is down\" in "
      "OPERATIONS.md."},
     {EventId::PlatformBack, "platform-back", EventLevel::Info,
-     "The store answers again; all its data is read again."},
+     "The store answers again; all its data is read again. The fields give the "
+     "number of failed health checks, and whether removals of upstreams wait, "
+     "since registrations may have expired in the outage."},
     {EventId::DutyChanged, "duty-changed", EventLevel::Info,
      "The instance changed its role: it reads the platform's store for its "
      "failure domain, follows an instance that does, or waits for one."},
@@ -106,6 +108,10 @@
      "Logged at most once a second. The fields give the number of followers "
      "that wait, the updates that were sent late, their size, and the longest "
      "wait."},
+    {EventId::OutageCleared, "outage-cleared", EventLevel::Info,
+     "The store answered other instances during the outage that ended last: no "
+     "registration has expired in it, and removals wait no more. The field "
+     "gives the time since its end."},
     {EventId::RequestServed, "request-served", EventLevel::Info,
      "A request was answered in time. Under load only some of these are "
      "listed; see requests-not-listed."},
--- a/src/fleet/Codec.cpp
+++ b/src/fleet/Codec.cpp
@@ -502,6 +502,15 @@
   } else if (const auto *report =
                  std::get_if<rollout::Report>(&datagram.Payload)) {
     write(root.initRolloutCounts(), *report);
+  } else if (const auto *ask = std::get_if<AskAnswered>(&datagram.Payload)) {
+    root.setAskAnswered(ask->ReplyTo);
+  } else if (const auto *answered = std::get_if<Answered>(&datagram.Payload)) {
+    auto spans =
+        root.initAnswered(static_cast<unsigned>(answered->Spans.size()));
+    for (unsigned n = 0; n < spans.size(); ++n) {
+      spans[n].setFromUs(answered->Spans[n].From.count());
+      spans[n].setToUs(answered->Spans[n].To.count());
+    }
   } else {
     root.setQuarantined(
         std::get<balance::PeerQuarantined>(datagram.Payload).Fingerprint);
@@ -560,6 +569,14 @@
         return std::optional<Datagram>{}; // Of a newer build.
       }
       out.Payload = read(it);
+    } else if (root.isAskAnswered()) {
+      out.Payload = AskAnswered{textOf(root.getAskAnswered())};
+    } else if (root.isAnswered()) {
+      Answered &answered = out.Payload.emplace<Answered>();
+      for (const auto it : root.getAnswered()) {
+        answered.Spans.push_back(
+            {Duration{it.getFromUs()}, Duration{it.getToUs()}});
+      }
     } else if (root.isQuarantined()) {
       out.Payload = balance::PeerQuarantined{root.getQuarantined()};
     } else {
--- a/src/fleet/Codec.h
+++ b/src/fleet/Codec.h
@@ -16,6 +16,7 @@
 #include "zinniarail/fleet/Members.h"
 #include "zinniarail/quota/Messages.h"
 #include "zinniarail/rollout/Tracker.h"
+#include "zinniarail/store/Availability.h"
 
 namespace zinniarail::fleet {
 
@@ -25,6 +26,17 @@
   std::uint64_t StartedMs = 0; ///< As Upstream::StartedMs.
 };
 
+/// Asks when the store answered the receiver. A follower of another failure
+/// domain passes it on to its reader.
+struct AskAnswered {
+  std::string ReplyTo; ///< Peer address of the instance that asks.
+};
+
+/// When the store answered the sender.
+struct Answered {
+  std::vector<store::AnsweredSpanAge> Spans;
+};
+
 /// The parts that a follower polls for together. Each channel has polls and
 /// updates of its own, so that what is small and urgent does not wait for the
 /// lists, which may be large.
@@ -53,7 +65,8 @@
   struct Ping {};
   struct Pong {};
   std::variant<Ping, Pong, balance::PeerSuspected, balance::PeerQuarantined,
-               LeavingUpstream, quota::Message, rollout::Report>
+               LeavingUpstream, quota::Message, rollout::Report, AskAnswered,
+               Answered>
       Payload;
   Member Sender;
   /// In a pong, other members of the receiver's failure domain; else empty.
--- a/src/fleet/PeerTask.cpp
+++ b/src/fleet/PeerTask.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <span>
 
 #include "http/Sockets.h"
 #include "zinniarail/core/Hash.h"
@@ -58,6 +59,13 @@
 // that are ready.
 constexpr std::size_t OutsideMemberCount = 12;
 
+// Instances of each failure domain that are asked at a time when the store
+// answered them: some may be gone, or know as little as this one.
+constexpr std::size_t AskedInDomain = 3;
+
+// A reader may call the store healthy for this long after its last answer.
+constexpr Duration HealthyDelay = store::MaxAnswerGap;
+
 constexpr std::size_t MaxDatagramBytes = 8192;
 
 // Maximum number of quarantines in a ping or pong.
@@ -345,6 +353,15 @@
                  std::get_if<rollout::Report>(&datagram.Payload);
              report != nullptr && Handlers.RolloutReported) {
     Handlers.RolloutReported(*report);
+  } else if (const auto *ask = std::get_if<AskAnswered>(&datagram.Payload)) {
+    handleAsk(*ask, from);
+  } else if (const auto *answered = std::get_if<Answered>(&datagram.Payload);
+             answered != nullptr && Handlers.AnsweredSpansTold) {
+    Handlers.AnsweredSpansTold(answered->Spans);
+  }
+  if (datagram.Sender.Record.Id == ReaderElection.Reader &&
+      datagram.Sender.StoreHealthy) {
+    StoreAnsweredUntil = now - HealthyDelay;
   }
   if (changed) {
     runElection();
@@ -479,6 +496,52 @@
   return addresses;
 }
 
+void PeerTask::askWhenStoreAnswered() {
+  std::map<std::string, std::vector<std::pair<std::uint64_t, std::string>>>
+      domains;
+  ++StoreAsks;
+  const Instant now = readClock();
+  for (const auto &[id, it] : Membership.Others) {
+    const Instance &record = it.LastStatus.Record;
+    const bool isReader = it.LastStatus.Reading && hasRecentMessage(it, now);
+    const std::uint64_t rank =
+        isReader ? 0 : hashCombine(StoreAsks, hashBytes(id));
+    domains[record.Domain].emplace_back(rank, record.PeerAddress);
+  }
+  const Datagram datagram{
+      AskAnswered{Membership.LocalMember.Record.PeerAddress},
+      Membership.LocalMember,
+      {}};
+  for (auto &[domain, addresses] : domains) {
+    std::ranges::sort(addresses);
+    for (const auto &[rank, address] : std::span(addresses).first(
+             std::min(addresses.size(), AskedInDomain))) {
+      send(address, datagram);
+    }
+  }
+}
+
+// A follower doesn't call the store. It passes the question on to its reader,
+// once: two that follow each other for a moment would pass it on for ever.
+void PeerTask::handleAsk(const AskAnswered &ask, const std::string &from) {
+  const auto spans = Handlers.ListAnsweredSpans
+                         ? Handlers.ListAnsweredSpans()
+                         : std::vector<store::AnsweredSpanAge>{};
+  if (!spans.empty()) {
+    send(ask.ReplyTo, {Answered{spans}, Membership.LocalMember, {}});
+  }
+  const auto reader = Membership.Others.find(ReaderElection.Reader);
+  const bool isFirst = from == ask.ReplyTo;
+  if (!isFirst || ReaderElection.CurrentDuty != Duty::Follow ||
+      reader == Membership.Others.end()) {
+    return;
+  }
+  const std::string &address = reader->second.LastStatus.Record.PeerAddress;
+  if (address != ask.ReplyTo) {
+    send(address, {ask, Membership.LocalMember, {}});
+  }
+}
+
 void PeerTask::sendRolloutReport(const rollout::Report &report) {
   const Datagram datagram{report, Membership.LocalMember, {}};
   switch (report.Scope) {
--- a/src/fleet/PeerTask.h
+++ b/src/fleet/PeerTask.h
@@ -47,6 +47,12 @@
       CreditMessageReceived;
   /// Another instance reports what it knows of a roll-out.
   std::function<void(const rollout::Report &)> RolloutReported = nullptr;
+  /// When the store answered this instance.
+  std::function<std::vector<store::AnsweredSpanAge>()> ListAnsweredSpans =
+      nullptr;
+  /// When the store answered another instance.
+  std::function<void(const std::vector<store::AnsweredSpanAge> &)>
+      AnsweredSpansTold = nullptr;
 };
 
 /// Used only on the thread of its loop.
@@ -110,6 +116,14 @@
   /// rollout::ReportScope.
   void sendRolloutReport(const rollout::Report &report);
 
+  /// Asks a few other instances of each failure domain when the store answered
+  /// them. Each call asks others.
+  void askWhenStoreAnswered();
+
+  /// Until when the store is known to have answered the reader that this
+  /// instance follows, or followed before; Instant::min(): unknown.
+  Instant storeAnsweredUntil() const { return StoreAnsweredUntil; }
+
   /// Notifies the other instances that this one is shutting down.
   void announceLeaving();
 
@@ -196,6 +210,7 @@
   void announceToDomain();
   void repeatNotices();
   void sendToAll(const Datagram &datagram) const;
+  void handleAsk(const AskAnswered &ask, const std::string &from);
   std::vector<std::string> outsideReaders() const;
   void send(const std::string &address, const Datagram &datagram) const;
   void pollReader();
@@ -239,6 +254,9 @@
   SnapshotFetcher Fetcher;
   Instant DutySince{};
 
+  std::uint64_t StoreAsks = 0; ///< Calls of askWhenStoreAnswered.
+  Instant StoreAnsweredUntil = Instant::min();
+
   // Used while this instance is a follower.
   http::ClientPool Pool;
   http::CallId LastCall = 0;
--- a/src/registry/Registry.cpp
+++ b/src/registry/Registry.cpp
@@ -11,16 +11,19 @@
   return it.UnconfirmedUntil != Instant{};
 }
 
+bool isRemoved(const Registration &it) { return it.RemoveAt != Instant::max(); }
+
 bool isSameIncarnation(std::uint64_t startedMs, const Upstream &upstream) {
   return startedMs == upstream.StartedMs;
 }
 
 // Whether a registration is older than the known one or than its removal.
 bool isOutdated(const Registration &known, const Registration &next) {
-  const bool isRemoved = known.RemoveAt != Instant::max() &&
-                         isSameIncarnation(known.Record.StartedMs, next.Record);
+  const bool isThisRemoved =
+      isRemoved(known) &&
+      isSameIncarnation(known.Record.StartedMs, next.Record);
   return next.Revision < known.Revision ||
-         (isRemoved && next.Revision <= known.RemovalRevision);
+         (isThisRemoved && next.Revision <= known.RemovalRevision);
 }
 
 // Carries over what the store's registration does not say.
@@ -31,25 +34,36 @@
   }
   const bool isRestored = next.Revision.Era > known.Revision.Era;
   next.IsLeaving = known.IsLeaving || (isRestored && known.Record.Draining);
-  const bool isRemovalUndone = known.RemoveAt != Instant::max() &&
-                               next.Revision.Era > known.RemovalRevision.Era;
+  const bool isRemovalUndone =
+      isRemoved(known) && next.Revision.Era > known.RemovalRevision.Era;
   next.UnconfirmedUntil =
       isRemovalUndone ? registry.RestoredUntil : known.UnconfirmedUntil;
 }
 
+void delayRemovals(Registry &registry, Instant until) {
+  for (auto &[id, it] : registry.Entries) {
+    it.RemoveAt = isRemoved(it) ? std::max(it.RemoveAt, until) : it.RemoveAt;
+  }
+}
+
 } // namespace
 
 void recordStoreRecovery(Registry &registry, Instant now) {
   registry.RemovalGraceUntil = now + ReregistrationGrace;
+  delayRemovals(registry, registry.RemovalGraceUntil);
+}
+
+void endRemovalGrace(Registry &registry, Instant now) {
+  registry.RemovalGraceUntil = Instant{};
+  const Instant until = std::max(now, registry.RestoreGraceUntil);
   for (auto &[id, it] : registry.Entries) {
-    if (it.RemoveAt != Instant::max()) {
-      it.RemoveAt = std::max(it.RemoveAt, registry.RemovalGraceUntil);
-    }
+    it.RemoveAt = isRemoved(it) ? std::min(it.RemoveAt, until) : it.RemoveAt;
   }
 }
 
 void recordStoreRestore(Registry &registry, Instant now) {
-  recordStoreRecovery(registry, now);
+  registry.RestoreGraceUntil = now + ReregistrationGrace;
+  delayRemovals(registry, registry.RestoreGraceUntil);
   registry.RestoredUntil = now + RestoredRegistrationLifetime;
 }
 
@@ -85,11 +99,17 @@
 void remove(Registry &registry, const std::string &id, StoreRevision revision,
             Instant now) {
   const auto it = registry.Entries.find(id);
-  if (it == registry.Entries.end() || revision < it->second.Revision ||
-      it->second.RemoveAt != Instant::max()) {
+  if (it == registry.Entries.end() || revision < it->second.Revision) {
+    return;
+  }
+  // A reader knows more of an outage than one that has become its follower.
+  const Instant at =
+      std::max({now, registry.RemovalGraceUntil, registry.RestoreGraceUntil});
+  if (isRemoved(it->second)) {
+    it->second.RemoveAt = std::min(it->second.RemoveAt, at);
     return;
   }
-  it->second.RemoveAt = std::max(now, registry.RemovalGraceUntil);
+  it->second.RemoveAt = at;
   it->second.RemovalRevision = revision;
 }
 
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -31,15 +31,7 @@
 
 // Time between two health checks of a store that responds: a pending watch does
 // not show that the store has become unreachable.
-constexpr Duration PingInterval = std::chrono::milliseconds{500};
-
-// A registration expires after three heartbeats without a renewal, so that an
-// outage in which it can begins at least two before. Less half of one, since
-// heartbeats come early or late.
-constexpr double MinExpiringHeartbeats = 1.5;
-
-// Heartbeats without an outage after which the renewals of before have arrived.
-constexpr int OutageGap = 2;
+constexpr Duration HealthCheckInterval = std::chrono::milliseconds{500};
 
 // Fraction of the propagation limit between two reads of the store's revision.
 // The rest is for the list that follows and for telling the followers.
@@ -96,11 +88,11 @@
   }
 }
 
-void StoreTask::startReading() {
+void StoreTask::startReading(Instant answeredUntil) {
   Reading = true;
   HasAnswered = false;
   Unavailable = false;
-  AnsweredAt = LostSince = AvailableAt = Instant{};
+  startAsking(Answers, answeredUntil);
   Ping = {};
   RevisionReadAt = readClock(); // The lists that follow show the revision.
   for (ListWatch &it : ListWatches) {
@@ -113,6 +105,8 @@
   Reading = false;
   ReportedHealthy = false;
   ++PingGeneration;
+  // The next reader decides which removals wait.
+  LocalMirror.Upstreams.RemovalGraceUntil = Instant{};
   for (ListWatch &it : ListWatches) {
     restart(it);
   }
@@ -179,17 +173,19 @@
                 acceptEra(reply);
                 if (reply.Result == Outcome::Done) {
                   HasAnswered = true;
+                  recordAnswer(Answers, repliedAt);
                   noteAvailable();
-                  AnsweredAt = repliedAt;
+                  endGraceIfClear(repliedAt);
                   if (readsRevision) {
                     for (ListWatch &it : ListWatches) {
                       noteStoreRevision(it, reply.AsOf.Number, now, repliedAt);
                     }
                   }
                   Ping = {false, 0,
-                          std::min(repliedAt + PingInterval,
+                          std::min(repliedAt + HealthCheckInterval,
                                    RevisionReadAt + RevisionReadInterval)};
                 } else {
+                  recordFailure(Answers);
                   noteUnavailable("health check", reply);
                   noteFailure(Ping, Rng, repliedAt);
                   Ping.NextAt += (Ping.NextAt - repliedAt) *
@@ -315,43 +311,62 @@
     return;
   }
   Unavailable = true;
-  // Outages that follow one another closely count as one.
-  if (readClock() - AvailableAt > HeartbeatInterval * OutageGap) {
-    LostSince = AnsweredAt;
-  }
   // A health check is due at once: it shows whether only this call failed.
   Ping.NextAt = Instant{};
   logEvent(EventId::PlatformLost,
            call + ": " + nameOf(reply.Result) + ", " + reply.Error);
 }
 
-// Whether a registration can have expired since the outage began although its
-// upstream lives.
-bool StoreTask::mayHaveExpired(Instant now) const {
-  const double heartbeats = std::chrono::duration<double>(now - LostSince) /
-                            std::chrono::duration<double>(HeartbeatInterval);
-  return heartbeats >= MinExpiringHeartbeats;
-}
-
 // Registrations that expired during an outage get a grace period to be renewed.
-// A call that was cut off while health checks succeed was no outage, and in a
-// short one nothing expires: what was removed meanwhile has left. All reads
+// A call that was cut off while health checks succeed was no outage. All reads
 // start over, because the store may have dropped pending calls.
 void StoreTask::noteAvailable() {
   if (!Unavailable) {
     return;
   }
   Unavailable = false;
-  logEvent(EventId::PlatformBack,
-           "after " + std::to_string(Ping.Failures) + " failed health checks");
   const Instant now = readClock();
-  AvailableAt = now;
-  if (Ping.Failures > 0 && mayHaveExpired(now)) {
+  RecoveredAt = now;
+  const bool isUnclear = Ping.Failures > 0 && mayHaveExpired(Answers, now);
+  if (isUnclear) {
     recordStoreRecovery(LocalMirror.Upstreams, now);
   }
+  logEvent(EventId::PlatformBack, {{"failed", Ping.Failures},
+                                   {"removals", isUnclear ? "wait" : "now"}});
   restartReads();
 }
 
+// This instance can't tell an outage of the store from one of its own path;
+// others that the store answered meanwhile can.
+void StoreTask::endGraceIfClear(Instant now) {
+  Registry &upstreams = LocalMirror.Upstreams;
+  if (now >= upstreams.RemovalGraceUntil) {
+    return;
+  }
+  if (mayHaveExpired(Answers, RecoveredAt)) {
+    if (Handlers.OutageUnclear) {
+      Handlers.OutageUnclear();
+    }
+    return;
+  }
+  endRemovalGrace(upstreams, now);
+}
+
+std::vector<AnsweredSpanAge> StoreTask::answeredSpans() const {
+  return listOwnSpans(Answers, readClock());
+}
+
+void StoreTask::noteAnsweredSpans(const std::vector<AnsweredSpanAge> &spans) {
+  const Instant now = readClock();
+  recordTold(Answers, spans, now);
+  const bool isPending = now < LocalMirror.Upstreams.RemovalGraceUntil;
+  if (isPending && !mayHaveExpired(Answers, RecoveredAt)) {
+    logEvent(EventId::OutageCleared, {{"after_ms", now - RecoveredAt}});
+    endRemovalGrace(LocalMirror.Upstreams, now);
+    advance();
+  }
+}
+
 void StoreTask::reportHealth() {
   const auto read = activeListWatches();
   const bool complete =
--- a/src/store/StoreTask.h
+++ b/src/store/StoreTask.h
@@ -19,6 +19,7 @@
 #include "store/Mirror.h"
 #include "zinniarail/core/Random.h"
 #include "zinniarail/fleet/Instance.h"
+#include "zinniarail/store/Availability.h"
 #include "zinniarail/store/ListWatch.h"
 
 namespace zinniarail::store {
@@ -30,6 +31,10 @@
   /// Called with true when every kind has been listed and the store responds,
   /// and with false when one of the two is no longer the case.
   std::function<void(bool)> HealthChanged;
+  /// Registrations may have expired in an outage, as far as this instance can
+  /// tell; noteAnsweredSpans tells it what others have seen. Called again while
+  /// removals wait for that.
+  std::function<void()> OutageUnclear = nullptr;
 };
 
 /// Reads the store and writes the instance record. Used only on the thread of
@@ -49,7 +54,9 @@
 
   /// Sets how often upstreams renew their registrations, which tells how long
   /// an outage must be for one of these to expire in it.
-  void setHeartbeatInterval(Duration interval) { HeartbeatInterval = interval; }
+  void setHeartbeatInterval(Duration interval) {
+    Answers.HeartbeatInterval = interval;
+  }
 
   /// Avoids possibly stale reads for LatestReadPeriod. Used when it is unknown
   /// whether the store has had an outage recently.
@@ -67,7 +74,16 @@
                           std::function<void()> done);
 
   /// Lists all objects and watches for changes from then on.
-  void startReading();
+  /// \param answeredUntil until when the store is known to have answered the
+  /// instance that read it before; Instant::min(): unknown.
+  void startReading(Instant answeredUntil = Instant::min());
+
+  /// When the store answered this instance, for others.
+  std::vector<AnsweredSpanAge> answeredSpans() const;
+
+  /// Takes in when the store answered another instance. If no registration can
+  /// have expired, removals are in force at once.
+  void noteAnsweredSpans(const std::vector<AnsweredSpanAge> &spans);
 
   /// Stops reading. Replies to reads in flight are ignored, and HealthChanged
   /// is not called.
@@ -114,7 +130,7 @@
   void handleWatchReply(platform::Kind kind, const platform::Reply &reply);
   bool handleFailure(platform::Kind kind, const platform::Reply &reply);
   void noteUnavailable(const std::string &call, const platform::Reply &reply);
-  bool mayHaveExpired(Instant now) const;
+  void endGraceIfClear(Instant now);
   void noteAvailable();
   /// Counts and logs an entry that could not be decoded. Such an entry is
   /// treated as missing.
@@ -170,10 +186,8 @@
   bool HasAnswered = false;
   /// A call has failed, and no health check has succeeded since.
   bool Unavailable = false;
-  Duration HeartbeatInterval = std::chrono::milliseconds{1500};
-  Instant AnsweredAt{};  ///< Of the last health check that succeeded.
-  Instant LostSince{};   ///< AnsweredAt at the start of the last outages.
-  Instant AvailableAt{}; ///< When the last outage ended.
+  Availability Answers;
+  Instant RecoveredAt{}; ///< When the last outage ended.
   RetryState Ping;
   unsigned PingGeneration = 0;
   RetryState RecordWrite;
--- a/tests/fleet/PeerTaskTest.cpp
+++ b/tests/fleet/PeerTaskTest.cpp
@@ -15,8 +15,10 @@
 /// One instance without a store; the test sets the state that it would read.
 struct Peer {
   Peer(struct ev_loop *loop, unsigned number,
-       const std::vector<std::string> &seeds, Duration discoveryTime = 50ms)
+       const std::vector<std::string> &seeds, Duration discoveryTime = 50ms,
+       std::string domain = "a")
       : Id("i" + std::to_string(number)), Address(addressOf(number)),
+        FailureDomain(std::move(domain)),
         Task(std::make_unique<PeerTask>(loop, describe(number), seeds,
                                         discoveryTime, 0, handlers())) {}
 
@@ -26,13 +28,22 @@
 
   Member describe(unsigned number) const {
     Member it;
-    it.Record = {Id, "a", Address, Address, "", false};
+    it.Record = {Id, FailureDomain, Address, Address, "", false};
     it.BootId = 1000 + number;
     it.ElectionWeight = 100 - number; // Lower numbers have higher priority.
     return it;
   }
 
   PeerHandlers handlers() {
+    PeerHandlers out = basicHandlers();
+    out.ListAnsweredSpans = [this] { return AnsweredSpans; };
+    out.AnsweredSpansTold = [this](const auto &it) {
+      ToldSpans.insert(ToldSpans.end(), it.begin(), it.end());
+    };
+    return out;
+  }
+
+  PeerHandlers basicHandlers() {
     return {[](Duty) {},
             [this](const StateUpdate &update) {
               CompleteLists +=
@@ -88,6 +99,10 @@
 
   std::string Id;
   std::string Address;
+  std::string FailureDomain;
+  /// When the store answered it, and others as they told.
+  std::vector<store::AnsweredSpanAge> AnsweredSpans;
+  std::vector<store::AnsweredSpanAge> ToldSpans;
   std::uint64_t Version = 0;
   unsigned CompleteLists = 0; ///< Number of complete lists received.
   std::uint64_t QuarantinedFingerprint = 0;
@@ -544,3 +559,37 @@
   BOOST_TEST(it.EventLoop.runUntil(
       [&] { return peer.QuarantinedFingerprint == count; }));
 }
+
+// The instance of the other failure domain knows only followers, which pass the
+// question on to their reader.
+BOOST_AUTO_TEST_CASE(readersTellOthersWhenTheStoreAnsweredThem) {
+  Domain it(3);
+  BOOST_REQUIRE(it.waitUntilAllSeeLive(3));
+  BOOST_REQUIRE(it.EventLoop.runUntil([&] { return it.reader() != nullptr; }));
+  Peer &reader = *it.reader();
+  BOOST_REQUIRE(reader.Id == "i1");
+  reader.setVersion(3);
+  BOOST_REQUIRE(it.EventLoop.runUntil([&] {
+    return it.Peers[1]->Task->reader() == "i1" &&
+           it.Peers[2]->Task->reader() == "i1";
+  }));
+  reader.AnsweredSpans = {{9s, 1s}, {500ms, 20ms}};
+  Peer asker(it.EventLoop.Loop, 4, {Peer::addressOf(2), Peer::addressOf(3)},
+             50ms, "b");
+  BOOST_REQUIRE(asker.Task->open());
+  asker.Task->start();
+  BOOST_REQUIRE(it.EventLoop.runUntil(
+      [&] { return asker.Task->knownInstances().size() >= 3; }));
+  asker.Task->askWhenStoreAnswered();
+  BOOST_REQUIRE(
+      it.EventLoop.runUntil([&] { return asker.ToldSpans.size() >= 2; }));
+  asker.ToldSpans.resize(2);
+  BOOST_TEST((asker.ToldSpans == reader.AnsweredSpans));
+
+  // Followers that become readers know until when theirs was answered.
+  BOOST_TEST(it.EventLoop.runUntil([&] {
+    return it.Peers[1]->Task->storeAnsweredUntil() != Instant::min();
+  }));
+  BOOST_TEST((it.Peers[1]->Task->storeAnsweredUntil() < readClock()));
+  BOOST_TEST((asker.Task->storeAnsweredUntil() == Instant::min()));
+}
--- a/tests/registry/RegistryTest.cpp
+++ b/tests/registry/RegistryTest.cpp
@@ -65,6 +65,23 @@
   BOOST_TEST(applyDueChanges(registry, Start + ReregistrationGrace));
 }
 
+// A restore delays removals whatever becomes of an outage beside it.
+BOOST_AUTO_TEST_CASE(endOfAnOutagesGraceLeavesThatOfARestore) {
+  for (const bool isRestored : {false, true}) {
+    Registry registry = registryWith("u", 3);
+    recordStoreRecovery(registry, Start);
+    if (isRestored) {
+      recordStoreRestore(registry, Start);
+    }
+    remove(registry, "u", {1, 4}, Start + 10ms);
+    endRemovalGrace(registry, Start + 20ms);
+    BOOST_TEST(applyDueChanges(registry, Start + 20ms) == !isRestored);
+    BOOST_TEST(registry.Entries.contains("u") == isRestored);
+    applyDueChanges(registry, Start + ReregistrationGrace);
+    BOOST_TEST(registry.Entries.empty());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(anUpdateOlderThanAPendingRemovalIsIgnored) {
   Registry registry = registryWith("u", 3);
   recordStoreRecovery(registry, Start);
--- a/tests/store/StoreTaskTest.cpp
+++ b/tests/store/StoreTaskTest.cpp
@@ -66,7 +66,8 @@
         Link(makeLink(EventLoop.Loop, Address)),
         Task(EventLoop.Loop, Link->address(), LocalMirror, PropagationLimit, 1,
              {[](platform::Kind) {},
-              [this](bool healthy) { Healthy = healthy; }}) {}
+              [this](bool healthy) { Healthy = healthy; },
+              [this] { Task.noteAnsweredSpans(OthersAnswered); }}) {}
 
   static std::unique_ptr<standins::Link> makeLink(struct ev_loop *loop,
                                                   const std::string &target) {
@@ -100,6 +101,8 @@
   std::unique_ptr<standins::Link> Link;
   Mirror LocalMirror;
   bool Healthy = false;
+  /// What other instances tell of the store when they are asked.
+  std::vector<AnsweredSpanAge> OthersAnswered;
   StoreTask Task;
 };
 
@@ -377,6 +380,76 @@
   BOOST_TEST(it.hasUpstream("u1"));
 }
 
+// Guards against removals that wait though the store was up: only this
+// instance's path to it was silent, again and again or for long.
+BOOST_DATA_TEST_CASE(removalIsInForceInTimeIfOthersReachedTheStore,
+                     (std::vector<int>{1, 5}), silences) {
+  Fixture it;
+  it.Store.put("config", "main", configuration(1));
+  it.Store.put("servers", "u1", registration("s"));
+  it.Task.startReading();
+  BOOST_REQUIRE(it.untilHealthy());
+  it.OthersAnswered = {{1h, 10ms}};
+  Instant madeAt{};
+  for (int n = 0; n < silences; ++n) {
+    it.Store.Faults.ActiveOutage = standins::OutageMode::Unavailable;
+    BOOST_REQUIRE(it.runUntil([&] { return !it.Healthy; }));
+    it.EventLoop.runFor(silences == 1 ? HeartbeatInterval * 2 : 100ms);
+    if (n + 1 == silences) {
+      it.Store.remove("servers", "u1");
+      madeAt = readClock();
+    }
+    it.Store.Faults.ActiveOutage = standins::OutageMode::None;
+    BOOST_REQUIRE(it.untilHealthy());
+  }
+  BOOST_TEST(it.runUntil([&] { return !it.hasUpstream("u1"); }));
+  BOOST_TEST((readClock() - madeAt <= PropagationLimit));
+}
+
+// A reader that has just taken over knows until when the one before was
+// answered.
+BOOST_DATA_TEST_CASE(newReaderKnowsWhenTheStoreWasLost,
+                     boost::unit_test::data::make({false, true}), isKnown) {
+  Fixture it;
+  it.Store.put("config", "main", configuration(1));
+  it.Store.put("servers", "u1", registration("s"));
+  it.Task.startReading();
+  BOOST_REQUIRE(it.untilHealthy());
+  it.Task.stopReading();
+  it.Store.Faults.ActiveOutage = standins::OutageMode::Unavailable;
+  it.Task.startReading(isKnown ? readClock() - 500ms : Instant::min());
+  it.EventLoop.runFor(300ms); // A health check fails.
+  it.Store.remove("servers", "u1");
+  const Instant madeAt = readClock();
+  it.Store.Faults.ActiveOutage = standins::OutageMode::None;
+  BOOST_TEST(it.runUntil([&] { return !it.hasUpstream("u1"); }));
+  BOOST_TEST((readClock() - madeAt <= PropagationLimit) == isKnown);
+}
+
+// A follower applies what its reader has decided, whatever outages it has seen
+// itself while it was a reader.
+BOOST_AUTO_TEST_CASE(removalsDoNotWaitAtAReaderThatHasBecomeAFollower) {
+  Fixture it;
+  it.Store.put("config", "main", configuration(1));
+  it.Store.put("servers", "u1", registration("s"));
+  it.Store.put("servers", "u2", registration("s"));
+  it.Task.startReading();
+  BOOST_REQUIRE(it.untilHealthy());
+  it.Store.Faults.ActiveOutage = standins::OutageMode::Unavailable;
+  BOOST_REQUIRE(it.runUntil([&] { return !it.Healthy; }));
+  it.EventLoop.runFor(HeartbeatInterval * 2);
+  it.Store.remove("servers", "u1");
+  it.Store.Faults.ActiveOutage = standins::OutageMode::None;
+  BOOST_REQUIRE(it.untilHealthy());
+  BOOST_TEST(it.hasUpstream("u1")); // It may have expired.
+  it.Task.stopReading();
+  const StoreRevision later{it.LocalMirror.Era,
+                            it.LocalMirror.UpstreamsRevision.Number + 9};
+  updateUpstreams(it.LocalMirror, {}, {"u1", "u2"}, later, readClock());
+  BOOST_TEST(!it.hasUpstream("u1"));
+  BOOST_TEST(!it.hasUpstream("u2"));
+}
+
 // No registration expires in an outage of under a heartbeat: its upstream has
 // left.
 BOOST_DATA_TEST_CASE(removalInAShortOutageIsInForceInTime,
