A promise counts only from who can make it

Its cause stands on three related paths. A success that says that it did not run was taken for a refusal, and the request was sent again; 408, 421, 429 and 503 that another instance hands on, one of an earlier build, reached the caller as promises; an upstream's response with a refusal's fields of an instance made the instance that relays send the request to a third.

Cause: a statement was believed for what it says, not for who makes it.

Change: a success with X-Not-Executed contradicts itself and counts as unknown. Of a relay that must not run twice, a promise without the other instance's own field becomes 502. An upstream's X-Zinniarail-Outcome and -Reason are dropped.

--- a/src/proxy/Calls.cpp
+++ b/src/proxy/Calls.cpp
@@ -144,13 +144,16 @@
   const auto has = [&](const std::string &name) {
     return http::findHeader(response.Fields, name) != nullptr;
   };
+  const bool success =
+      response.Status >= FirstSuccess && response.Status < FirstRedirect;
+  const bool saysUnrun = has(Context.PlatformDialect->NotExecuted);
   if (response.Status == Misdirected) {
     event.End = balance::AttemptEnd::Misdirected;
-  } else if (has(Context.PlatformDialect->NotExecuted)) {
+  } else if (saysUnrun && success) {
+    event.End = balance::AttemptEnd::Broken; // It contradicts itself.
+  } else if (saysUnrun) {
     event.End = balance::AttemptEnd::RefusedUnrun;
   } else {
-    const bool success =
-        response.Status >= FirstSuccess && response.Status < FirstRedirect;
     // Callers request no content encoding and upstreams sign every successful
     // response, so an encoded or unsigned response was altered on its way.
     const bool altered = has("Content-Encoding") ||
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -361,6 +361,9 @@
   }
   http::Response response = std::move(call->second.Result.Response);
   http::removeHopByHopHeaders(response.Fields);
+  // Another instance would take them for what this one says.
+  http::removeHeader(response.Fields, OutcomeHeader);
+  http::removeHeader(response.Fields, ReasonHeader);
   RequestEnd end;
   end.Status = response.Status;
   finishRequest(balance::numberOf(action.Request), std::move(response), end);
--- a/src/proxy/Relay.cpp
+++ b/src/proxy/Relay.cpp
@@ -3,6 +3,7 @@
 #include "proxy/Proxy.h"
 
 #include <algorithm>
+#include <array>
 #include <string_view>
 
 #include "proxy/Refusal.h"
@@ -47,6 +48,14 @@
           hasValue(response, ReasonHeader, "no-configuration"));
 }
 
+// Whether a response tells callers that the request did not run, and is no
+// refusal of the other instance, which says so in a field of its own.
+bool isForeignPromise(const http::Response &response) {
+  constexpr std::array<unsigned, 4> promises{408, 421, 429, 503};
+  return std::ranges::find(promises, response.Status) != promises.end() &&
+         !hasValue(response, OutcomeHeader, "did-not-run");
+}
+
 } // namespace
 
 // Relays a request that the engine gave up since no upstream can be reached.
@@ -186,7 +195,11 @@
 
 void Proxy::deliverRelayed(http::ExchangeId id, OpenRequest &request,
                            http::Response response) {
-  const Relay &relay = *request.RelayState;
+  Relay &relay = *request.RelayState;
+  if (!request.Idempotent && isForeignPromise(response)) {
+    relay.MayHaveRun = true;
+    return refuseRelayed(id, relay);
+  }
   if (relay.MayHaveRun && hasValue(response, OutcomeHeader, "did-not-run")) {
     return refuseRelayed(id, relay); // It is only true of the last relay.
   }
--- a/tests/proxy/FakeNetwork.h
+++ b/tests/proxy/FakeNetwork.h
@@ -126,6 +126,8 @@
   }
 
   Path ToUpstreams = Path::Open;
+  /// How the next calls for requests end, before ToUpstreams counts.
+  std::deque<http::CallResult> NextResults;
   std::vector<proxy::RelayTarget> Targets;
   bool IsStateOutdated = false;
   /// As in proxy::ProxyCallbacks; by default each request is admitted.
@@ -180,13 +182,18 @@
     for (unsigned n = 0; n < UpstreamCount; ++n) {
       if (call.Address == upstreamAddress(n)) {
         LastUpstreamBytes = call.Bytes;
-        return answer(call.Id, upstreamId(n));
+        return answer(call, upstreamId(n));
       }
     }
     OtherCalls.push_back(std::move(call));
   }
 
-  void answer(http::CallId id, const std::string &upstream) {
+  void answer(const http::Call &call, const std::string &upstream) {
+    const http::CallId id = call.Id;
+    if (!NextResults.empty() && !call.EchoValue.empty()) {
+      EndedCalls.emplace_back(id, std::move(NextResults.front()));
+      return NextResults.pop_front();
+    }
     http::CallResult result;
     switch (ToUpstreams) {
     case Path::Silent:
@@ -212,4 +219,21 @@
   proxy::Proxy Proxy;
 };
 
+/// An instance that reaches no upstream and knows three other instances.
+struct CutOffInstance : TestInstance {
+  CutOffInstance() {
+    warmUp();
+    ToUpstreams = Path::Refused;
+    while (Proxy.reachesUpstreams()) {
+      send("/read/", 50ms);
+      run();
+      std::this_thread::sleep_for(1ms);
+    }
+    Responses.clear();
+    Targets = {{"i2", "192.0.2.102:80"},
+               {"i3", "192.0.2.103:80"},
+               {"i4", "192.0.2.104:80"}};
+  }
+};
+
 } // namespace zinniarail::proxy_test
--- a/tests/proxy/RelayTest.cpp
+++ b/tests/proxy/RelayTest.cpp
@@ -10,23 +10,6 @@
 
 namespace {
 
-/// An instance that reaches no upstream and knows three other instances.
-struct CutOffInstance : TestInstance {
-  CutOffInstance() {
-    warmUp();
-    ToUpstreams = Path::Refused;
-    while (Proxy.reachesUpstreams()) {
-      send("/read/", 50ms);
-      run();
-      std::this_thread::sleep_for(1ms);
-    }
-    Responses.clear();
-    Targets = {{"i2", "192.0.2.102:80"},
-               {"i3", "192.0.2.103:80"},
-               {"i4", "192.0.2.104:80"}};
-  }
-};
-
 /// How a relay ends.
 enum class End : std::uint8_t {
   Answered,
