An unreadable entry costs itself, not the version

Cause: the decoder returned a configuration or its first error.

What was taken away is gone in each case, no key or route gets more rights than it had, and what can't be decided is refused with 503. Only a document without version, listeners or clusters is refused whole. zinniarail-check goes on to call each an error; operators are told by document-partly-read, a metric and the dump. The format of updates is raised, since a customer without a name now holds the keys whose customer isn't clear.

The tests of the decoder that accept no error are as they were.

--- a/include/zinniarail/customers/Customers.h
+++ b/include/zinniarail/customers/Customers.h
@@ -54,6 +54,8 @@
   bool IsAllowed = false;
   const Customer *Holder = nullptr; ///< Null: no customer.
   bool IsRelayed = false; ///< Another instance has identified and admitted it.
+  /// The configuration does not tell whose key it is; see Customer::Name.
+  bool IsUnclear = false;
 };
 
 /// Identifies a request's customer.
--- a/include/zinniarail/events/Events.h
+++ b/include/zinniarail/events/Events.h
@@ -70,6 +70,7 @@
   RolloutDecided = 362,
   CreditLenderChanged = 370,
   DocumentDoubtful = 390,
+  DocumentPartlyRead = 391,
 };
 
 /// The catalogue entry of an event.
--- a/include/zinniarail/intent/Configuration.h
+++ b/include/zinniarail/intent/Configuration.h
@@ -35,14 +35,18 @@
   unsigned MaxAttempts = 1; ///< Upstreams that one request may be sent to.
   Duration Timeout = std::chrono::seconds{2};
   Duration TargetLatency = std::chrono::seconds{1};
-  std::vector<Destination> Destinations; ///< Never empty.
-  bool AllowAnonymous = false;           ///< Callers need no key of a customer.
+  /// Empty: none can be read, and requests are refused. Without the route they
+  /// might go to the service of a shorter prefix.
+  std::vector<Destination> Destinations;
+  bool AllowAnonymous = false; ///< Callers need no key of a customer.
 
   bool operator==(const Route &) const = default;
 };
 
 /// A customer's rules for the requests of its callers.
 struct Customer {
+  /// Empty: it holds the keys whose customer is not clear, and requests with
+  /// them are refused; without keys, any key may be somebody's.
   std::string Name;
   std::optional<unsigned> Priority; ///< Precedes the route's priority.
   /// Requests per second over all instances; 0: no limit.
--- a/src/customers/Customers.cpp
+++ b/src/customers/Customers.cpp
@@ -75,6 +75,14 @@
   }
   const Customer *holder =
       key == nullptr ? nullptr : findCustomerByKey(directory, *key);
+  const Customer *nameless = findCustomer(directory, "");
+  const bool isUnclear =
+      nameless != nullptr &&
+      (holder == nameless ||
+       (key != nullptr && holder == nullptr && nameless->Keys.empty()));
+  if (isUnclear) {
+    return {route.AllowAnonymous, nullptr, false, true};
+  }
   return {holder != nullptr || route.AllowAnonymous, holder};
 }
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -520,6 +520,7 @@
   set("memory-closes", Budget.Closed + InternalBudget.Closed);
   set("log-lines-dropped", droppedLineCount());
   set("entries-unreadable", Store.unreadableEntries());
+  set("configuration-errors", Store.documentErrors());
   updateQuotaGauges();
   set("rollouts-active", Rollouts.activeCount());
   for (const auto &[key, count] : Store.callCounts()) {
--- a/src/events/Events.cpp
+++ b/src/events/Events.cpp
@@ -47,9 +47,9 @@
      "A different configuration is in force on this instance. The fields give "
      "its version and the previous one."},
     {EventId::DocumentRefused, "document-refused", EventLevel::Warn,
-     "The configuration in the store is invalid; the previous one stays in "
-     "force. "
-     "Write a valid one."},
+     "The configuration in the store has no version, listeners or clusters; "
+     "the "
+     "previous one stays in force. Write a valid one."},
     {EventId::DomainOut, "domain-out", EventLevel::Info,
      "A failure domain is out of service; the change is in effect on this "
      "instance."},
@@ -207,6 +207,11 @@
      "or contradict each other. The fields give its version, the number of "
      "errors and warnings, and the first of them; `zinniarail-check` lists "
      "all, also before a configuration is sent."},
+    {EventId::DocumentPartlyRead, "document-partly-read", EventLevel::Warn,
+     "The configuration that came into force has entries that can't be read; "
+     "the rest is in force. The fields give its version, the number of errors "
+     "and the first of them; the state dump of the instance that reads the "
+     "store lists more. See \"Entries that can't be read\" in OPERATIONS.md."},
 };
 
 log4cplus::LogLevel toLog4cplusLevel(EventLevel level) {
--- a/src/fleet/Codec.h
+++ b/src/fleet/Codec.h
@@ -141,8 +141,9 @@
 };
 
 /// Version number, raised with each change to the encoding of StateUpdate or to
-/// the polls for it: an instance only follows readers with the same format.
-constexpr unsigned CurrentUpdateFormat = 6;
+/// the polls for it, or to what it means: an instance only follows readers with
+/// the same format.
+constexpr unsigned CurrentUpdateFormat = 7;
 
 /// What a reader sends its followers: the parts of the state that changed.
 struct StateUpdate {
--- a/src/proxy/Arrival.cpp
+++ b/src/proxy/Arrival.cpp
@@ -20,6 +20,10 @@
 // may have one: another instance may know it already.
 constexpr Duration OutdatedStateRetryAfter = std::chrono::milliseconds{100};
 
+// Retry-After while the configuration does not tell where a request goes:
+// operators have to write another one.
+constexpr Duration UnreadableRetryAfter = std::chrono::seconds{1};
+
 // Retry-After while requests hold too much memory: others end meanwhile.
 constexpr Duration MemoryRetryAfter = std::chrono::milliseconds{300};
 
@@ -126,12 +130,20 @@
   if (route == nullptr) {
     return refuseUndispatched(id, request, NotFound, "no-route", Duration{0});
   }
+  if (route->Destinations.empty()) {
+    return refuseUndispatched(id, request, Unavailable, "route-unreadable",
+                              UnreadableRetryAfter);
+  }
   const auto deadline = deadlineOf(request, *route, now);
   if (!deadline) {
     return refuseUndispatched(id, request, BadRequest, "bad-deadline",
                               Duration{0});
   }
   const Identity caller = identifyCaller(request, *route);
+  if (!caller.IsAllowed && caller.IsUnclear) {
+    return refuseUndispatched(id, request, Unavailable, "key-unclear",
+                              UnreadableRetryAfter);
+  }
   if (!caller.IsAllowed && Callbacks.IsStateOutdated()) {
     return refuseUndispatched(id, request, Unavailable, "state-outdated",
                               OutdatedStateRetryAfter);
--- a/src/proxy/Identity.cpp
+++ b/src/proxy/Identity.cpp
@@ -40,7 +40,7 @@
   const Customer *customer = findCustomer(Customers, name);
   // Without a key of its own, a customer's part of the secret may be known to
   // another one.
-  return customer != nullptr && !customer->Keys.empty() &&
+  return customer != nullptr && !name.empty() && !customer->Keys.empty() &&
                  isRelayProven(RelaySecret, identity,
                                valueOf(request.Fields, ProofHeader))
              ? customer
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -188,9 +188,10 @@
                       "force everywhere"),
       durationSetting("heartbeat-interval", &S::HeartbeatInterval, "1500ms",
                       100ms, 600s,
-                      "how often upstreams renew their registrations; in an "
-                      "outage of the store that lasts for less than 1.5 of it "
-                      "none can expire"),
+                      "how often upstreams renew their registrations; one that "
+                      "is removed can have expired only if nobody was answered "
+                      "by the store for 1.5 of it without a break, in the "
+                      "three before"),
       durationSetting("stop-timeout", &S::StopTimeout, "30s", 100ms, 600s,
                       "maximum duration of a graceful stop"),
       durationSetting(
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -46,6 +46,9 @@
 constexpr Duration UnreadableLogInterval = std::chrono::seconds{1};
 constexpr std::size_t MaxLoggedName = 100;
 
+// Errors of the configuration that a dump lists.
+constexpr std::size_t MaxDescribedErrors = 20;
+
 std::size_t indexOf(Kind kind) { return static_cast<std::size_t>(kind); }
 
 constexpr std::array<Kind, 5> AllKinds{Kind::Configuration, Kind::Upstreams,
@@ -530,15 +533,26 @@
   if (object.Removed || object.Name != platform::ConfigurationName) {
     return; // The current configuration remains in force.
   }
-  auto config = platform::decodeConfiguration(object.Content);
-  if (!config) {
+  const auto read = platform::readConfiguration(object.Content);
+  if (!read) {
     logEvent(EventId::DocumentRefused,
              "revision " + std::to_string(object.Revision.Number) + ": " +
-                 platform::describe(config.error()));
+                 platform::describe(read.error()));
     return;
   }
-  updateConfiguration(LocalMirror, std::make_shared<const Configuration>(
-                                       std::move(config.value())));
+  const auto &[draft, errors] = read.value();
+  const bool isNew = updateConfiguration(
+      LocalMirror, std::make_shared<const Configuration>(
+                       completeDraft(draft, LocalMirror.Config.get())));
+  if (isNew) {
+    DocumentErrors = errors;
+  }
+  if (isNew && !errors.empty()) {
+    logEvent(EventId::DocumentPartlyRead,
+             {{"version", draft.Version},
+              {"entries", errors.size()},
+              {"first", platform::describe(errors.front())}});
+  }
 }
 
 // Applies a complete list. Objects missing from it are removed, except for the
@@ -695,7 +709,14 @@
   for (const auto &[key, count] : Client.counts()) {
     calls[std::string(key.first) + "/" + nameOf(key.second)] = count;
   }
+  boost::json::array documentErrors;
+  for (const platform::DocumentError &it :
+       std::span(DocumentErrors)
+           .first(std::min(DocumentErrors.size(), MaxDescribedErrors))) {
+    documentErrors.emplace_back(platform::describe(it));
+  }
   return {{"reading", Reading},
+          {"documentErrors", std::move(documentErrors)},
           {"era", LocalMirror.Era},
           {"lost", Unavailable},
           {"recorded", Records.size()},
--- a/src/store/StoreTask.h
+++ b/src/store/StoreTask.h
@@ -114,6 +114,9 @@
   /// Entries that could not be read, each counted whenever the store sent it.
   std::uint64_t unreadableEntries() const { return UnreadableEntries; }
 
+  /// Entries of the configuration in force that this instance could not read.
+  std::size_t documentErrors() const { return DocumentErrors.size(); }
+
   /// The state as JSON with stable keys, for a dump.
   boost::json::object describe(Instant now) const;
 
@@ -169,6 +172,7 @@
   std::size_t ElectionRank = 0;
   std::uint64_t UnreadableEntries = 0;
   Instant UnreadableLoggedAt{};
+  std::vector<platform::DocumentError> DocumentErrors;
   std::array<ListWatch, KindCount> ListWatches;
   /// Kinds that are read, in their order: all but the last, or all.
   std::size_t ReadKinds = KindCount - 1;
