Heads of responses count as what they become

What callers would see: upstreams that send tiny header fields without end make an instance exceed its memory; the process ends, and with it the requests of others.

Cause: heads of responses were limited and counted by their bytes on the wire, 64 KB a connection.

Change: a field counts as its text and what the parser needs for it, in the limit of a head with its trailers (128 KB) and in the budget; a complete response counts its fields until its caller has them. Requests and responses share the figures (http/ParsedFields.h).

--- a/src/http/ClientPool.cpp
+++ b/src/http/ClientPool.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "http/ParsedFields.h"
 #include "http/Sockets.h"
 
 namespace zinniarail::http {
@@ -34,6 +35,10 @@
 // trailers.
 constexpr std::uint32_t MaxHeaderBytes = std::uint32_t{64} << 10;
 
+// Limit for what the fields of a response take once they are parsed. A head of
+// MaxHeaderBytes with fields of a usual length is below it.
+constexpr std::size_t MaxParsedHeadBytes = std::size_t{128} << 10;
+
 // Maximum number of interim responses and responses to other requests that a
 // call skips; one more fails the call and closes the connection.
 constexpr unsigned MaxStrayResponses = 8;
@@ -159,7 +164,9 @@
   std::optional<Parser> ResponseParser;
   std::size_t HeldBytes = 0; ///< This connection's part of receivedBytes.
   Charge Held;
-  std::size_t HeadBytes = 0; ///< Parsed so far of an incomplete head.
+  /// Of ResponseParser's head: parsed so far, then those of its fields.
+  std::size_t HeadBytes = 0;
+  std::size_t HeadFields = 0; ///< Parsed of ResponseParser, at least.
   unsigned StrayResponses = 0;
   bool ResponseStarted = false;
   Instant IdleSince{};
@@ -409,14 +416,18 @@
     }
     reserveBody(connection);
     boost::beast::error_code ec;
-    const std::size_t used = connection.ResponseParser->put(
-        boost::asio::buffer(connection.Input.data(), connection.Input.size()),
-        ec);
-    connection.Input.erase(0, used);
+    const std::size_t used = parseSome(connection, ec);
     if (ec && ec != beast::error::need_more) {
       fail(connection, "malformed response: " + ec.message());
       return true;
     }
+    const std::size_t unparsed = connection.ResponseParser->is_header_done()
+                                     ? 0
+                                     : connection.Input.size();
+    if (parsedHeadBytes(connection) + unparsed > MaxParsedHeadBytes) {
+      fail(connection, "malformed response: too many header fields");
+      return true;
+    }
     const unsigned status = connection.ResponseParser->get().result_int();
     if (connection.ResponseParser->is_header_done() &&
         (status < FirstStatus || status > LastStatus)) {
@@ -429,10 +440,9 @@
     }
     // The parser limits neither the total of a head that arrives field by
     // field nor the framing of chunks.
-    connection.HeadBytes = connection.ResponseParser->is_header_done()
-                               ? 0
-                               : connection.HeadBytes + used;
-    if (connection.HeadBytes + connection.Input.size() > MaxHeaderBytes) {
+    const std::size_t head =
+        connection.ResponseParser->is_header_done() ? 0 : connection.HeadBytes;
+    if (head + connection.Input.size() > MaxHeaderBytes) {
       fail(connection, "malformed response: header or chunk framing too long");
       return true;
     }
@@ -443,6 +453,32 @@
   return false;
 }
 
+// Parses more of the response that is being read.
+// \returns the number of bytes that were parsed.
+std::size_t ClientPool::parseSome(Connection &connection,
+                                  boost::beast::error_code &ec) {
+  Parser &parser = *connection.ResponseParser;
+  const bool wasHead = !parser.is_header_done();
+  const std::size_t used = parser.put(
+      boost::asio::buffer(connection.Input.data(), connection.Input.size()),
+      ec);
+  if (parser.is_header_done() && (wasHead || parser.is_done())) {
+    connection.HeadFields = countFields(parser.get()); // With the trailers.
+    connection.HeadBytes = countFieldBytes(parser.get());
+  } else if (wasHead) {
+    connection.HeadFields +=
+        countLines(std::string_view(connection.Input).substr(0, used));
+    connection.HeadBytes += used;
+  }
+  connection.Input.erase(0, used);
+  return used;
+}
+
+// What the fields of an incomplete response take.
+std::size_t ClientPool::parsedHeadBytes(const Connection &connection) {
+  return connection.HeadBytes + connection.HeadFields * ParsedFieldBytes;
+}
+
 // A body of unknown length would be copied each time that it outgrows its
 // memory. Memory that is reserved and not written to costs nothing.
 void ClientPool::reserveBody(Connection &connection) const {
@@ -460,9 +496,9 @@
   CallResult result;
   result.Response = takeResponse(*connection.ResponseParser);
   result.Response.Held = Charge(Budget);
-  result.Response.Held.set(HeldKind::Response, result.Response.Body.size());
+  result.Response.Held.set(HeldKind::Response, memoryOf(result.Response));
   connection.ResponseParser.reset();
-  connection.HeadBytes = 0;
+  connection.HeadBytes = connection.HeadFields = 0;
   recordHeldBytes(connection);
   const Call &call = *connection.CurrentCall;
   if (result.Response.Status < FirstFinalStatus ||
@@ -502,7 +538,8 @@
 }
 
 void ClientPool::recordHeldBytes(Connection &connection) {
-  const std::size_t held = connection.Input.size() + connection.HeadBytes +
+  const std::size_t held = connection.Input.size() +
+                           parsedHeadBytes(connection) +
                            (connection.ResponseParser
                                 ? connection.ResponseParser->get().body().size()
                                 : 0);
--- a/src/http/ClientPool.h
+++ b/src/http/ClientPool.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <boost/beast/core/error.hpp>
 #include <ev.h>
 
 #include "http/Message.h"
@@ -135,6 +136,9 @@
   void enforceMaxHeldBytes();
   bool isBudgetExceeded();
   bool parse(Connection &connection);
+  static std::size_t parseSome(Connection &connection,
+                               boost::beast::error_code &ec);
+  static std::size_t parsedHeadBytes(const Connection &connection);
   void reserveBody(Connection &connection) const;
   void handleResponse(Connection &connection);
   void returnToIdle(Connection &connection);
--- a/src/http/Message.cpp
+++ b/src/http/Message.cpp
@@ -167,6 +167,14 @@
   return out;
 }
 
+std::size_t memoryOf(const Response &response) {
+  std::size_t out = response.Body.size();
+  for (const Header &it : response.Fields) {
+    out += sizeof(Header) + it.Name.size() + it.Value.size();
+  }
+  return out;
+}
+
 std::string serializeRequestHead(const Request &request, const Headers &extra) {
   std::string out;
   constexpr std::size_t typicalHeadBytes = 512;
--- a/src/http/Message.h
+++ b/src/http/Message.h
@@ -72,6 +72,9 @@
 /// About how many bytes a request takes in memory, its body included.
 std::size_t memoryOf(const Request &request);
 
+/// About how many bytes a response takes in memory, its body included.
+std::size_t memoryOf(const Response &response);
+
 /// Serializes a request and sets its Content-Length. Neither \p request nor
 /// \p extra may hold Connection, Content-Length or Transfer-Encoding.
 /// \param extra headers to add to those of the request.
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -386,10 +386,8 @@
   if (wasHead && parser.is_header_done()) {
     connection.HeadFields = countFields(parser.get());
   } else if (wasHead) {
-    const auto parsed =
-        connection.Input.begin() + static_cast<std::ptrdiff_t>(used);
-    connection.HeadFields += static_cast<std::size_t>(
-        std::count(connection.Input.begin(), parsed, '\n'));
+    connection.HeadFields +=
+        countLines(std::string_view(connection.Input).substr(0, used));
   }
   connection.Input.erase(0, used);
   // The parser does not limit the total of a head that it parses field by
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -3,13 +3,13 @@
 #pragma once
 
 #include <deque>
-#include <iterator>
 #include <optional>
 #include <string>
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "http/ParsedFields.h"
 #include "http/Server.h"
 
 namespace zinniarail::http {
@@ -22,12 +22,6 @@
 /// a request's head if that is larger: a head is parsed only once it is whole.
 constexpr std::size_t MinUnparsedLimit = std::size_t{64} << 10;
 
-/// The number of header fields of a Beast message.
-template <typename Message> std::size_t countFields(const Message &message) {
-  return static_cast<std::size_t>(
-      std::distance(message.base().begin(), message.base().end()));
-}
-
 /// \param message a Beast message, incomplete or whole.
 /// \returns the request without its body.
 template <typename Message> Request headOf(const Message &message) {
--- a/src/http/ServerRoom.cpp
+++ b/src/http/ServerRoom.cpp
@@ -16,9 +16,6 @@
 // How long accepting pauses while there are too many connections.
 constexpr Duration AcceptPause = std::chrono::milliseconds{100};
 
-// What the parser needs for a header field, besides its bytes.
-constexpr std::size_t ParsedFieldBytes = 96;
-
 // Retry-After of a plain refusal for want of memory, in seconds.
 constexpr const char *MemoryRetryAfter = "0.300";
 
--- a/standins/upstream/Upstream.cpp
+++ b/standins/upstream/Upstream.cpp
@@ -159,6 +159,9 @@
 
 void Upstream::handleHealthCheck(http::ExchangeId id) {
   ++HealthChecks;
+  if (Faults.FloodHealthChecks) {
+    return Server->sendRawResponse(id, endlessBytes(), false);
+  }
   const bool fails = Faults.FailHealthChecks || !Faults.RetryAfter.empty();
   http::Response response{
       fails ? Unavailable : Ok,
@@ -277,11 +280,8 @@
     return Server->sendRawResponse(request.Exchange,
                                    bytes.substr(0, bytes.size() - 8), true);
   }
-  if (!Faults.EndlessStart.empty()) {
-    constexpr std::size_t length = std::size_t{256} << 10;
-    return Server->sendRawResponse(
-        request.Exchange, Faults.EndlessStart + std::string(length, 'x'),
-        false);
+  if (Faults.IsEndless || !Faults.EndlessStart.empty()) {
+    return Server->sendRawResponse(request.Exchange, endlessBytes(), false);
   }
   if (shouldInjectFault(Faults.DuplicatedFraction)) {
     bytes += bytes;
@@ -289,6 +289,15 @@
   Server->sendRawResponse(request.Exchange, std::move(bytes), false);
 }
 
+std::string Upstream::endlessBytes() const {
+  constexpr std::size_t length = std::size_t{256} << 10;
+  std::string out = Faults.EndlessStart;
+  while (out.size() < Faults.EndlessStart.size() + length) {
+    out += Faults.EndlessPiece;
+  }
+  return out;
+}
+
 void Upstream::startQueued() {
   while (BusySlots < Config.Slots && !Queue.empty()) {
     ActiveRequest request = std::move(Queue.front());
--- a/standins/upstream/Upstream.h
+++ b/standins/upstream/Upstream.h
@@ -74,9 +74,12 @@
   /// the connection.
   double TruncatedFraction = 0;
   double DuplicatedFraction = 0; ///< Sends the response twice.
-  /// Runs the request, then sends this and a long run of one letter, and keeps
-  /// the connection open; empty: sends its response.
+  /// Runs the request, then sends EndlessStart and a long run of EndlessPiece,
+  /// and keeps the connection open; also if EndlessStart is not empty.
+  bool IsEndless = false;
   std::string EndlessStart;
+  std::string EndlessPiece = "x";
+  bool FloodHealthChecks = false; ///< Answers them with the same bytes.
   /// Crashes at the end of the run of a request whose target contains this;
   /// empty: never.
   std::string CrashOn;
@@ -159,6 +162,7 @@
   void tick();
   void updateRegistration(const char *state);
   std::string loadReport() const;
+  std::string endlessBytes() const;
   bool shouldInjectFault(double fraction);
   bool isCold() const;
 
