A stop answers what it has read

What callers saw: in a planned stop, a request that comes behind an open one on the same connection is read, passed on and run, and gets no answer: the first response closes the connection. Its caller may send it again, so that it runs twice.

Cause: in a stop each response closed its connection, with whatever had been read behind it.

Change: only the response to the last request that was read closes the connection, and nothing is read behind an open one any more. A stop is complete once all that was read has its response, also what waits for an earlier one.

http/dispatchedRequestsAfterAClosingResponseAreAbandoned asserted the fault: that what was passed on is abandoned.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -322,7 +322,10 @@
 }
 
 bool Server::mayParse(const Connection &connection) const {
-  if (connection.takesNoRequests() || connection.Input.empty() ||
+  // Before a close, what comes behind an open request stays unread: its caller
+  // sends it again elsewhere, and whatever was read gets its response here.
+  const bool endsHere = CloseAfterResponses && !connection.Exchanges.empty();
+  if (endsHere || connection.takesNoRequests() || connection.Input.empty() ||
       connection.Exchanges.size() >= MaxPipelinedRequests ||
       connection.unreadBytes() >= MaxUnreadBytes) {
     return false;
@@ -506,7 +509,11 @@
     return;
   }
   Exchange &exchange = findExchange(*found->second, id);
-  const bool shouldClose = exchange.ClosesConnection || CloseAfterResponses;
+  // Requests behind a closing response count as not read, so that only the last
+  // response may close the connection.
+  const bool isLast = &exchange == &found->second->Exchanges.back();
+  const bool shouldClose =
+      exchange.ClosesConnection || (CloseAfterResponses && isLast);
   std::string bytes = serializeResponseHead(response, shouldClose);
   response.Held = Charge();
   if (!exchange.IsHead && hasBody(response.Status)) {
@@ -717,10 +724,11 @@
 }
 
 std::size_t Server::openExchanges() const {
-  return Unanswered.size() + AwaitingTurn.size() +
-         static_cast<std::size_t>(std::count_if(
-             Connections.begin(), Connections.end(),
-             [](const auto &it) { return !it.second->Output.empty(); }));
+  std::size_t out = AwaitingTurn.size();
+  for (const auto &[it, owned] : Connections) {
+    out += it->Exchanges.size() + (it->Output.empty() ? 0 : 1);
+  }
+  return out;
 }
 
 } // namespace zinniarail::http
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -103,14 +103,15 @@
   /// \param close whether the connection closes after these bytes.
   void sendRawResponse(ExchangeId id, std::string bytes, bool close);
 
-  /// From now on, sendResponse closes the connection after each response.
+  /// From now on, connections close after their responses: those to all
+  /// requests that have been read. None is read behind an open one any more.
   void closeAfterResponses() { CloseAfterResponses = true; }
 
   /// Closes the connections with no request being read or answered.
   void closeIdle();
 
-  /// Dispatched requests without a response, plus connections with unwritten
-  /// response bytes or with requests that await their turn.
+  /// Requests that were read and whose response was not, plus connections with
+  /// unwritten response bytes or with requests that await their turn.
   std::size_t openExchanges() const;
 
   std::size_t connections() const { return Connections.size(); }
--- a/tests/http/ServerTest.cpp
+++ b/tests/http/ServerTest.cpp
@@ -132,18 +132,117 @@
   BOOST_TEST(it.ArrivalOrder.size() == 1);
 }
 
-BOOST_AUTO_TEST_CASE(dispatchedRequestsAfterAClosingResponseAreAbandoned) {
+namespace server_test {
+
+/// Requests on one connection of a server that begins to close its connections.
+struct ClosingCase {
+  const char *Description;
+  std::vector<std::string> ReadBefore; ///< Targets; "/p" begins those of POST.
+  std::string Part;                    ///< Of a further request, sent before.
+  std::vector<std::string> SentAfter;
+  std::vector<std::string> AnswerOrder; ///< Of the handler.
+  /// What is answered, in this order; the others must not be dispatched.
+  std::vector<std::string> Expected;
+};
+
+std::ostream &operator<<(std::ostream &out, const ClosingCase &it) {
+  return out << it.Description;
+}
+
+const std::vector<ClosingCase> ClosingCases{
+    {"one open request", {"/1"}, "", {}, {"/1"}, {"/1"}},
+    {"two under way", {"/1", "/2"}, "", {}, {"/1", "/2"}, {"/1", "/2"}},
+    {"two under way, the last is answered first",
+     {"/1", "/2"},
+     "",
+     {},
+     {"/2", "/1"},
+     {"/1", "/2"}},
+    {"one waits for the other",
+     {"/1", "/p2"},
+     "",
+     {},
+     {"/1", "/p2"},
+     {"/1", "/p2"}},
+    {"all wait for the first",
+     {"/1", "/p2", "/3", "/p4"},
+     "",
+     {},
+     {"/1", "/p2", "/3", "/p4"},
+     {"/1", "/p2", "/3", "/p4"}},
+    {"another comes behind the open one", {"/1"}, "", {"/2"}, {"/1"}, {"/1"}},
+    {"others come behind two",
+     {"/1", "/p2"},
+     "",
+     {"/3", "/p4"},
+     {"/1", "/p2"},
+     {"/1", "/p2"}},
+    {"the rest of another comes",
+     {"/1"},
+     "GET /2 HTTP/1.1\r\nHo",
+     {"/2"},
+     {"/1"},
+     {"/1"}},
+    {"the next two come on an idle connection",
+     {},
+     "",
+     {"/1", "/2"},
+     {"/1"},
+     {"/1"}}};
+
+std::string requestTo(const std::string &target) {
+  return target.starts_with("/p") ? post(target, "x") : get(target);
+}
+
+} // namespace server_test
+
+// Guards against requests that are read and passed on behind one whose response
+// closes the connection, and that get no response: their caller sends them
+// again, and they run twice.
+BOOST_DATA_TEST_CASE(whatIsReadBeforeACloseIsAnswered, ClosingCases, row) {
   ServerFixture it;
+  CallerLimits limits = smallLimits();
+  limits.HeaderTimeout = limits.IdleTimeout = 20s;
+  it.TestedServer.setLimits(limits);
   const auto caller = it.connect();
-  caller->send(get("/1") + get("/2"));
-  BOOST_REQUIRE(it.waitForRequest("/2"));
+  std::string before;
+  for (const std::string &target : row.ReadBefore) {
+    before += requestTo(target);
+  }
+  caller->send(before + row.Part);
+  BOOST_REQUIRE(it.EventLoop.runUntil([&] {
+    return it.TestedServer.connections() == 1 &&
+           it.TestedServer.openExchanges() == row.ReadBefore.size();
+  }));
+  it.EventLoop.runFor(20ms);
   it.TestedServer.closeAfterResponses();
-  it.respond("/1", "first");
-  BOOST_TEST(it.EventLoop.runUntil([&] { return it.Abandoned.size() == 1; }));
-  BOOST_TEST(it.Abandoned.front() == it.Ids.at("/2"));
-  it.respond("/2", "second"); // Ignored: the exchange has ended.
+  for (const std::string &target : row.SentAfter) {
+    const std::string bytes = requestTo(target);
+    caller->send(bytes.substr(std::min(bytes.size(), row.Part.size())));
+  }
   it.EventLoop.runFor(20ms);
-  BOOST_TEST(!caller->has("second"));
+  for (const std::string &target : row.AnswerOrder) {
+    BOOST_REQUIRE(it.waitForRequest(target));
+    BOOST_TEST(it.TestedServer.openExchanges() > 0U);
+    it.respond(target, "to" + target + ";");
+  }
+  BOOST_REQUIRE(it.EventLoop.runUntil([&] {
+    caller->read();
+    return caller->PeerClosed;
+  }));
+  BOOST_TEST(!caller->PeerReset);
+  BOOST_TEST((it.ArrivalOrder == row.Expected));
+  BOOST_TEST(it.Abandoned.empty());
+  std::size_t at = 0;
+  for (const std::string &target : row.Expected) {
+    at = caller->Bytes.find("to" + target + ";", at);
+    BOOST_TEST(at != std::string::npos);
+  }
+  // Only the last response says that the connection closes.
+  const std::size_t close = caller->Bytes.find("Connection: close");
+  BOOST_TEST(close != std::string::npos);
+  BOOST_TEST(caller->Bytes.find("HTTP/1.1", close) == std::string::npos);
+  BOOST_TEST(it.TestedServer.openExchanges() == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(chunkedRequestBodyIsReassembled) {
