Connections to upstreams have a part of the descriptors

What was seen: memory/floodOfManyUpstreamsLeavesDescriptors found 540 of 600 descriptors in use at times, beyond its bound of 525; with more slots of upstreams than free descriptors none would be left.

Cause: each port has a part of the descriptors, connections to upstreams had none.

Change: they have 12 of 64. At the limit the connection that was idle for longest makes way; where none is idle, the call waits for one, in the order of the calls. Its request counts as not sent meanwhile, and is cancelled at its deadline. The gauge calls-without-connection tells how many wait.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -66,14 +66,16 @@
 // makes no system calls for memory.
 constexpr int KeptHeapBytes = 4 << 20;
 
-// Descriptors that connections to the ports of the process may take, in parts
-// of DescriptorParts. The rest is for upstreams, the store and files.
+// Descriptors that connections may take, in parts of DescriptorParts: those to
+// the ports of the process, and those to upstreams. The rest is for the store
+// and files.
 constexpr std::size_t DescriptorParts = 64;
 constexpr std::size_t CallerPart = 32;
 constexpr std::size_t PeerPart = 8;
 constexpr std::size_t DirectoryPart = 8;
 constexpr std::size_t OperatorPart = 1;
 constexpr std::size_t ReadyPart = 1;
+constexpr std::size_t UpstreamPart = 12;
 
 // A port has at least this many, and the rest at least MinReservedDescriptors.
 constexpr std::size_t MinConnections = 8;
@@ -99,12 +101,16 @@
   return (std::uint64_t{device()} << 32U) | device();
 }
 
+std::size_t descriptorLimit() {
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  return limit.rlim_cur;
+}
+
 // A port's connections: limited by descriptors and by half of the memory for
 // small requests.
 http::ServerShare shareOf(http::ByteBudget &budget, std::size_t part) {
-  rlimit limit{};
-  getrlimit(RLIMIT_NOFILE, &limit);
-  const std::size_t all = limit.rlim_cur;
+  const std::size_t all = descriptorLimit();
   const std::size_t free = all - std::min(all, MinReservedDescriptors);
   const std::size_t most =
       std::min({all / DescriptorParts * part, free,
@@ -297,6 +303,8 @@
   ReadyServer.setLimits(http::InternalLimits);
   DirectoryServer.setLimits(http::InternalLimits);
   Store.setHeartbeatInterval(Options.HeartbeatInterval);
+  Pool.setMaxConnections(std::max(
+      descriptorLimit() / DescriptorParts * UpstreamPart, MinConnections));
   if (Options.ExposureShare > 0) {
     Store.readRollouts();
   }
@@ -510,6 +518,7 @@
   set("reaches-upstreams", RequestProxy.reachesUpstreams() ? 1 : 0);
   set("caller-connections", CallerServer.connections());
   set("upstream-connections", Pool.connections());
+  set("calls-without-connection", Pool.waitingCalls());
   set("held-small-bytes", Budget.held(http::HeldKind::Small));
   set("held-large-bytes", Budget.held(http::HeldKind::Large));
   set("held-response-bytes", Budget.held(http::HeldKind::Response));
--- a/src/http/ClientPool.cpp
+++ b/src/http/ClientPool.cpp
@@ -188,24 +188,59 @@
 
 ClientPool::~ClientPool() {
   ev_async_stop(Loop, &Wake);
+  Waiting.clear();
   while (!Connections.empty()) {
     closeConnection(*Connections.begin()->first);
   }
 }
 
 void ClientPool::start(Call call) {
+  if (!Waiting.empty() || !startNow(call)) {
+    Waiting.push_back(std::move(call));
+  }
+}
+
+/// \returns false if the call has to wait for a connection.
+bool ClientPool::startNow(Call &call) {
   Endpoint &endpoint = Endpoints[call.Address];
   Connection *connection =
       call.NewConnection ? nullptr : takeIdle(endpoint, call.MaxIdleTime);
   if (connection == nullptr) {
+    if (Connections.size() >= MaxConnections && !makeRoomForConnection()) {
+      return false;
+    }
     connection = openConnection(endpoint, call);
   }
   if (connection == nullptr) {
     CallResult result;
     result.Error = std::strerror(errno);
-    return postResult(call.Id, std::move(result));
+    postResult(call.Id, std::move(result));
+  } else {
+    assignCall(*connection, std::move(call));
+  }
+  return true;
+}
+
+// Closes the connection that was idle for longest.
+// \returns whether there was one.
+bool ClientPool::makeRoomForConnection() {
+  Connection *longest = nullptr;
+  for (const auto &[address, it] : Endpoints) {
+    if (!it.Idle.empty() && (longest == nullptr ||
+                             it.Idle.front()->IdleSince < longest->IdleSince)) {
+      longest = it.Idle.front();
+    }
+  }
+  if (longest != nullptr) {
+    closeConnection(*longest);
+  }
+  return longest != nullptr;
+}
+
+void ClientPool::startWaiting() {
+  while (!Waiting.empty() && startNow(Waiting.front())) {
+    Waiting.pop_front();
   }
-  assignCall(*connection, std::move(call));
 }
 
 // Takes the most recently used connection first, so that the others stay idle
@@ -579,6 +614,9 @@
   connection.Reused = true;
   connection.IdleSince = readClock();
   Endpoints[connection.Address].Idle.push_back(&connection);
+  if (!Waiting.empty()) {
+    ev_async_send(Loop, &Wake);
+  }
 }
 
 void ClientPool::fail(Connection &connection, const std::string &error) {
@@ -603,6 +641,14 @@
 }
 
 void ClientPool::cancel(CallId id) {
+  const auto waiting = std::ranges::find(Waiting, id, &Call::Id);
+  if (waiting != Waiting.end()) {
+    Waiting.erase(waiting);
+    CallResult result;
+    result.Error = "cancelled";
+    result.Cancelled = true;
+    return postResult(id, std::move(result));
+  }
   const auto it = InFlight.find(id);
   if (it == InFlight.end()) {
     return;
@@ -653,6 +699,9 @@
   std::erase(endpoint.Idle, &connection);
   --endpoint.OpenConnections;
   Connections.erase(&connection);
+  if (!Waiting.empty()) {
+    ev_async_send(Loop, &Wake);
+  }
 }
 
 void ClientPool::postResult(CallId id, CallResult result) {
@@ -665,6 +714,7 @@
   for (auto &[id, result] : results) {
     OnEnded(id, std::move(result));
   }
+  startWaiting();
 }
 
 } // namespace zinniarail::http
--- a/src/http/ClientPool.h
+++ b/src/http/ClientPool.h
@@ -5,7 +5,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -104,6 +106,12 @@
   ClientPool(const ClientPool &) = delete;
   ClientPool &operator=(const ClientPool &) = delete;
 
+  /// Sets how many connections there may be. Beyond it an idle one makes way,
+  /// the one that was idle for longest; without one, the call waits for a
+  /// connection to end, in the order of the calls.
+  void setMaxConnections(std::size_t most) { MaxConnections = most; }
+
+  /// Starts a call. Its timeouts count from when it has a connection.
   void start(Call call);
 
   /// Aborts a call and closes its connection; the handler gets its result.
@@ -116,6 +124,9 @@
   std::size_t connections() const { return Connections.size(); }
   std::size_t connections(const std::string &address) const;
 
+  /// Number of calls that wait for a connection.
+  std::size_t waitingCalls() const { return Waiting.size(); }
+
   /// Bytes of incomplete responses that are held in memory.
   std::size_t receivedBytes() const { return HeldBytes; }
 
@@ -128,6 +139,9 @@
 
   Connection *takeIdle(Endpoint &endpoint, Duration maxIdleTime);
   Connection *openConnection(Endpoint &endpoint, const Call &call);
+  bool makeRoomForConnection();
+  bool startNow(Call &call);
+  void startWaiting();
   void assignCall(Connection &connection, Call call);
   void writeTo(Connection &connection);
   void readFrom(Connection &connection);
@@ -151,12 +165,14 @@
   Handler OnEnded;
   std::size_t MaxHeldBytes;
   std::size_t HeldBytes = 0;
+  std::size_t MaxConnections = std::numeric_limits<std::size_t>::max();
   ByteBudget *Budget;
   std::function<bool()> Relief;
   ev_async Wake{};
   std::unordered_map<std::string, Endpoint> Endpoints;
   std::unordered_map<Connection *, std::unique_ptr<Connection>> Connections;
   std::unordered_map<CallId, Connection *> InFlight;
+  std::deque<Call> Waiting; ///< Calls without a connection, in their order.
   /// Results of start and cancel that the loop still has to pass to OnEnded.
   std::vector<std::pair<CallId, CallResult>> PendingResults;
 };
--- a/tests/http/ClientPoolTest.cpp
+++ b/tests/http/ClientPoolTest.cpp
@@ -266,3 +266,58 @@
     return upstream->PeerClosed;
   }));
 }
+
+// Guards against connections to upstreams that use up the descriptors.
+BOOST_AUTO_TEST_CASE(callsBeyondTheConnectionsWaitInTheirOrder) {
+  PoolFixture it;
+  it.Pool.setMaxConnections(2);
+  for (CallId id = 1; id <= 5; ++id) {
+    it.Pool.start(it.call(id));
+  }
+  const auto first = it.acceptRequest();
+  const auto second = it.acceptRequest();
+  it.EventLoop.runFor(20ms);
+  BOOST_TEST(it.Upstream.accept() == nullptr);
+  BOOST_TEST(it.Pool.connections() == 2U);
+  BOOST_TEST(it.Pool.waitingCalls() == 3U);
+
+  it.Pool.cancel(4); // It has no connection.
+  BOOST_REQUIRE(it.waitForResult(4));
+  BOOST_TEST((it.Results[4].Outcome == CallOutcome::NotSent));
+  BOOST_TEST(it.Results[4].Cancelled);
+
+  first->send(response("one")); // The next call reuses its connection.
+  BOOST_REQUIRE(it.waitForResult(1));
+  BOOST_TEST(it.EventLoop.runUntil([&] { return first->has("GET /3 "); }));
+  second->close(); // The next one gets a new connection in its place.
+  BOOST_REQUIRE(it.waitForResult(2));
+  const auto third = it.acceptRequest();
+  BOOST_TEST(third->has("GET /5 "));
+  BOOST_TEST(it.Pool.connections() == 2U);
+  BOOST_TEST(it.Pool.waitingCalls() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(idleConnectionMakesWayForACallToAnotherUpstream) {
+  PoolFixture it;
+  const RawServer other;
+  it.Pool.setMaxConnections(1);
+  it.Pool.start(it.call(1));
+  const auto kept = it.acceptRequest();
+  kept->send(response("one"));
+  BOOST_REQUIRE(it.waitForResult(1));
+  Call call = it.call(2);
+  call.Address = other.Address;
+  it.Pool.start(std::move(call));
+  BOOST_TEST(it.EventLoop.runUntil([&] {
+    kept->read();
+    return kept->PeerClosed;
+  }));
+  std::unique_ptr<RawConnection> next;
+  BOOST_TEST(it.EventLoop.runUntil([&] {
+    if (next == nullptr) {
+      next = other.accept();
+    }
+    return next != nullptr && next->has("GET /2 ");
+  }));
+  BOOST_TEST(it.Pool.connections() == 1U);
+}
