--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -186,12 +186,11 @@
       durationSetting("propagation-limit", &S::PropagationLimit, "2s", 1s, 60s,
                       "time within which a change in the store must be in "
                       "force everywhere"),
-      durationSetting("heartbeat-interval", &S::HeartbeatInterval, "1500ms",
-                      100ms, 600s,
-                      "how often upstreams renew their registrations; one that "
-                      "is removed can have expired only if nobody was answered "
-                      "by the store for 1.5 of it without a break, in the "
-                      "three before"),
+      durationSetting(
+          "heartbeat-interval", &S::HeartbeatInterval, "1500ms", 100ms, 600s,
+          "how often upstreams renew their registrations; one that "
+          "is removed may have expired if all renewals that were "
+          "due in three of it came while the store answered nobody"),
       durationSetting("stop-timeout", &S::StopTimeout, "30s", 100ms, 600s,
                       "maximum duration of a graceful stop"),
       durationSetting(
