drill: the end of a named limit is shown where it is needed

limitThatAnUpstreamNamesIsKept failed once under the sanitizers: 4 requests in two seconds at an upstream whose limit had ended, where the check asked for 8.

Cause: the check was wrong. Some 85 requests, one after another, went to three upstreams, and it took for granted that each gets a good part of them. Placement promises no part: the estimates of a calm service differ by chance, and the lowest gets most.

Now the two other upstreams name limits before the last two seconds, so that only the one whose limit ended can take the requests; bound and times are unchanged. Also each instance has to know of the end, where one of three was enough.

Shown: an instance that hears of no end fails 3 of 3 (all instances: 6 < 8 and the logs; one instance: the logs).

--- a/tests/drill/RateLimitTest.cpp
+++ b/tests/drill/RateLimitTest.cpp
@@ -66,11 +66,13 @@
 
 BOOST_AUTO_TEST_CASE(limitThatAnUpstreamNamesIsKept) {
   Drill drill(makePlan());
-  const auto &upstreams = drill.Deployed.Upstreams;
-  standins::Upstream &limited =
-      **std::find_if(upstreams.begin(), upstreams.end(), [](const auto &it) {
-        return it->Config.Service == "archive";
-      });
+  std::vector<standins::Upstream *> upstreams;
+  for (const auto &it : drill.Deployed.Upstreams) {
+    if (it->Config.Service == "archive") {
+      upstreams.push_back(it.get());
+    }
+  }
+  standins::Upstream &limited = *upstreams.front();
   sendRequests(drill, 1s);
   limited.Faults.RateLimit = "2.0";
   const Instant named = readClock();
@@ -81,8 +83,18 @@
              NamedLimit * seconds * OverLimitFactor + ExtraRequests);
   limited.Faults.RateLimit.clear();
   sendRequests(drill, 3s);
+  // Placement promises an upstream no part of the requests: only limits of the
+  // others leave them to this one.
+  for (standins::Upstream *it : upstreams) {
+    if (it != &limited) {
+      it->Faults.RateLimit = "2.0";
+    }
+  }
   const Instant ended = readClock();
   sendRequests(drill, 2s);
   BOOST_TEST(arrivalsAt(drill, limited.id(), ended).size() >=
              NamedLimit * 2 * 2); // Twice what the limit would have allowed.
+  for (std::size_t n = 0; n < drill.Deployed.Instances.size(); ++n) {
+    BOOST_TEST(drill.waitForLog("named no limit", n));
+  }
 }
