--- a/tests/drill/RateLimitTest.cpp
+++ b/tests/drill/RateLimitTest.cpp
@@ -83,8 +83,8 @@
              NamedLimit * seconds * OverLimitFactor + ExtraRequests);
   limited.Faults.RateLimit.clear();
   sendRequests(drill, 3s);
-  // Placement promises an upstream no part of the requests: only limits of the
-  // others leave them to this one.
+  // Placement need not spread sequential requests over all upstreams. Limits on
+  // the others make it use this one.
   for (standins::Upstream *it : upstreams) {
     if (it != &limited) {
       it->Faults.RateLimit = "2.0";
