A reset that a send meets doesn't end a response

Callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being sent. They got 200, the signature and the part as a whole body.

Cause: Linux reports an error of a socket once. ClientPool::writeTo met it in send and dropped it, since a response may have come before; recv then gave what had arrived and 0, as at an orderly end, and readFrom completed the response.

Ruled out: chance. With a body larger than both buffers the request is unsent in each run, and the write watcher goes before the read watcher. A reset after the pool had read the bytes is the same.

Change: the error of send is kept, and is the connection's where recv reports none. EPIPE is left out: Linux reports it for a reset behind the peer's end, so that what ends with its connection had ended. A response that is whole by its own length or chunks is an answer as before.

--- a/src/http/ClientPool.cpp
+++ b/src/http/ClientPool.cpp
@@ -157,7 +157,8 @@
   /// EchoValue of the last call before CurrentCall that had one.
   std::string EarlierEchoValue;
   std::size_t BytesSent = 0; ///< Request bytes of CurrentCall.
-  Instant OpenedAt{};        ///< When the connection attempt started.
+  int SendError = 0;  ///< The errno value of the send that failed; 0: none.
+  Instant OpenedAt{}; ///< When the connection attempt started.
   Duration RoundTrip{0};
   Instant SentAt{};  ///< When the first byte of CurrentCall was sent.
   std::string Input; ///< Received bytes not parsed yet.
@@ -365,7 +366,9 @@
       return;
     }
     if (n < 0) {
-      // The peer may have sent a response before it closed the connection.
+      // The peer may have sent a response before it closed the connection. The
+      // socket reports an error only once: recv won't repeat it.
+      connection.SendError = errno;
       ev_io_stop(Loop, &connection.WriteWatcher);
       ev_feed_fd_event(Loop, connection.Fd, EV_READ);
       return;
@@ -379,7 +382,8 @@
 }
 
 /// \param closed set to true when the connection was closed or failed.
-/// \param error set to the errno value of a failure, 0 when the peer closed it.
+/// \param error set to the errno value of a failure that was not reported
+///   before; 0 if there is none.
 /// \returns whether any bytes arrived.
 bool ClientPool::receive(Connection &connection, bool &closed, int &error) {
   std::array<char, ReadChunkBytes> chunk;
@@ -412,6 +416,10 @@
   bool closed = false;
   int error = 0;
   const bool any = receive(connection, closed, error);
+  // EPIPE means that the peer's end had arrived before the reset.
+  if (error == 0 && connection.SendError != EPIPE) {
+    error = connection.SendError;
+  }
   if (!connection.CurrentCall) {
     if (any || closed) { // No input is expected while idle.
       closeConnection(connection);
--- a/tests/http/RawConnection.h
+++ b/tests/http/RawConnection.h
@@ -120,10 +120,19 @@
     return Bytes;
   }
 
+  /// Whether bytes have arrived that were not read.
+  bool hasInput() const {
+    char byte = 0;
+    return recv(Fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  }
+
   bool has(const std::string &text) {
     return read().find(text) != std::string::npos;
   }
 
+  /// Ends the bytes to the peer; those from it can still be read.
+  void shutdown() const { ::shutdown(Fd, SHUT_WR); }
+
   void close() {
     if (Fd >= 0) {
       ::close(Fd);
