A response in an unknown transfer coding is no answer

Callers saw: 200 with the upstream's signature, and as its body the framing of chunks (Transfer-Encoding: chunked, gzip; xchunked; identity; chunked, chunked) or coded bytes (gzip, chunked) with nothing that says so. The field is of the connection and is taken off.

Cause: Beast decodes a body if "chunked" comes last, and takes everything else as a body that ends with its connection. Nobody looked at the other codings, nor at HTTP/1.0, where RFC 9112, 6.1, takes the framing for faulty.

Change: where there is the field, it has to be one, be "chunked" alone, and come with HTTP/1.1. Else the response is malformed.

--- a/src/http/ClientPool.cpp
+++ b/src/http/ClientPool.cpp
@@ -11,6 +11,7 @@
 #include <cstring>
 #include <optional>
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -79,6 +80,27 @@
   return sendmsg(fd, &message, flags);
 }
 
+// Whether the body comes without a transfer coding or in chunks. No other
+// coding is asked for, and none can be removed (RFC 9112, section 6.1, which
+// also rules out a coding under HTTP/1.0).
+bool isBodyDecodable(const Parser::value_type &message) {
+  constexpr unsigned http11 = 11;
+  const auto [first, last] =
+      message.equal_range(beast::field::transfer_encoding);
+  return first == last ||
+         (message.version() >= http11 && std::next(first) == last &&
+          boost::beast::iequals(first->value(), "chunked"));
+}
+
+// What makes a head malformed that could be parsed; empty: nothing.
+std::string findHeadError(const Parser::value_type &message) {
+  const unsigned status = message.result_int();
+  if (status < FirstStatus || status > LastStatus) {
+    return "status " + std::to_string(status);
+  }
+  return isBodyDecodable(message) ? "" : "unknown transfer coding";
+}
+
 Response takeResponse(Parser &parser) {
   auto message = parser.release();
   Response response;
@@ -471,11 +493,12 @@
       fail(connection, "malformed response: too many header fields");
       return true;
     }
-    const unsigned status = connection.ResponseParser->get().result_int();
-    if (connection.ResponseParser->is_header_done() &&
-        (status < FirstStatus || status > LastStatus)) {
-      fail(connection, "malformed response: status " + std::to_string(status));
-      return true;
+    if (connection.ResponseParser->is_header_done()) {
+      const std::string error = findHeadError(connection.ResponseParser->get());
+      if (!error.empty()) {
+        fail(connection, "malformed response: " + error);
+        return true;
+      }
     }
     if (connection.ResponseParser->is_done()) {
       handleResponse(connection);
