A response with a folded field is no answer

Callers saw: a line of a response's head that begins with a blank, such as " Content-Length: 2", was joined to the field before it. The caller got 200 with a body of another length, or with a signature that had grown by that line.

Cause: Beast joins such lines, which RFC 9112, 5.2, allows a gateway, beside discarding the response. Joining is not safe here: the field before may be the signature, and who reads the line as a field (its name begins with a blank) gets another body.

Change: a response with such a line is malformed. The parser stops at the end of the head, so that blanks behind a line end of the body stay data. The row "a folded field" of http/CutResponseTest stays: each of its parts is Broken, as is now the whole.

--- a/src/http/ClientPool.cpp
+++ b/src/http/ClientPool.cpp
@@ -80,6 +80,14 @@
   return sendmsg(fd, &message, flags);
 }
 
+// Whether a field is continued on a further line. Joining the lines could add
+// to a field what the upstream meant to be another one, so that such a response
+// is discarded, as a gateway may (RFC 9112, section 5.2).
+bool hasFoldedField(std::string_view head) {
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
 // Whether the body comes without a transfer coding or in chunks. No other
 // coding is asked for, and none can be removed (RFC 9112, section 6.1, which
 // also rules out a coding under HTTP/1.0).
@@ -474,12 +482,12 @@
   while (!connection.Input.empty()) {
     if (!connection.ResponseParser) {
       connection.ResponseParser.emplace();
-      connection.ResponseParser->eager(true);
       connection.ResponseParser->header_limit(MaxHeaderBytes);
       connection.ResponseParser->body_limit(MaxHeldBytes);
       connection.ResponseParser->skip(connection.CurrentCall->IsHead);
     }
     reserveBody(connection);
+    const bool wasHead = !connection.ResponseParser->is_header_done();
     boost::beast::error_code ec;
     const std::size_t used = parseSome(connection, ec);
     if (ec && ec != beast::error::need_more) {
@@ -504,6 +512,9 @@
       handleResponse(connection);
       return true;
     }
+    if (wasHead && connection.ResponseParser->is_header_done()) {
+      continue; // The rest of the input was not given to the parser yet.
+    }
     // The parser limits neither the total of a head that arrives field by
     // field nor the framing of chunks.
     const std::size_t head =
@@ -525,9 +536,14 @@
                                   boost::beast::error_code &ec) {
   Parser &parser = *connection.ResponseParser;
   const bool wasHead = !parser.is_header_done();
+  parser.eager(!wasHead); // Stops at the end of the head.
   const std::size_t used = parser.put(
       boost::asio::buffer(connection.Input.data(), connection.Input.size()),
       ec);
+  if (wasHead &&
+      hasFoldedField(std::string_view(connection.Input).substr(0, used))) {
+    ec = beast::error::bad_field;
+  }
   if (parser.is_header_done() && (wasHead || parser.is_done())) {
     connection.HeadFields = countFields(parser.get()); // With the trailers.
     connection.HeadBytes = countFieldBytes(parser.get());
--- a/tests/http/FieldNameTest.cpp
+++ b/tests/http/FieldNameTest.cpp
@@ -28,6 +28,20 @@
 const std::string Status = "HTTP/1.1 200 OK\r\n";
 const std::string OwnFields = "X-Request-Id: a\r\nX-Response-Signature: s\r\n";
 
+// Places of a line that begins with a blank or a tab, "{name}".
+const std::vector<FieldPlace> FoldPlaces{
+    {"behind the status line",
+     Status + "{name}Content-Length: 2\r\n" + OwnFields + "\r\nbody"},
+    {"behind a field", Status + OwnFields +
+                           "Content-Length: 4\r\nX-F: a\r\n"
+                           "{name}b\r\n\r\nbody"},
+    {"in place of the length",
+     Status + OwnFields + "{name}Content-Length: 2\r\n\r\nbody"},
+    {"behind a field without a value", Status + OwnFields +
+                                           "X-F:\r\n{name}X-Not-Executed: 1\r\n"
+                                           "Content-Length: 4\r\n\r\nbody"},
+    {"a blank line", Status + OwnFields + "{name}\r\n\r\nbody"}};
+
 const std::vector<FieldPlace> FieldPlaces{
     {"the first field",
      Status + "{name}: 4\r\n" + OwnFields + "Content-Length: 4\r\n\r\nbody"},
@@ -76,6 +90,35 @@
   }
 }
 
+// Guards against a line that is joined to the field before it, though the
+// upstream may have meant a field of its own.
+BOOST_DATA_TEST_CASE(foldedFieldIsNoAnswer,
+                     boost::unit_test::data::make(FoldPlaces) *
+                         boost::unit_test::data::make(std::vector<std::string>{
+                             " ", "\t", "  \t"}),
+                     place, blanks) {
+  BOOST_TEST((outcomeOf(withName(place, blanks)) == CallOutcome::Broken));
+}
+
+// The end of the head is where blanks behind a line end begin to be data,
+// however its bytes arrive.
+BOOST_AUTO_TEST_CASE(blanksBehindALineEndOfABodyAreData) {
+  const std::string body = "\r\n a\r\n\r\n\tb";
+  const std::string bytes = Status + OwnFields +
+                            "Content-Length: " + std::to_string(body.size()) +
+                            "\r\n\r\n" + body;
+  for (std::size_t n = 0; n < bytes.size(); ++n) {
+    PoolFixture it;
+    it.Pool.start(it.call(1, "a"));
+    const auto upstream = it.acceptRequest();
+    upstream->send(bytes.substr(0, n));
+    it.EventLoop.runOnce();
+    upstream->send(bytes.substr(n));
+    BOOST_REQUIRE(it.waitForResult(1));
+    BOOST_TEST(it.Results[1].Response.Body == body, n);
+  }
+}
+
 BOOST_DATA_TEST_CASE(missingFieldNameIsNoAnswer, FieldPlaces, place) {
   BOOST_TEST((outcomeOf(withName(place, "")) == CallOutcome::Broken));
 }
