Trailers of a response are no fields of its head

Callers saw: a success that was signed in a trailer only, with the trailers among the fields of its head. A trailer could also say that the request had not run, or name a load, and was believed.

Cause: Beast adds trailers to the fields that its parser holds, and these were taken once the response was whole. RFC 9110, 6.5.1, allows that only to fields that are known to be safe there.

Change: the fields are taken at the end of the head; trailers are parsed, count against the limit for a head, and are dropped. A success without a signature in its head is broken, as before.

--- a/src/http/ClientPool.cpp
+++ b/src/http/ClientPool.cpp
@@ -109,16 +109,16 @@
   return isBodyDecodable(message) ? "" : "unknown transfer coding";
 }
 
-Response takeResponse(Parser &parser) {
-  auto message = parser.release();
-  Response response;
-  response.Status = message.result_int();
-  for (const auto &it : message.base()) {
-    response.Fields.push_back(
-        {std::string(it.name_string()), std::string(it.value())});
+// Moves the fields of a whole head out of its parser, which would add the
+// trailers to them. Trailers must not pass for fields of the head (RFC 9110,
+// section 6.5.1); no use is made of them.
+Headers takeHeadFields(Parser &parser) {
+  Headers out;
+  for (const auto &it : parser.get().base()) {
+    out.push_back({std::string(it.name_string()), std::string(it.value())});
   }
-  response.Body = std::move(message.body());
-  return response;
+  parser.get().base().clear();
+  return out;
 }
 
 // How long a connection may be idle before the peer closes it, from the header
@@ -193,6 +193,7 @@
   Instant SentAt{};  ///< When the first byte of CurrentCall was sent.
   std::string Input; ///< Received bytes not parsed yet.
   std::optional<Parser> ResponseParser;
+  Headers ResponseFields;    ///< Of the response's head, once that is whole.
   std::size_t HeldBytes = 0; ///< This connection's part of receivedBytes.
   Charge Held;
   /// Of ResponseParser's head: parsed so far, then those of its fields.
@@ -501,12 +502,13 @@
       fail(connection, "malformed response: too many header fields");
       return true;
     }
-    if (connection.ResponseParser->is_header_done()) {
+    if (wasHead && connection.ResponseParser->is_header_done()) {
       const std::string error = findHeadError(connection.ResponseParser->get());
       if (!error.empty()) {
         fail(connection, "malformed response: " + error);
         return true;
       }
+      connection.ResponseFields = takeHeadFields(*connection.ResponseParser);
     }
     if (connection.ResponseParser->is_done()) {
       handleResponse(connection);
@@ -544,9 +546,12 @@
       hasFoldedField(std::string_view(connection.Input).substr(0, used))) {
     ec = beast::error::bad_field;
   }
-  if (parser.is_header_done() && (wasHead || parser.is_done())) {
-    connection.HeadFields = countFields(parser.get()); // With the trailers.
+  if (wasHead && parser.is_header_done()) {
+    connection.HeadFields = countFields(parser.get());
     connection.HeadBytes = countFieldBytes(parser.get());
+  } else if (parser.is_done()) {
+    connection.HeadFields += countFields(parser.get()); // The trailers.
+    connection.HeadBytes += countFieldBytes(parser.get());
   } else if (wasHead) {
     connection.HeadFields +=
         countLines(std::string_view(connection.Input).substr(0, used));
@@ -576,7 +581,10 @@
 void ClientPool::handleResponse(Connection &connection) {
   const bool keepAlive = connection.ResponseParser->keep_alive();
   CallResult result;
-  result.Response = takeResponse(*connection.ResponseParser);
+  auto &message = connection.ResponseParser->get();
+  result.Response.Status = message.result_int();
+  result.Response.Fields = std::exchange(connection.ResponseFields, {});
+  result.Response.Body = std::move(message.body());
   result.Response.Held = Charge(Budget);
   result.Response.Held.set(HeldKind::Response, memoryOf(result.Response));
   connection.ResponseParser.reset();
