The store: a line of a head that is no field makes it no answer

What was seen: libcurl passes over lines of a head whose name is none. "Content-Length : 5" left a body that lasts until the connection ends; only the text, which can't be parsed when it is cut, kept a part from counting.

Change: each line of a head and of the trailers has to be a status line, a field with a valid name, or the empty line. Else the request ends as Broken, as it does for an invalid status.

--- a/src/core/HttpClient.cpp
+++ b/src/core/HttpClient.cpp
@@ -34,7 +34,7 @@
   bool Sent = false; ///< Bytes may have been sent.
   std::size_t HeadBytes = 0;
   bool IsHeadComplete = false; ///< Of the last response, not an interim one.
-  bool HasInvalidStatus = false;
+  bool HasInvalidLine = false; ///< In its head or its trailers.
   std::unique_ptr<CURL, EasyDeleter> Easy;
   std::unique_ptr<curl_slist, HeadersDeleter> Headers;
 };
@@ -68,13 +68,27 @@
           rest.front() == '\n');
 }
 
+// Whether a line has the name of a field and a colon. libcurl passes over other
+// lines, and so over a length whose name has a blank behind it.
+bool hasValidName(std::string_view line) {
+  constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+  const std::string_view name = line.substr(0, line.find(':'));
+  return !name.empty() && name.size() < line.size() &&
+         std::all_of(name.begin(), name.end(), [&](unsigned char c) {
+           return (c < 0x80 && std::isalnum(c) != 0) ||
+                  marks.find(static_cast<char>(c)) != std::string_view::npos;
+         });
+}
+
 // libcurl takes a head for complete that ends with the connection.
 void noteHeadLine(Transfer &it, std::string_view line) {
   if (line.starts_with("HTTP/")) { // An interim response may precede it.
     it.IsHeadComplete = false;
-    it.HasInvalidStatus = it.HasInvalidStatus || !hasValidStatus(line);
+    it.HasInvalidLine = it.HasInvalidLine || !hasValidStatus(line);
   } else if (line == "\r\n" || line == "\n") {
     it.IsHeadComplete = true;
+  } else {
+    it.HasInvalidLine = it.HasInvalidLine || !hasValidName(line);
   }
 }
 
@@ -88,7 +102,7 @@
   const std::string &name = it.Request.RequestedHeader;
   const std::string_view line(data, size);
   noteHeadLine(it, line);
-  if (it.HasInvalidStatus) {
+  if (it.HasInvalidLine) {
     return 0;
   }
   const auto equalIgnoringCase = [](char a, char b) {
@@ -158,7 +172,7 @@
   if (it.Reply.Result == HttpReply::Outcome::TooLarge) {
     return;
   }
-  if (code != CURLE_OK || !it.IsHeadComplete || it.HasInvalidStatus) {
+  if (code != CURLE_OK || !it.IsHeadComplete || it.HasInvalidLine) {
     it.Reply.TimedOut = code == CURLE_OPERATION_TIMEDOUT;
     it.Reply.Result =
         it.Sent ? HttpReply::Outcome::Broken : HttpReply::Outcome::NotSent;
--- a/tests/core/HttpClientTest.cpp
+++ b/tests/core/HttpClientTest.cpp
@@ -168,3 +168,65 @@
   BOOST_REQUIRE(loop.runUntil([&] { return reply.has_value(); }));
   BOOST_TEST((reply->Result == HttpReply::Outcome::Broken));
 }
+
+namespace {
+
+// A response; "{name}" stands for the name of a field.
+const std::vector<std::string> FieldPlaces{
+    "HTTP/1.1 200 OK\r\n{name}: 2\r\nContent-Length: 2\r\n\r\n{}",
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n{name}: 2\r\n\r\n{}",
+    "HTTP/1.1 200 OK\r\n{name}: 2\r\n\r\n{}",
+    ChunkedHead + "2\r\n{}\r\n0\r\n{name}: 2\r\n\r\n"};
+
+// The response to a request whose server sends these bytes and closes.
+HttpReply replyTo(const std::string &bytes) {
+  http::TestLoop loop;
+  const http::RawServer server;
+  HttpClient client(loop.Loop);
+  std::optional<HttpReply> reply;
+  HttpRequest request;
+  request.Url = "http://" + server.Address + "/objects/servers";
+  request.Timeout = 10s;
+  client.send(std::move(request), [&](HttpReply it) { reply = std::move(it); });
+  std::unique_ptr<http::RawConnection> peer;
+  BOOST_REQUIRE(loop.runUntil([&] {
+    if (!peer) {
+      peer = server.accept();
+    }
+    return peer && peer->has("\r\n\r\n");
+  }));
+  peer->send(bytes);
+  peer->close();
+  BOOST_REQUIRE(loop.runUntil([&] { return reply.has_value(); }));
+  return *reply;
+}
+
+std::string withName(std::string bytes, const std::string &name) {
+  const std::string placeholder = "{name}";
+  return bytes.replace(bytes.find(placeholder), placeholder.size(), name);
+}
+
+} // namespace
+
+// Guards against a line that libcurl passes over, though it may have been the
+// length of the body.
+BOOST_DATA_TEST_CASE(invalidFieldNameIsNoAnswer,
+                     boost::unit_test::data::make(FieldPlaces) *
+                         boost::unit_test::data::make(std::vector<int>{
+                             0, 1, '\t', '\n', '\v', '\f', '\r', 31, ' ', '"',
+                             '(', '/', '@', '[', 127, 128, 255}),
+                     place, byte) {
+  const std::string invalid(1, static_cast<char>(byte));
+  for (const std::string &name :
+       {"Content" + invalid + "Length", "Content-Length" + invalid,
+        invalid + "Content-Length"}) {
+    if (name.front() == '\n') {
+      continue; // It ends the head.
+    }
+    BOOST_TEST(
+        (replyTo(withName(place, name)).Result == HttpReply::Outcome::Broken),
+        name);
+  }
+  BOOST_TEST((replyTo(withName(place, "X!#$%&'*+-.^_`|~09")).Result ==
+              HttpReply::Outcome::Answered));
+}
