--- a/tests/drill/BrokenAnswerTest.cpp
+++ b/tests/drill/BrokenAnswerTest.cpp
@@ -3,6 +3,7 @@
 #include <memory>
 #include <ostream>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/test/data/test_case.hpp>
@@ -136,6 +137,13 @@
   }));
 }
 
+namespace {
+
+// None begins with another one.
+std::string pipelinedId(unsigned n) { return "p-" + std::to_string(n) + "."; }
+
+} // namespace
+
 // A response that is none completes no other request, whatever is sent behind
 // it on the caller's connection.
 BOOST_DATA_TEST_CASE(brokenResponseLeavesPipelinedRequestsAlone,
@@ -148,22 +156,28 @@
   BOOST_REQUIRE(caller != nullptr);
   std::string requests;
   for (unsigned n = 0; n < count; ++n) {
-    const std::string id = "p-" + std::to_string(n) + ".";
-    requests += "GET /moving/" + id +
-                " HTTP/1.1\r\nHost: orders.example\r\nX-Request-Id: " + id +
-                "\r\nX-Deadline-Milliseconds: 2000\r\n\r\n";
+    const std::string id = pipelinedId(n);
+    requests.append("GET /moving/")
+        .append(id)
+        .append(" HTTP/1.1\r\nHost: orders.example\r\nX-Request-Id: ")
+        .append(id)
+        .append("\r\nX-Deadline-Milliseconds: 2000\r\n\r\n");
   }
   caller->send(requests);
-  const std::string last = "answer to p-" + std::to_string(count - 1) + ".";
+  const std::string last = "answer to " + pipelinedId(count - 1);
   BOOST_REQUIRE(drill.EventLoop.runUntil([&] { return caller->has(last); }));
   std::size_t at = 0;
   for (unsigned n = 0; n < count; ++n) {
-    const std::string id = "p-" + std::to_string(n) + ".";
-    for (const std::string &part :
-         {std::string("HTTP/1.1 200 "), "X-Request-Id: " + id,
-          "\r\n\r\nanswer to " + id}) {
-      at = caller->Bytes.find(part, at);
+    const std::string id = pipelinedId(n);
+    for (const auto &[before, value] :
+         std::vector<std::pair<std::string, std::string>>{
+             {"HTTP/1.1 ", "200 "},
+             {"X-Request-Id: ", id},
+             {"answer to ", id}}) {
+      at = caller->Bytes.find(before, at);
       BOOST_REQUIRE(at != std::string::npos);
+      at += before.size();
+      BOOST_TEST(caller->Bytes.substr(at, value.size()) == value);
     }
   }
   BOOST_TEST(caller->Bytes.find("\r\n\r\nbody") == std::string::npos);
