The head of a response is taken in a function of its own; clearer names

Read as a newcomer: parse() did too much, two constants had one name, and a test included a header that it doesn't use.

--- a/src/http/ClientPool.cpp
+++ b/src/http/ClientPool.cpp
@@ -502,19 +502,16 @@
       fail(connection, "malformed response: too many header fields");
       return true;
     }
-    if (wasHead && connection.ResponseParser->is_header_done()) {
-      const std::string error = findHeadError(connection.ResponseParser->get());
-      if (!error.empty()) {
-        fail(connection, "malformed response: " + error);
-        return true;
-      }
-      connection.ResponseFields = takeHeadFields(*connection.ResponseParser);
+    const bool headEnded =
+        wasHead && connection.ResponseParser->is_header_done();
+    if (headEnded && !takeHead(connection)) {
+      return true;
     }
     if (connection.ResponseParser->is_done()) {
       handleResponse(connection);
       return true;
     }
-    if (wasHead && connection.ResponseParser->is_header_done()) {
+    if (headEnded) {
       continue; // The rest of the input was not given to the parser yet.
     }
     // The parser limits neither the total of a head that arrives field by
@@ -532,6 +529,18 @@
   return false;
 }
 
+// Checks a head that has become whole, and takes its fields.
+// \returns false if the call failed.
+bool ClientPool::takeHead(Connection &connection) {
+  const std::string error = findHeadError(connection.ResponseParser->get());
+  if (!error.empty()) {
+    fail(connection, "malformed response: " + error);
+    return false;
+  }
+  connection.ResponseFields = takeHeadFields(*connection.ResponseParser);
+  return true;
+}
+
 // Parses more of the response that is being read.
 // \returns the number of bytes that were parsed.
 std::size_t ClientPool::parseSome(Connection &connection,
--- a/src/http/ClientPool.h
+++ b/src/http/ClientPool.h
@@ -150,6 +150,7 @@
   void enforceMaxHeldBytes();
   bool isBudgetExceeded();
   bool parse(Connection &connection);
+  bool takeHead(Connection &connection);
   static std::size_t parseSome(Connection &connection,
                                boost::beast::error_code &ec);
   static std::size_t parsedHeadBytes(const Connection &connection);
--- a/standins/link/Link.cpp
+++ b/standins/link/Link.cpp
@@ -52,7 +52,7 @@
       fieldOf(bytes.substr(0, end), "Content-Length");
   std::size_t n = 0;
   std::from_chars(length.data(), length.data() + length.size(), n);
-  return n >= UploadBytes;
+  return n >= MinUploadBytes;
 }
 
 // The start of a success whose body ends with the connection.
--- a/standins/link/Link.h
+++ b/standins/link/Link.h
@@ -22,13 +22,13 @@
   bool HoldToTarget = false; ///< Holds back bytes from client to target.
   bool HoldToClient = false; ///< Holds back bytes from target to client.
   bool Refuse = false;       ///< New connections are reset.
-  /// Answers a request with a body of UploadBytes or more from the client, at
-  /// its head: with a success of no length, a part of its body and a reset.
+  /// Answers a request with a body of MinUploadBytes or more from the client,
+  /// at its head: with a success of no length, a part of its body and a reset.
   bool CutUploads = false;
 };
 
 /// Length of a body from which on the fault CutUploads applies.
-constexpr std::size_t UploadBytes = std::size_t{1} << 20;
+constexpr std::size_t MinUploadBytes = std::size_t{1} << 20;
 
 /// Used only on the thread of its loop.
 class Link {
--- a/tests/http/FieldNameTest.cpp
+++ b/tests/http/FieldNameTest.cpp
@@ -28,7 +28,7 @@
 const std::string Status = "HTTP/1.1 200 OK\r\n";
 const std::string OwnFields = "X-Request-Id: a\r\nX-Response-Signature: s\r\n";
 
-// Places of a line that begins with a blank or a tab, "{name}".
+// Responses with a line that begins with blanks, for which "{name}" stands.
 const std::vector<FieldPlace> FoldPlaces{
     {"behind the status line",
      Status + "{name}Content-Length: 2\r\n" + OwnFields + "\r\nbody"},
--- a/tests/http/ResetResponseTest.cpp
+++ b/tests/http/ResetResponseTest.cpp
@@ -1,7 +1,5 @@
 // Responses that end with their connection, to requests that the upstream has
 // not read whole.
-#include <sys/socket.h>
-
 #include <memory>
 #include <ostream>
 #include <string>
