--- a/tests/core/HttpClientTest.cpp
+++ b/tests/core/HttpClientTest.cpp
@@ -141,6 +141,38 @@
   }
 }
 
+namespace {
+
+/// Sends a request to a server that the test plays itself.
+struct ReplyFixture {
+  ReplyFixture() : Client(Loop.Loop) {
+    HttpRequest request;
+    request.Url = "http://" + Server.Address + "/objects/servers";
+    request.Timeout = 10s;
+    Client.send(std::move(request),
+                [this](HttpReply it) { Reply = std::move(it); });
+    BOOST_REQUIRE(Loop.runUntil([this] {
+      if (!Peer) {
+        Peer = Server.accept();
+      }
+      return Peer && Peer->has("\r\n\r\n");
+    }));
+  }
+
+  HttpReply waitForReply() {
+    BOOST_REQUIRE(Loop.runUntil([this] { return Reply.has_value(); }));
+    return *Reply;
+  }
+
+  http::TestLoop Loop;
+  http::RawServer Server;
+  std::optional<HttpReply> Reply;
+  std::unique_ptr<http::RawConnection> Peer;
+  HttpClient Client;
+};
+
+} // namespace
+
 // Guards against a status code outside 100 to 599 that passes for the store's
 // answer. libcurl reads signs, and the first three of more digits.
 BOOST_DATA_TEST_CASE(invalidStatusCodeIsNoAnswer,
@@ -148,25 +180,10 @@
                          "000", "099", "600", "999", "1000", "2000", "20", "2",
                          "+20", "-20", "+200", " 200", "2 00", "2O0"}),
                      code) {
-  http::TestLoop loop;
-  const http::RawServer server;
-  HttpClient client(loop.Loop);
-  std::optional<HttpReply> reply;
-  HttpRequest request;
-  request.Url = "http://" + server.Address + "/objects/servers";
-  request.Timeout = 10s;
-  client.send(std::move(request), [&](HttpReply it) { reply = std::move(it); });
-  std::unique_ptr<http::RawConnection> peer;
-  BOOST_REQUIRE(loop.runUntil([&] {
-    if (!peer) {
-      peer = server.accept();
-    }
-    return peer && peer->has("\r\n\r\n");
-  }));
-  peer->send("HTTP/1.1 " + code +
-             " Strange\r\nStore-Era: 1\r\nContent-Length: 2\r\n\r\n{}");
-  BOOST_REQUIRE(loop.runUntil([&] { return reply.has_value(); }));
-  BOOST_TEST((reply->Result == HttpReply::Outcome::Broken));
+  ReplyFixture it;
+  it.Peer->send("HTTP/1.1 " + code +
+                " Strange\r\nStore-Era: 1\r\nContent-Length: 2\r\n\r\n{}");
+  BOOST_TEST((it.waitForReply().Result == HttpReply::Outcome::Broken));
 }
 
 namespace {
@@ -180,25 +197,10 @@
 
 // The response to a request whose server sends these bytes and closes.
 HttpReply replyTo(const std::string &bytes) {
-  http::TestLoop loop;
-  const http::RawServer server;
-  HttpClient client(loop.Loop);
-  std::optional<HttpReply> reply;
-  HttpRequest request;
-  request.Url = "http://" + server.Address + "/objects/servers";
-  request.Timeout = 10s;
-  client.send(std::move(request), [&](HttpReply it) { reply = std::move(it); });
-  std::unique_ptr<http::RawConnection> peer;
-  BOOST_REQUIRE(loop.runUntil([&] {
-    if (!peer) {
-      peer = server.accept();
-    }
-    return peer && peer->has("\r\n\r\n");
-  }));
-  peer->send(bytes);
-  peer->close();
-  BOOST_REQUIRE(loop.runUntil([&] { return reply.has_value(); }));
-  return *reply;
+  ReplyFixture it;
+  it.Peer->send(bytes);
+  it.Peer->close();
+  return it.waitForReply();
 }
 
 std::string withName(std::string bytes, const std::string &name) {
